--- /dev/null
+++ b/src/include/pollenwall/dispatch.h
@@ -0,0 +1,234 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include <pollenwall/configuration.h>
+#include <pollenwall/job.h>
+#include <pollenwall/time.h>
+
+/// The scheduling core of one entry: admission, queueing, placement, outcomes, retries and
+/// cancellation of the jobs that this entry owns. No I/O, no clock; `Handle` is the whole of it.
+namespace pollenwall::dispatch {
+
+/// A waiting call of a caller, as numbered by the node. 0 is none.
+using RequestId = std::uint64_t;
+
+/// A dense number for an upstream, stable for the life of the State and never reused.
+using UpstreamIndex = std::uint32_t;
+
+/// Limits and policy constants. All have defaults that suit the design capacity.
+struct Options
+{
+  std::string mDataCentre;
+  std::chrono::milliseconds mAnswerRetention{ 60000 };
+  std::chrono::milliseconds mStartWindow{
+    1000
+  }; ///< Start requests later than this are refused by workers.
+  std::size_t mMaxQueuedTasks = 200000;
+  std::size_t mMaxTasksPerJob = 190;
+  double mRetryRatio = 0.1; ///< Retries allowed per start.
+  double mRetryBurst = 50;
+  std::chrono::milliseconds mSignExpiry{
+    10000
+  }; ///< An unconfirmed sign of leaving lapses after this.
+
+  friend bool operator==(const Options&, const Options&) = default;
+};
+
+// Events.
+
+/// A job that this entry owns. The id is set. mRequest waits for the answer when it is not 0.
+struct Submit
+{
+  RequestId mRequest = 0;
+  JobSpec mJob;
+};
+
+/// Waits for the answer of a known job; answered at once when the job has ended.
+struct Wait
+{
+  RequestId mRequest = 0;
+  std::string mId;
+};
+
+/// The waiting call is gone; its job goes on.
+struct Unwait
+{
+  RequestId mRequest = 0;
+};
+
+struct Cancel
+{
+  std::string mId;
+};
+
+/// The end of one start request. An outcome for an attempt that is not outstanding is counted and
+/// dropped.
+struct TaskEnded
+{
+  TaskId mTask;
+  std::uint32_t mAttempt = 0;
+  UpstreamIndex mUpstream = 0;
+  TaskOutcome mOutcome;
+};
+
+/// How many slots of an upstream this entry may fill now: its own by the view, less lent, plus
+/// borrowed. Sent whenever that changes. Running tasks beyond a lowered number end normally.
+struct SetCredits
+{
+  std::string mUpstream; ///< Key "SERVICE/WORKER".
+  std::uint32_t mCredits = 0;
+};
+
+enum class Sign
+{
+  Leaving,          ///< Confirmed by the platform's list.
+  SuspectedLeaving, ///< A refusal, a closed connection or a peer's note.
+  Live,             ///< The platform's list shows it live, or it answered.
+};
+
+struct UpstreamSign
+{
+  std::string mUpstream;
+  Sign mSign = Sign::Live;
+};
+
+struct ConfigurationApplied
+{
+  std::shared_ptr<const configuration::Configuration> mConfiguration;
+};
+
+/// Refuses new jobs from now on; known jobs go on.
+struct StopAccepting
+{};
+
+/// Due regularly (every 10 to 50 ms); expires, ages and retries.
+struct Tick
+{};
+
+using Event = std::variant<Submit,
+                           Wait,
+                           Unwait,
+                           Cancel,
+                           TaskEnded,
+                           SetCredits,
+                           UpstreamSign,
+                           ConfigurationApplied,
+                           StopAccepting,
+                           Tick>;
+
+// Actions.
+
+struct StartTask
+{
+  TaskId mTask;
+  std::uint32_t mAttempt = 0; ///< From 1; echoed in TaskEnded.
+  UpstreamIndex mUpstream = 0;
+  std::shared_ptr<const std::string> mPayload;
+  UnixMs mNotAfterMs = 0; ///< The upstream refuses the start after this.
+};
+
+struct StopTask
+{
+  TaskId mTask;
+  UpstreamIndex mUpstream = 0;
+};
+
+/// Answers a waiting call. Sent once for each request.
+struct Answer
+{
+  RequestId mRequest = 0;
+  JobAnswer mAnswer;
+};
+
+/// Refuses a Submit; the job is not kept.
+struct Refuse
+{
+  RequestId mRequest = 0;
+  std::string mId;
+  Error mError;
+};
+
+/// The job was accepted and is now this entry's.
+struct Accepted
+{
+  RequestId mRequest = 0;
+  std::string mId;
+};
+
+/// The job has ended; for the journal.
+struct Finished
+{
+  std::string mId;
+  JobState mState = JobState::Failed;
+  Verdict mVerdict = Verdict::MayHaveRun;
+};
+
+using Action = std::variant<StartTask, StopTask, Answer, Refuse, Accepted, Finished>;
+using Actions = std::vector<Action>;
+
+struct State;
+
+/// Makes a state. The seed starts the generator that jitter draws from.
+std::unique_ptr<State, void (*)(State*)> MakeState(const Options& aOptions, std::uint64_t aSeed);
+
+/// Applies one event and appends what has to be done, in order.
+void Handle(State& aState, const Event& aEvent, const Now& aNow, Actions& aActions);
+
+// Queries; none changes the state.
+
+/// The answer or status of a known job; nothing when the id is unknown or forgotten.
+std::optional<JobAnswer> Find(const State& aState, std::string_view aId);
+
+/// The owning team and body hash of a known job, to check a resubmission.
+struct KnownJob
+{
+  std::string mTeam;
+  std::uint64_t mBodyHash = 0;
+};
+std::optional<KnownJob> FindKnown(const State& aState, std::string_view aId);
+
+/// Where to reach an upstream: "IP:PORT", and its key.
+struct UpstreamAddress
+{
+  std::string mKey;
+  std::string mAddress;
+};
+UpstreamAddress AddressOf(const State& aState, UpstreamIndex aUpstream);
+
+/// Load of this entry, for heartbeats and lending.
+struct Load
+{
+  std::size_t mQueuedTasks = 0;
+  std::size_t mRunningTasks = 0;
+  std::size_t mIdleCredits = 0;
+  std::chrono::milliseconds mEstimatedWait{ 0 };
+};
+Load LoadOf(const State& aState);
+
+/// Idle credits and running tasks of each upstream with credits, by key order.
+struct UpstreamLoad
+{
+  std::string mKey;
+  std::uint32_t mCredits = 0;
+  std::uint32_t mRunning = 0;
+  bool mUsable = true; ///< Not leaving and not unhealthy.
+};
+std::vector<UpstreamLoad> UpstreamLoads(const State& aState);
+
+/// Tasks waiting for a slot of the service, and those that no idle credit of this entry can serve.
+std::size_t UnservedTasks(const State& aState, std::string_view aService);
+
+/// Counters by name, for metrics (values only rise).
+std::vector<std::pair<std::string, std::uint64_t>> Counters(const State& aState);
+
+/// The whole state as JSON text, enough to say why a given job waits.
+std::string Dump(const State& aState, const Now& aNow);
+
+} // namespace pollenwall::dispatch
--- /dev/null
+++ b/src/libutil/ids.cpp
@@ -0,0 +1,131 @@
+#include <pollenwall/ids.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+
+namespace pollenwall {
+namespace {
+
+constexpr int kRandomBits = 20;
+constexpr std::string_view kMintedPrefix = "pw-";
+constexpr std::size_t kMaxKeyLength = 128;
+constexpr std::size_t kIncarnationDigits = 16;
+
+bool IsKeyCharacter(char aCharacter)
+{
+  return (aCharacter >= 'a' && aCharacter <= 'z') || (aCharacter >= 'A' && aCharacter <= 'Z') ||
+         (aCharacter >= '0' && aCharacter <= '9') || aCharacter == '.' || aCharacter == '_' ||
+         aCharacter == '-';
+}
+
+bool IsName(std::string_view aText)
+{
+  return !aText.empty() && aText.size() <= kMaxKeyLength &&
+         std::all_of(aText.begin(), aText.end(), IsKeyCharacter);
+}
+
+template<typename Number>
+std::optional<Number> ParseNumber(std::string_view aText, int aBase)
+{
+  Number n = 0;
+  const auto [end, ec] = std::from_chars(aText.data(), aText.data() + aText.size(), n, aBase);
+  if (ec != std::errc() || end != aText.data() + aText.size() || aText.empty()) {
+    return std::nullopt;
+  }
+  return n;
+}
+
+} // namespace
+
+Incarnation MakeIncarnation(UnixMs aStart, std::uint32_t aRandom)
+{
+  const auto start = static_cast<std::uint64_t>(aStart) << kRandomBits;
+  return Incarnation{ start | (aRandom & ((1U << kRandomBits) - 1)) };
+}
+
+std::string ToString(Incarnation aIncarnation)
+{
+  char buf[kIncarnationDigits + 1];
+  std::snprintf(buf, sizeof buf, "%016llx", static_cast<unsigned long long>(aIncarnation.mValue));
+  return buf;
+}
+
+std::optional<Incarnation> ParseIncarnation(std::string_view aText)
+{
+  if (aText.size() != kIncarnationDigits) {
+    return std::nullopt;
+  }
+  const auto n = ParseNumber<std::uint64_t>(aText, 16);
+  return n ? std::optional(Incarnation{ *n }) : std::nullopt;
+}
+
+std::string ToString(const MintedId& aId)
+{
+  return std::string(kMintedPrefix) + aId.mDataCentre + "-" + ToString(aId.mIncarnation) + "-" +
+         std::to_string(aId.mSequence);
+}
+
+std::string ToString(const CallerId& aId)
+{
+  return aId.mHome + ":" + aId.mKey;
+}
+
+std::optional<MintedId> ParseMintedId(std::string_view aText)
+{
+  if (!aText.starts_with(kMintedPrefix)) {
+    return std::nullopt;
+  }
+  aText.remove_prefix(kMintedPrefix.size());
+  // A data centre's name may itself contain hyphens, so the fixed parts are taken from the end.
+  const auto sequenceAt = aText.rfind('-');
+  if (sequenceAt == std::string_view::npos || sequenceAt == 0) {
+    return std::nullopt;
+  }
+  const auto incarnationAt = aText.rfind('-', sequenceAt - 1);
+  if (incarnationAt == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const auto dataCentre = aText.substr(0, incarnationAt);
+  const auto incarnation =
+    ParseIncarnation(aText.substr(incarnationAt + 1, sequenceAt - incarnationAt - 1));
+  const auto sequence = ParseNumber<std::uint64_t>(aText.substr(sequenceAt + 1), 10);
+  if (!IsName(dataCentre) || !incarnation || !sequence) {
+    return std::nullopt;
+  }
+  return MintedId{ std::string(dataCentre), *incarnation, *sequence };
+}
+
+std::optional<CallerId> ParseCallerId(std::string_view aText)
+{
+  const auto colon = aText.find(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const auto home = aText.substr(0, colon);
+  const auto key = aText.substr(colon + 1);
+  if (!IsName(home) || !IsName(key)) {
+    return std::nullopt;
+  }
+  return CallerId{ std::string(home), std::string(key) };
+}
+
+std::string ToString(const TaskId& aId)
+{
+  return aId.mJob + "/" + std::to_string(aId.mIndex);
+}
+
+std::optional<TaskId> ParseTaskId(std::string_view aText)
+{
+  const auto slash = aText.rfind('/');
+  if (slash == std::string_view::npos || slash == 0) {
+    return std::nullopt;
+  }
+  const auto index = ParseNumber<std::uint32_t>(aText.substr(slash + 1), 10);
+  if (!index) {
+    return std::nullopt;
+  }
+  return TaskId{ std::string(aText.substr(0, slash)), *index };
+}
+
+} // namespace pollenwall
--- /dev/null
+++ b/src/libutil/util_test.cpp
@@ -0,0 +1,132 @@
+#include <pollenwall/hash.h>
+#include <pollenwall/ids.h>
+#include <pollenwall/log.h>
+#include <pollenwall/metrics.h>
+#include <pollenwall/verdict.h>
+
+#include <map>
+
+#include <boost/json.hpp>
+#include <rapidcheck.h>
+
+#include "util_test.h"
+
+using namespace pollenwall;
+
+namespace {
+
+/// Guards against an id that a peer or a caller sends back and that is then routed elsewhere.
+bool IdsSurviveTextForm()
+{
+  return rc::check("ids survive their text form", [] {
+    const auto value = *rc::gen::arbitrary<std::uint64_t>();
+    const auto sequence = *rc::gen::arbitrary<std::uint64_t>();
+    const auto name = *rc::gen::element<std::string>("north", "gold-coast", "a-b-c", "x1");
+    const MintedId minted{ name, Incarnation{ value }, sequence };
+    RC_ASSERT(ParseMintedId(ToString(minted)) == minted);
+    const CallerId caller{ name, std::to_string(sequence) };
+    RC_ASSERT(ParseCallerId(ToString(caller)) == caller);
+    RC_ASSERT(!ParseCallerId(ToString(minted)));
+    RC_ASSERT(!ParseMintedId(ToString(caller)));
+    const TaskId task{ ToString(minted), static_cast<std::uint32_t>(sequence) };
+    RC_ASSERT(ParseTaskId(ToString(task)) == task);
+  });
+}
+
+/// Guards against a decoder that reads past its input or accepts a malformed id.
+bool ArbitraryTextIsNoId()
+{
+  return rc::check("arbitrary text never crashes the id parsers", [] {
+    const auto text = *rc::gen::arbitrary<std::string>();
+    if (const auto id = ParseMintedId(text)) {
+      RC_ASSERT(ToString(*id).size() <= text.size() + 20);
+    }
+    if (const auto id = ParseCallerId(text)) {
+      RC_ASSERT(ToString(*id) == text);
+    }
+    (void)ParseTaskId(text);
+  });
+}
+
+/// Guards against keys that move between two surviving members when a third one leaves.
+bool RemovingANodeMovesOnlyItsKeys()
+{
+  return rc::check("rendezvous hashing moves only the keys of the removed node", [] {
+    const auto nodes = *rc::gen::suchThat(
+      rc::gen::unique<std::vector<std::uint64_t>>(rc::gen::arbitrary<std::uint64_t>()),
+      [](const auto& aNodes) { return aNodes.size() >= 2; });
+    const auto key = std::to_string(*rc::gen::arbitrary<int>());
+    const auto owner = [&key](const std::vector<std::uint64_t>& aNodes) {
+      return *std::max_element(aNodes.begin(), aNodes.end(), [&key](auto aOne, auto aOther) {
+        return RendezvousWeight(key, aOne) < RendezvousWeight(key, aOther);
+      });
+    };
+    auto fewer = nodes;
+    fewer.pop_back();
+    if (owner(nodes) != nodes.back()) {
+      RC_ASSERT(owner(fewer) == owner(nodes));
+    }
+  });
+}
+
+/// Guards against a code or verdict that has no text form and would reach callers as "internal".
+bool CodesSurviveTextForm()
+{
+  bool passed = true;
+  for (int n = 0; n <= static_cast<int>(ErrorCode::Internal); ++n) {
+    const auto code = static_cast<ErrorCode>(n);
+    passed &= test::Expect(ParseErrorCode(ToString(code)) == code, "every code has its own text");
+  }
+  for (const auto verdict : { Verdict::NotRun, Verdict::MayHaveRun, Verdict::Ran }) {
+    passed &= test::Expect(ParseVerdict(ToString(verdict)) == verdict, "every verdict has a text");
+  }
+  passed &= test::Expect(Combine(Verdict::NotRun, Verdict::MayHaveRun) == Verdict::MayHaveRun,
+                         "doubt about a part is doubt about the whole");
+  return passed;
+}
+
+/// Guards against log lines that a collector cannot parse, for example with quotes or line breaks
+/// in a field.
+bool LogLinesAreJson()
+{
+  return rc::check("every log line is one JSON object", [] {
+    const auto text = *rc::gen::container<std::string>(rc::gen::inRange<char>(1, 127));
+    const auto line = log::FormatEvent("info", "job_refused", { { "message", text } });
+    RC_ASSERT(line.find('\n') == std::string::npos);
+    const auto value = boost::json::parse(line);
+    RC_ASSERT(value.at("message").as_string() == text);
+  });
+}
+
+/// Guards against histogram buckets that are not cumulative, which scrapers reject.
+bool HistogramTextIsCumulative()
+{
+  metrics::Registry registry;
+  metrics::Observe(registry, "job_seconds{service=\"a\"}", 0.001);
+  metrics::Observe(registry, "job_seconds{service=\"a\"}", 1000);
+  metrics::Add(registry, "jobs_total", 2);
+  const auto text = metrics::ToText(registry);
+  bool passed = test::Expect(
+    text.find("pollenwall_job_seconds_bucket{service=\"a\",le=\"+Inf\"} 2\n") != std::string::npos,
+    "the last bucket holds all");
+  passed &=
+    test::Expect(text.find("pollenwall_job_seconds_bucket{service=\"a\",le=\"0.0016\"} 1\n") !=
+                   std::string::npos,
+                 "a bucket holds all smaller values");
+  passed &= test::Expect(text.find("pollenwall_jobs_total 2\n") != std::string::npos, "counter");
+  return passed;
+}
+
+} // namespace
+
+int main()
+{
+  bool passed = IdsSurviveTextForm();
+  passed &= ArbitraryTextIsNoId();
+  passed &= RemovingANodeMovesOnlyItsKeys();
+  passed &= CodesSurviveTextForm();
+  passed &= LogLinesAreJson();
+  passed &= HistogramTextIsCumulative();
+  passed &= test::YamlReaderTests();
+  return passed ? 0 : 1;
+}
--- /dev/null
+++ b/src/libutil/util_test.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <iostream>
+#include <string_view>
+
+namespace pollenwall::test {
+
+/// Reports a failed expectation and returns whether it held.
+inline bool Expect(bool aHolds, std::string_view aWhat)
+{
+  if (!aHolds) {
+    std::cerr << "failed: " << aWhat << "\n";
+  }
+  return aHolds;
+}
+
+/// The tests of yaml_reader_test.cpp.
+bool YamlReaderTests();
+
+} // namespace pollenwall::test
