--- a/src/include/pollenwall/dispatch.h
+++ b/src/include/pollenwall/dispatch.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
