Add the settings of the entry daemon

Cause: pollenwalld needs its name, addresses, TLS files, durations and limits before it can read the configuration. Change: ReadSettings reads them through yaml_reader and reports every problem at once. TLS may be off only when the addresses of operators, peers and seeds are all loopback.

--- /dev/null
+++ b/src/libsettings/settings.cpp
@@ -0,0 +1,318 @@
+#include <pollenwall/settings.h>
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+
+#include <arpa/inet.h>
+
+namespace pollenwall::settings {
+namespace {
+
+using yaml::Section;
+
+constexpr std::int64_t kKibibyte = 1024;
+constexpr std::int64_t kMebibyte = 1024 * kKibibyte;
+constexpr std::int64_t kHourMs = 3'600'000;
+constexpr std::size_t kMaxNameLength = 64;
+constexpr std::int64_t kMaxTasksPerJob = 190; ///< Of the caller API.
+
+constexpr std::string_view kEndpointAllowed =
+  "IP:PORT with an IP number and a port from 1 to 65535";
+
+std::string Quoted(std::string_view aText)
+{
+  return "'" + std::string(aText) + "'";
+}
+
+bool IsName(std::string_view aText)
+{
+  return !aText.empty() && aText.size() <= kMaxNameLength &&
+         std::all_of(aText.begin(), aText.end(), [](char aIt) {
+           return (aIt >= 'a' && aIt <= 'z') || (aIt >= 'A' && aIt <= 'Z') ||
+                  (aIt >= '0' && aIt <= '9') || aIt == '.' || aIt == '_' || aIt == '-';
+         });
+}
+
+bool IsWildcard(const Endpoint& aEndpoint)
+{
+  return aEndpoint.mAddress == "0.0.0.0" || aEndpoint.mAddress == "::";
+}
+
+std::string ReadName(Section& aSection, std::string_view aKey)
+{
+  auto name = yaml::GetString(aSection, aKey);
+  if (yaml::Has(aSection, aKey) && !IsName(name)) {
+    yaml::AddProblem(aSection, aKey, Quoted(name), "1 to 64 characters of [A-Za-z0-9._-]");
+  }
+  return name;
+}
+
+Endpoint ReadEndpoint(Section& aSection, std::string_view aKey)
+{
+  const auto text = yaml::GetString(aSection, aKey);
+  const auto endpoint = ParseEndpoint(text);
+  if (!endpoint && yaml::Has(aSection, aKey)) {
+    yaml::AddProblem(aSection, aKey, Quoted(text), std::string(kEndpointAllowed));
+  }
+  return endpoint.value_or(Endpoint{});
+}
+
+void ReadMilliseconds(Section& aSection,
+                      std::string_view aKey,
+                      std::int64_t aLeast,
+                      std::int64_t aMost,
+                      std::chrono::milliseconds& aValue)
+{
+  aValue =
+    std::chrono::milliseconds(yaml::GetInteger(aSection, aKey, aLeast, aMost, aValue.count()));
+}
+
+void ReadSize(Section& aSection,
+              std::string_view aKey,
+              std::int64_t aLeast,
+              std::int64_t aMost,
+              std::size_t& aValue)
+{
+  aValue = static_cast<std::size_t>(
+    yaml::GetInteger(aSection, aKey, aLeast, aMost, static_cast<std::int64_t>(aValue)));
+}
+
+void ReadDataCentres(Section& aRoot, Settings& aSettings)
+{
+  aSettings.mNode.mDataCentre = ReadName(aRoot, "data_centre");
+  aSettings.mNode.mDispatch.mDataCentre = aSettings.mNode.mDataCentre;
+  aSettings.mDataCentres = yaml::GetStrings(aRoot, "data_centres");
+  if (!yaml::Has(aRoot, "data_centres")) {
+    yaml::AddProblem(aRoot, "data_centres", "nothing", "a list of the known data centres");
+    return;
+  }
+  std::set<std::string> seen;
+  std::string known;
+  for (const auto& name : aSettings.mDataCentres) {
+    known += (known.empty() ? "" : ", ") + name;
+    if (!IsName(name)) {
+      yaml::AddProblem(
+        aRoot, "data_centres", Quoted(name), "names of 1 to 64 characters of [A-Za-z0-9._-]");
+    } else if (!seen.insert(name).second) {
+      yaml::AddProblem(aRoot, "data_centres", Quoted(name) + " twice", "each data centre once");
+    }
+  }
+  const auto& own = aSettings.mNode.mDataCentre;
+  if (IsName(own) && !seen.contains(own)) {
+    yaml::AddProblem(aRoot,
+                     "data_centre",
+                     "unknown " + Quoted(own),
+                     known.empty() ? "one of data_centres, which is empty" : known);
+  }
+}
+
+void ReadAddresses(Section& aRoot, Settings& aSettings)
+{
+  if (!yaml::Has(aRoot, "listen")) {
+    yaml::AddProblem(aRoot, "listen", "nothing", "a mapping with callers, operators and peers");
+  }
+  auto listen = yaml::GetSection(aRoot, "listen");
+  if (yaml::Has(aRoot, "listen")) {
+    aSettings.mCallers = ReadEndpoint(listen, "callers");
+    aSettings.mOperators = ReadEndpoint(listen, "operators");
+    aSettings.mPeers = ReadEndpoint(listen, "peers");
+  }
+  if (IsWildcard(aSettings.mPeers)) {
+    yaml::AddProblem(listen,
+                     "peers",
+                     Quoted(ToString(aSettings.mPeers)),
+                     "the IP number by which other entries reach this one");
+  }
+  std::set<std::string> ports;
+  for (const auto& [key, endpoint] : { std::pair{ "callers", aSettings.mCallers },
+                                       std::pair{ "operators", aSettings.mOperators },
+                                       std::pair{ "peers", aSettings.mPeers } }) {
+    if (endpoint.mPort != 0 && !ports.insert(ToString(endpoint)).second) {
+      yaml::AddProblem(listen, key, Quoted(ToString(endpoint)) + " twice", "each address once");
+    }
+  }
+  yaml::Finish(listen);
+  aSettings.mNode.mPeerAddress = ToString(aSettings.mPeers);
+  aSettings.mNode.mSeeds = yaml::GetStrings(aRoot, "seeds");
+  std::set<std::string> seen;
+  for (const auto& seed : aSettings.mNode.mSeeds) {
+    if (!ParseEndpoint(seed)) {
+      yaml::AddProblem(aRoot, "seeds", Quoted(seed), std::string(kEndpointAllowed));
+    } else if (!seen.insert(seed).second) {
+      yaml::AddProblem(aRoot, "seeds", Quoted(seed) + " twice", "each address once");
+    }
+  }
+  aSettings.mLogService = ReadEndpoint(aRoot, "log_service");
+  aSettings.mVmList = ReadEndpoint(aRoot, "vm_list");
+}
+
+/// Without TLS anyone who reaches the peers' or operators' port can start tasks or stop an entry.
+void CheckLoopback(Section& aRoot, const Settings& aSettings)
+{
+  const auto check = [&aRoot](std::string_view aWhat, const Endpoint& aEndpoint) {
+    if (aEndpoint.mPort != 0 && !IsLoopback(aEndpoint)) {
+      yaml::AddProblem(aRoot,
+                       "tls",
+                       "'off' with " + std::string(aWhat) + " " + ToString(aEndpoint),
+                       "off only when all addresses of peers and operators are loopback");
+    }
+  };
+  check("listen.operators", aSettings.mOperators);
+  check("listen.peers", aSettings.mPeers);
+  for (const auto& seed : aSettings.mNode.mSeeds) {
+    check("the seed", ParseEndpoint(seed).value_or(Endpoint{}));
+  }
+}
+
+void ReadTls(Section& aRoot, Settings& aSettings)
+{
+  constexpr std::string_view kAllowed = "off, or a mapping with certificate, key and authority";
+  if (!yaml::Has(aRoot, "tls")) {
+    aRoot.mKnown.emplace("tls");
+    yaml::AddProblem(aRoot, "tls", "nothing", std::string(kAllowed));
+    return;
+  }
+  const YAML::Node& root = aRoot.mNode;
+  const auto node = root["tls"];
+  if (!node.IsMap()) {
+    aRoot.mKnown.emplace("tls");
+    aSettings.mTls.mOn = false;
+    if (!node.IsScalar() || node.Scalar() != "off") {
+      yaml::AddProblem(aRoot,
+                       "tls",
+                       node.IsScalar() ? Quoted(node.Scalar()) : "no mapping",
+                       std::string(kAllowed));
+      return;
+    }
+    CheckLoopback(aRoot, aSettings);
+    return;
+  }
+  auto tls = yaml::GetSection(aRoot, "tls");
+  for (const auto& [key, file] : { std::pair{ "certificate", &aSettings.mTls.mCertificateFile },
+                                   std::pair{ "key", &aSettings.mTls.mKeyFile },
+                                   std::pair{ "authority", &aSettings.mTls.mAuthorityFile } }) {
+    *file = yaml::GetString(tls, key);
+    if (yaml::Has(tls, key) && file->empty()) {
+      yaml::AddProblem(tls, key, "''", "the path of a PEM file");
+    }
+  }
+  yaml::Finish(tls);
+}
+
+void ReadTiming(Section& aRoot, node::Options& aOptions)
+{
+  auto timing = yaml::GetSection(aRoot, "timing");
+  ReadMilliseconds(timing, "heartbeat_ms", 20, 10000, aOptions.mHeartbeat);
+  ReadMilliseconds(timing, "suspect_after_ms", 50, 60000, aOptions.mSuspectAfter);
+  ReadMilliseconds(timing, "lease_ms", 50, 60000, aOptions.mLease);
+  ReadMilliseconds(timing, "drift_margin_ms", 1, 10000, aOptions.mDriftMargin);
+  ReadMilliseconds(timing, "max_ahead_ms", 0, 10000, aOptions.mMaxAhead);
+  ReadMilliseconds(timing, "max_clock_skew_ms", 0, 10000, aOptions.mMaxClockSkew);
+  ReadMilliseconds(timing, "log_retention_ms", 1000, 30 * 24 * kHourMs, aOptions.mLogRetention);
+  ReadMilliseconds(timing, "drain_limit_ms", 100, kHourMs, aOptions.mDrainLimit);
+  // A lost heartbeat alone must neither make a member suspect nor let a lease lapse.
+  const auto two = 2 * aOptions.mHeartbeat;
+  const auto check = [&](std::string_view aKey, std::chrono::milliseconds aValue) {
+    if (aValue < two) {
+      yaml::AddProblem(timing,
+                       aKey,
+                       std::to_string(aValue.count()),
+                       "at least twice heartbeat_ms, " + std::to_string(two.count()));
+    }
+  };
+  check("suspect_after_ms", aOptions.mSuspectAfter);
+  check("lease_ms", aOptions.mLease);
+  yaml::Finish(timing);
+}
+
+void ReadLimits(Section& aRoot, Settings& aSettings)
+{
+  auto& options = aSettings.mNode;
+  auto journal = yaml::GetSection(aRoot, "journal");
+  options.mJournalAppendsPerSecond =
+    yaml::GetNumber(journal, "appends_per_second", 0.01, 1000, options.mJournalAppendsPerSecond);
+  ReadSize(journal, "buffer_records", 1, 10'000'000, options.mJournalBufferRecords);
+  yaml::Finish(journal);
+
+  auto dispatch = yaml::GetSection(aRoot, "dispatch");
+  auto& limits = options.mDispatch;
+  ReadMilliseconds(dispatch, "answer_retention_ms", 100, kHourMs, limits.mAnswerRetention);
+  ReadMilliseconds(dispatch, "start_window_ms", 10, 60000, limits.mStartWindow);
+  ReadSize(dispatch, "max_queued_tasks", 1, 100'000'000, limits.mMaxQueuedTasks);
+  ReadSize(dispatch, "max_tasks_per_job", 1, kMaxTasksPerJob, limits.mMaxTasksPerJob);
+  limits.mRetryRatio = yaml::GetNumber(dispatch, "retry_ratio", 0, 1, limits.mRetryRatio);
+  limits.mRetryBurst = yaml::GetNumber(dispatch, "retry_burst", 0, 1e6, limits.mRetryBurst);
+  ReadMilliseconds(dispatch, "sign_expiry_ms", 100, kHourMs, limits.mSignExpiry);
+  yaml::Finish(dispatch);
+
+  auto http = yaml::GetSection(aRoot, "http");
+  ReadSize(http, "max_body_bytes", kKibibyte, 1024 * kMebibyte, aSettings.mHttp.mMaxBodyBytes);
+  ReadSize(http, "max_header_bytes", kKibibyte, kMebibyte, aSettings.mHttp.mMaxHeaderBytes);
+  ReadSize(http, "max_connections", 1, 1'000'000, aSettings.mHttp.mMaxConnections);
+  ReadMilliseconds(http, "read_timeout_ms", 10, kHourMs, aSettings.mHttp.mReadTimeout);
+  yaml::Finish(http);
+
+  ReadSize(aRoot, "max_frame_bytes", 64 * kKibibyte, 256 * kMebibyte, aSettings.mMaxFrameBytes);
+}
+
+} // namespace
+
+std::string ToString(const Endpoint& aEndpoint)
+{
+  const bool six = aEndpoint.mAddress.find(':') != std::string::npos;
+  std::string text;
+  text.append(six ? "[" : "").append(aEndpoint.mAddress).append(six ? "]:" : ":");
+  return text + std::to_string(aEndpoint.mPort);
+}
+
+bool IsLoopback(const Endpoint& aEndpoint)
+{
+  return aEndpoint.mAddress.starts_with("127.") || aEndpoint.mAddress == "::1";
+}
+
+std::optional<Endpoint> ParseEndpoint(std::string_view aText)
+{
+  const auto colon = aText.rfind(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  auto address = aText.substr(0, colon);
+  const auto port = aText.substr(colon + 1);
+  const bool bracketed = address.starts_with('[') && address.ends_with(']');
+  if (bracketed) {
+    address = address.substr(1, address.size() - 2);
+  }
+  Endpoint endpoint{ std::string(address), 0 };
+  in6_addr buf{};
+  if (inet_pton(bracketed ? AF_INET6 : AF_INET, endpoint.mAddress.c_str(), &buf) != 1) {
+    return std::nullopt;
+  }
+  const auto* last = port.data() + port.size();
+  const auto [end, ec] = std::from_chars(port.data(), last, endpoint.mPort);
+  if (ec != std::errc() || end != last || endpoint.mPort == 0) {
+    return std::nullopt;
+  }
+  return endpoint;
+}
+
+ReadResult ReadSettings(std::string_view aFile, std::string_view aText)
+{
+  ReadResult result;
+  result.mReport.mFile = aFile;
+  auto root = yaml::OpenDocument(result.mReport, aText);
+  if (!result.mReport.mProblems.empty()) {
+    return result;
+  }
+  auto& settings = result.mSettings;
+  settings.mNode.mName = ReadName(root, "name");
+  ReadDataCentres(root, settings);
+  ReadAddresses(root, settings);
+  ReadTls(root, settings);
+  ReadTiming(root, settings.mNode);
+  ReadLimits(root, settings);
+  yaml::Finish(root);
+  return result;
+}
+
+} // namespace pollenwall::settings
