--- a/src/libsettings/settings.cpp
+++ b/src/libsettings/settings.cpp
@@ -22,7 +22,7 @@
 
 std::string Quoted(std::string_view aText)
 {
-  return "'" + std::string(aText) + "'";
+  return std::string("'").append(aText).append("'");
 }
 
 bool IsName(std::string_view aText)
