--- /dev/null
+++ b/src/libstandin/server.cpp
@@ -0,0 +1,370 @@
+#include <pollenwall/standin/server.h>
+
+#include <charconv>
+#include <csignal>
+#include <list>
+#include <optional>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/json.hpp>
+
+#include <pollenwall/log.h>
+
+namespace pollenwall::standin {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::size_t kMaxBodyBytes = 4 << 20;
+
+struct Connection;
+
+} // namespace
+
+class Server : public std::enable_shared_from_this<Server>
+{
+public:
+  struct Listener
+  {
+    Listen mListen;
+    tcp::acceptor mAcceptor;
+    std::size_t mConnections = 0;
+  };
+
+  Server(asio::io_context& aContext, Handler aHandler, std::function<bool(const Request&)> aExempt)
+    : mContext(aContext)
+    , mHandler(std::move(aHandler))
+    , mExempt(std::move(aExempt))
+  {
+  }
+
+  void Add(const Listen& aListen);
+  void Accept(Listener& aListener);
+  void Set(const FaultCommand& aCommand);
+  /// Lets stalled requests of a changed scope end: their connections are closed.
+  void CloseConnections(const FaultScope& aScope, bool aIdle, bool aStalled);
+
+  asio::io_context& mContext;
+  Handler mHandler;
+  std::function<bool(const Request&)> mExempt;
+  FaultSwitches mFaults;
+  std::list<Listener> mListeners;
+  std::list<Connection*> mConnections;
+};
+
+namespace {
+
+/// One client connection; handles one request at a time.
+struct Connection : std::enable_shared_from_this<Connection>
+{
+  Connection(std::shared_ptr<Server> aServer, Server::Listener& aListener, tcp::socket aSocket)
+    : mServer(std::move(aServer))
+    , mListener(aListener)
+    , mSocket(std::move(aSocket))
+    , mTimer(mSocket.get_executor())
+  {
+    ++mListener.mConnections;
+    mPlace = mServer->mConnections.insert(mServer->mConnections.end(), this);
+    error_code ec;
+    mSocket.set_option(tcp::no_delay(true), ec);
+    mRequest.mLocalAddress = mSocket.local_endpoint(ec).address().to_string();
+    mRequest.mLocalPort = mListener.mListen.mPort;
+  }
+
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  ~Connection()
+  {
+    --mListener.mConnections;
+    mServer->mConnections.erase(mPlace);
+  }
+
+  FaultScope Scope() const { return { mRequest.mLocalAddress, mRequest.mLocalPort }; }
+
+  void Close()
+  {
+    error_code ec;
+    mSocket.shutdown(tcp::socket::shutdown_both, ec);
+    mSocket.close(ec);
+    mTimer.cancel();
+  }
+
+  void Read()
+  {
+    mIdle = true;
+    mParser.emplace();
+    mParser->body_limit(kMaxBodyBytes);
+    http::async_read(mSocket, mBuffer, *mParser, [self = shared_from_this()](error_code aEc, auto) {
+      self->mIdle = false;
+      if (!aEc) {
+        self->OnRequest();
+      }
+    });
+  }
+
+  void OnRequest()
+  {
+    auto& message = mParser->get();
+    mKeepAlive = message.keep_alive();
+    const std::string_view target = message.target();
+    const auto mark = target.find('?');
+    mRequest.mMethod = message.method_string();
+    mRequest.mPath = target.substr(0, mark);
+    mRequest.mQuery = mark == std::string_view::npos ? "" : target.substr(mark + 1);
+    mRequest.mBody = std::move(message.body());
+    mRequest.mFields = std::move(message.base());
+    mRequest.mFault = FaultKind::None;
+    mFault = {};
+    if (mRequest.mPath == "/fault" && mRequest.mMethod == "POST") {
+      SetByRequest();
+      return;
+    }
+    if (!mServer->mFaults.mActive.empty() && !mListener.mListen.mControl &&
+        !mServer->mExempt(mRequest)) {
+      mFault = TakeFault(mServer->mFaults, Scope(), ReadClocks().mTime);
+    }
+    switch (mFault.mKind) {
+      case FaultKind::Drop:
+      case FaultKind::Outage:
+        Close();
+        return;
+      case FaultKind::Stall:
+        // The server holds the connection until the fault ends or the client closes.
+        mStalled = true;
+        WaitForClose();
+        return;
+      case FaultKind::Delay:
+        After(mFault.mMs, [self = shared_from_this()] { self->Handle(); });
+        return;
+      case FaultKind::Refuse:
+      case FaultKind::Fail:
+        mRequest.mFault = mFault.mKind;
+        break;
+      default:
+        break;
+    }
+    Handle();
+  }
+
+  void WaitForClose()
+  {
+    mSocket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code) {
+      self->mStalled = false;
+      self->Close();
+    });
+  }
+
+  template<typename Function>
+  void After(std::chrono::milliseconds aWait, Function aFunction)
+  {
+    mTimer.expires_after(aWait);
+    mTimer.async_wait([aFunction, self = shared_from_this()](error_code aEc) {
+      if (!aEc) {
+        aFunction();
+      }
+    });
+  }
+
+  void SetByRequest()
+  {
+    std::string problem;
+    const auto command = ParseFaultCommand(mRequest.mBody, problem);
+    if (!command) {
+      Write(ErrorResponse(400, Verdict::NotRun, ErrorCode::BadRequest, problem));
+      return;
+    }
+    mServer->Set(*command);
+    Write({ 200, "{}", "" });
+  }
+
+  void Handle()
+  {
+    mServer->mHandler(mRequest, [self = shared_from_this()](const Response& aResponse) {
+      self->OnResponse(aResponse);
+    });
+  }
+
+  void OnResponse(const Response& aResponse)
+  {
+    if (mFault.mKind == FaultKind::LoseAnswer) {
+      Close();
+      return;
+    }
+    if (mFault.mKind == FaultKind::Late) {
+      After(mFault.mMs, [self = shared_from_this(), aResponse] { self->Write(aResponse); });
+      return;
+    }
+    Write(aResponse);
+  }
+
+  void Write(const Response& aResponse)
+  {
+    if (!mSocket.is_open()) {
+      return;
+    }
+    mOut = "HTTP/1.1 ";
+    mOut += std::to_string(aResponse.mStatus);
+    mOut += ' ';
+    const auto reason = http::obsolete_reason(static_cast<http::status>(aResponse.mStatus));
+    mOut.append(reason.data(), reason.size());
+    mOut += "\r\nContent-Type: application/json\r\nContent-Length: ";
+    mOut += std::to_string(aResponse.mBody.size());
+    mOut += "\r\n";
+    mOut += aResponse.mHeaders;
+    mOut += mKeepAlive ? "\r\n" : "Connection: close\r\n\r\n";
+    mOut += aResponse.mBody;
+    asio::async_write(
+      mSocket, asio::buffer(mOut), [self = shared_from_this()](error_code aEc, std::size_t) {
+        if (aEc || !self->mKeepAlive) {
+          self->Close();
+          return;
+        }
+        self->Read();
+      });
+  }
+
+  std::shared_ptr<Server> mServer;
+  Server::Listener& mListener;
+  tcp::socket mSocket;
+  asio::steady_timer mTimer;
+  std::list<Connection*>::iterator mPlace;
+  boost::beast::flat_buffer mBuffer;
+  std::optional<http::request_parser<http::string_body>> mParser;
+  Request mRequest;
+  Fault mFault;
+  std::string mOut;
+  bool mKeepAlive = true;
+  bool mIdle = false;
+  bool mStalled = false;
+};
+
+} // namespace
+
+void Server::Add(const Listen& aListen)
+{
+  const tcp::endpoint endpoint(asio::ip::make_address(aListen.mAddress), aListen.mPort);
+  auto& listener = mListeners.emplace_back(Listener{ aListen, tcp::acceptor(mContext, endpoint) });
+  Accept(listener);
+}
+
+void Server::Accept(Listener& aListener)
+{
+  aListener.mAcceptor.async_accept(
+    [this, self = shared_from_this(), &aListener](error_code aEc, tcp::socket aSocket) {
+      if (aEc == asio::error::operation_aborted) {
+        return;
+      }
+      const auto most = aListener.mListen.mMaxConnections;
+      if (!aEc && (most == 0 || aListener.mConnections < most)) {
+        std::make_shared<Connection>(self, aListener, std::move(aSocket))->Read();
+      }
+      Accept(aListener);
+    });
+}
+
+void Server::Set(const FaultCommand& aCommand)
+{
+  SetFault(mFaults, aCommand.mScope, aCommand.mFault, ReadClocks().mTime);
+  log::Info("fault_set",
+            { { "kind", std::string(ToString(aCommand.mFault.mKind)) },
+              { "ms", std::int64_t{ aCommand.mFault.mMs.count() } },
+              { "count", static_cast<std::int64_t>(aCommand.mFault.mCount) },
+              { "address", aCommand.mScope.mAddress },
+              { "port", std::int64_t{ aCommand.mScope.mPort } } });
+  CloseConnections(aCommand.mScope, aCommand.mFault.mKind == FaultKind::Outage, true);
+  if (aCommand.mFault.mKind == FaultKind::Stall && aCommand.mFault.mMs.count() > 0) {
+    auto timer = std::make_shared<asio::steady_timer>(mContext, aCommand.mFault.mMs);
+    timer->async_wait([self = shared_from_this(), timer, scope = aCommand.mScope](error_code) {
+      self->CloseConnections(scope, false, true);
+    });
+  }
+}
+
+void Server::CloseConnections(const FaultScope& aScope, bool aIdle, bool aStalled)
+{
+  // Closing a socket runs no handler at once, so the list does not change during the loop.
+  for (auto* connection : mConnections) {
+    const auto at = connection->Scope();
+    const bool inScope = (aScope.mAddress.empty() || aScope.mAddress == at.mAddress) &&
+                         (aScope.mPort == 0 || aScope.mPort == at.mPort);
+    if (!inScope || connection->mListener.mListen.mControl) {
+      continue;
+    }
+    if ((aIdle && connection->mIdle) || (aStalled && connection->mStalled)) {
+      connection->Close();
+    }
+  }
+}
+
+std::shared_ptr<Server> Serve(asio::io_context& aContext,
+                              const std::vector<Listen>& aListens,
+                              Handler aHandler,
+                              std::function<bool(const Request&)> aExempt)
+{
+  auto server = std::make_shared<Server>(aContext, std::move(aHandler), std::move(aExempt));
+  for (const auto& listen : aListens) {
+    server->Add(listen);
+  }
+  return server;
+}
+
+Response ErrorResponse(unsigned aStatus, Verdict aVerdict, ErrorCode aCode, std::string aMessage)
+{
+  Response response;
+  response.mStatus = aStatus;
+  response.mBody = boost::json::serialize(boost::json::object{
+    { "verdict", ToString(aVerdict) }, { "code", ToString(aCode) }, { "message", aMessage } });
+  response.mHeaders = "Pollenwall-Verdict: " + std::string(ToString(aVerdict)) +
+                      "\r\nPollenwall-Code: " + std::string(ToString(aCode)) + "\r\n";
+  return response;
+}
+
+std::uint64_t QueryNumber(const Request& aRequest, std::string_view aName, std::uint64_t aDefault)
+{
+  std::string_view rest = aRequest.mQuery;
+  while (!rest.empty()) {
+    const auto end = std::min(rest.find('&'), rest.size());
+    const auto pair = rest.substr(0, end);
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+    const auto equals = pair.find('=');
+    if (equals == std::string_view::npos || pair.substr(0, equals) != aName) {
+      continue;
+    }
+    std::uint64_t n = 0;
+    const auto text = pair.substr(equals + 1);
+    const auto [last, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+    return ec == std::errc() && last == text.data() + text.size() ? n : aDefault;
+  }
+  return aDefault;
+}
+
+Now ReadClocks()
+{
+  const auto steady = std::chrono::steady_clock::now().time_since_epoch();
+  const auto wall = std::chrono::system_clock::now().time_since_epoch();
+  return { Time(std::chrono::duration_cast<Duration>(steady)),
+           std::chrono::duration_cast<std::chrono::milliseconds>(wall).count() };
+}
+
+void RunUntilSignal(asio::io_context& aContext)
+{
+  asio::signal_set signals(aContext, SIGINT, SIGTERM);
+  signals.async_wait([&aContext](error_code, int) { aContext.stop(); });
+  aContext.run();
+}
+
+} // namespace pollenwall::standin
--- /dev/null
+++ b/src/standin-log/main.cpp
@@ -0,0 +1,203 @@
+#include <pollenwall/standin/log_streams.h>
+#include <pollenwall/standin/server.h>
+
+#include <list>
+#include <map>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <absl/strings/str_split.h>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+#include <pollenwall/log.h>
+
+ABSL_FLAG(std::vector<std::string>,
+          addresses,
+          { "127.0.0.1" },
+          "IP numbers to listen on; faults may apply to one of them only");
+ABSL_FLAG(std::uint16_t, port, 9001, "port on each address");
+ABSL_FLAG(std::int64_t, retention_ms, 3600000, "age at which a record is removed");
+ABSL_FLAG(std::uint64_t, retention_bytes, 64 << 20, "bytes that one stream retains");
+ABSL_FLAG(double, appends_per_second, 500, "limit over all streams");
+ABSL_FLAG(double, append_burst, 100, "appends that an idle service takes at once");
+ABSL_FLAG(std::int64_t, append_delay_ms, 3, "time that an append takes, as a synced write does");
+
+namespace {
+
+using namespace pollenwall;
+using namespace pollenwall::standin;
+
+constexpr std::size_t kMaxRecordBytes = 1 << 20;
+constexpr std::size_t kMaxPageBytes = 4 << 20;
+constexpr std::size_t kMaxStreams = 1000;
+constexpr std::uint64_t kMaxWaitMs = 60000;
+
+/// A read that waits for a record.
+struct Waiter
+{
+  explicit Waiter(boost::asio::io_context& aContext)
+    : mTimer(aContext)
+  {
+  }
+  boost::asio::steady_timer mTimer;
+  bool mDone = false;
+};
+
+struct WaitingStream
+{
+  Stream mStream;
+  std::list<std::shared_ptr<Waiter>> mWaiters;
+};
+
+struct LogService
+{
+  boost::asio::io_context mContext{ 1 };
+  StreamLimits mLimits;
+  RateLimit mRate;
+  std::map<std::string, WaitingStream> mStreams;
+};
+
+Response NotFound()
+{
+  return ErrorResponse(404, Verdict::NotRun, ErrorCode::BadRequest, "no such call or stream");
+}
+
+/// Returns NAME of /v1/streams/NAME/records, or an empty text.
+std::string StreamName(std::string_view aPath)
+{
+  constexpr std::string_view kHead = "/v1/streams/";
+  constexpr std::string_view kTail = "/records";
+  if (!aPath.starts_with(kHead) || !aPath.ends_with(kTail) ||
+      aPath.size() <= kHead.size() + kTail.size()) {
+    return "";
+  }
+  const auto name = aPath.substr(kHead.size(), aPath.size() - kHead.size() - kTail.size());
+  return name.find('/') == std::string_view::npos ? std::string(name) : "";
+}
+
+void Append(LogService& aLog, WaitingStream& aStream, const Request& aRequest, Respond aRespond)
+{
+  boost::system::error_code ec;
+  boost::json::stream_parser parser;
+  parser.write(aRequest.mBody, ec);
+  if (!ec) {
+    parser.finish(ec);
+  }
+  if (ec || aRequest.mBody.size() > kMaxRecordBytes) {
+    aRespond(ErrorResponse(
+      400, Verdict::NotRun, ErrorCode::BadRequest, "the record is not JSON text of at most 1 MiB"));
+    return;
+  }
+  if (!TakeToken(aLog.mRate, ReadClocks().mTime)) {
+    auto refusal = ErrorResponse(
+      429, Verdict::NotRun, ErrorCode::Overloaded, "the append rate is above its limit");
+    refusal.mHeaders += "Retry-After: 1\r\n";
+    aRespond(refusal);
+    return;
+  }
+  const auto offset =
+    AppendRecord(aStream.mStream, aLog.mLimits, aRequest.mBody, ReadClocks().mUnixMs);
+  for (auto& waiter : aStream.mWaiters) {
+    waiter->mTimer.cancel();
+  }
+  Response response{ 200, "{\"offset\":" + std::to_string(offset) + "}", "" };
+  const auto delay = absl::GetFlag(FLAGS_append_delay_ms);
+  if (delay <= 0) {
+    aRespond(response);
+    return;
+  }
+  auto timer =
+    std::make_shared<boost::asio::steady_timer>(aLog.mContext, std::chrono::milliseconds(delay));
+  timer->async_wait([timer, response, respond = std::move(aRespond)](boost::system::error_code) {
+    respond(response);
+  });
+}
+
+void Read(LogService& aLog, WaitingStream& aStream, const Request& aRequest, Respond aRespond)
+{
+  const auto from = QueryNumber(aRequest, "from", 0);
+  const auto max = std::max<std::uint64_t>(1, QueryNumber(aRequest, "max", 1000));
+  const auto wait = std::min(QueryNumber(aRequest, "wait_ms", 0), kMaxWaitMs);
+  ExpireRecords(aStream.mStream, aLog.mLimits, ReadClocks().mUnixMs);
+  const auto page = ReadRecords(aStream.mStream, from, max, kMaxPageBytes);
+  if (!page.mRecords.empty() || wait == 0) {
+    aRespond({ 200, PageText(page), "" });
+    return;
+  }
+  auto waiter = std::make_shared<Waiter>(aLog.mContext);
+  const auto place = aStream.mWaiters.insert(aStream.mWaiters.end(), waiter);
+  waiter->mTimer.expires_after(std::chrono::milliseconds(wait));
+  waiter->mTimer.async_wait(
+    [&aStream, place, from, max, respond = std::move(aRespond)](boost::system::error_code) {
+      aStream.mWaiters.erase(place);
+      respond({ 200, PageText(ReadRecords(aStream.mStream, from, max, kMaxPageBytes)), "" });
+    });
+}
+
+void Handle(LogService& aLog, const Request& aRequest, const Respond& aRespond)
+{
+  const auto name = StreamName(aRequest.mPath);
+  const bool post = aRequest.mMethod == "POST";
+  if (name.empty() || (!post && aRequest.mMethod != "GET") ||
+      (aLog.mStreams.size() >= kMaxStreams && !aLog.mStreams.contains(name))) {
+    aRespond(NotFound());
+    return;
+  }
+  if (aRequest.mFault == FaultKind::Refuse) {
+    aRespond(ErrorResponse(503, Verdict::NotRun, ErrorCode::Overloaded, "refused by a fault"));
+    return;
+  }
+  if (aRequest.mFault == FaultKind::Fail) {
+    aRespond(ErrorResponse(500, Verdict::NotRun, ErrorCode::Internal, "failed by a fault"));
+    return;
+  }
+  auto& stream = aLog.mStreams[name];
+  if (post) {
+    Append(aLog, stream, aRequest, aRespond);
+  } else {
+    Read(aLog, stream, aRequest, aRespond);
+  }
+}
+
+} // namespace
+
+int main(int aArgc, char** aArgv)
+{
+  absl::FlagsUsageConfig config;
+  config.version_string = [] { return std::string("standin-log " POLLENWALL_VERSION "\n"); };
+  absl::SetFlagsUsageConfig(config);
+  absl::SetProgramUsageMessage(
+    "A stand-in for the platform's log service.\n"
+    "Example: standin-log --addresses 127.0.0.1,127.0.0.2 --port 9001 --retention_ms 3600000");
+  absl::ParseCommandLine(aArgc, aArgv);
+  log::Init("standin-log");
+  LogService service;
+  service.mLimits = { std::chrono::milliseconds(absl::GetFlag(FLAGS_retention_ms)),
+                      absl::GetFlag(FLAGS_retention_bytes) };
+  service.mRate.mPerSecond = absl::GetFlag(FLAGS_appends_per_second);
+  service.mRate.mBurst = absl::GetFlag(FLAGS_append_burst);
+  service.mRate.mTokens = service.mRate.mBurst;
+  std::vector<Listen> listens;
+  for (const auto& address : absl::GetFlag(FLAGS_addresses)) {
+    listens.push_back({ address, absl::GetFlag(FLAGS_port), 0, false });
+  }
+  try {
+    auto server = Serve(
+      service.mContext,
+      listens,
+      [&service](const Request& aRequest, const Respond& aRespond) {
+        Handle(service, aRequest, aRespond);
+      },
+      [](const Request&) { return false; });
+    log::Info("started", { { "port", std::int64_t{ absl::GetFlag(FLAGS_port) } } });
+    RunUntilSignal(service.mContext);
+  } catch (const boost::system::system_error& error) {
+    log::LogError("listen_failed", { { "message", error.what() } });
+    return 1;
+  }
+  log::Info("stopped");
+  return 0;
+}
--- /dev/null
+++ b/src/standin-worker/main.cpp
@@ -0,0 +1,307 @@
+#include <pollenwall/standin/server.h>
+#include <pollenwall/standin/worker.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <map>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+#include <pollenwall/log.h>
+
+ABSL_FLAG(std::string, address, "127.0.0.1", "IP number to listen on");
+ABSL_FLAG(std::string, ports, "9100-9100", "FIRST-LAST; each port is one upstream");
+ABSL_FLAG(std::uint16_t, control_port, 0, "port whose requests no fault affects; 0 is none");
+ABSL_FLAG(std::uint32_t, slots, 8, "tasks that one upstream runs at once");
+ABSL_FLAG(std::uint32_t, connections, 60, "connections that one upstream accepts; 0 is no limit");
+ABSL_FLAG(std::uint64_t, remembered_tasks, 4000000, "task ids whose starts are remembered");
+
+namespace {
+
+using namespace pollenwall;
+using namespace pollenwall::standin;
+
+struct Run
+{
+  explicit Run(boost::asio::io_context& aContext)
+    : mTimer(aContext)
+  {
+  }
+  boost::asio::steady_timer mTimer;
+  Payload mPayload;
+  Respond mRespond;
+};
+
+struct Upstream
+{
+  UpstreamPort mPort;
+  std::unordered_multimap<std::string, std::shared_ptr<Run>> mRuns;
+};
+
+struct Worker
+{
+  boost::asio::io_context mContext{ 1 };
+  std::map<std::uint16_t, Upstream> mUpstreams;
+  StartCounts mCounts;
+};
+
+void EndRun(Upstream& aUpstream, const std::string& aTask, const std::shared_ptr<Run>& aRun)
+{
+  const auto [first, last] = aUpstream.mRuns.equal_range(aTask);
+  for (auto it = first; it != last; ++it) {
+    if (it->second == aRun) {
+      aUpstream.mRuns.erase(it);
+      break;
+    }
+  }
+  --aUpstream.mPort.mBusy;
+}
+
+Response Refusal(ErrorCode aCode)
+{
+  const auto message = aCode == ErrorCode::Expired    ? "the start request is past its not-after"
+                       : aCode == ErrorCode::Stopping ? "the worker is leaving"
+                                                      : "all slots are busy";
+  return ErrorResponse(409, Verdict::NotRun, aCode, message);
+}
+
+void HandleRun(Worker& aWorker, Upstream& aUpstream, const Request& aRequest, Respond aRespond)
+{
+  const std::string task(aRequest.mFields["Pollenwall-Task"]);
+  const std::string notAfter(aRequest.mFields["Pollenwall-Not-After"]);
+  char* end = nullptr;
+  const UnixMs notAfterMs = std::strtoll(notAfter.c_str(), &end, 10);
+  auto payload = ParsePayload(aRequest.mBody);
+  if (task.empty() || notAfter.empty() || *end != 0 || !payload) {
+    aRespond(ErrorResponse(400,
+                           Verdict::NotRun,
+                           ErrorCode::BadRequest,
+                           "Pollenwall-Task, Pollenwall-Not-After and a JSON object are needed"));
+    return;
+  }
+  auto& port = aUpstream.mPort;
+  if (aRequest.mFault == FaultKind::Refuse) {
+    ++port.mRefusedByFault;
+    aRespond(Refusal(ErrorCode::Overloaded));
+    return;
+  }
+  const auto now = ReadClocks().mUnixMs;
+  if (const auto code = CheckStart(port, notAfterMs, now); code) {
+    aRespond(Refusal(*code));
+    return;
+  }
+  BeginRun(port, aWorker.mCounts, task, now);
+  if (aRequest.mFault == FaultKind::Fail) {
+    --port.mBusy;
+    ++port.mFailed;
+    aRespond(ErrorResponse(500, Verdict::Ran, ErrorCode::TaskFailed, "the task failed"));
+    return;
+  }
+  if (payload->mRun.count() == 0 && !payload->mFail) {
+    --port.mBusy;
+    ++port.mEnded;
+    aRespond({ 200, "{\"echo\":" + payload->mEcho + "}", "" });
+    return;
+  }
+  auto run = std::make_shared<Run>(aWorker.mContext);
+  run->mPayload = std::move(*payload);
+  run->mRespond = std::move(aRespond);
+  aUpstream.mRuns.emplace(task, run);
+  run->mTimer.expires_after(run->mPayload.mRun);
+  run->mTimer.async_wait([&aUpstream, run, task](boost::system::error_code aEc) {
+    EndRun(aUpstream, task, run);
+    if (aEc) {
+      ++aUpstream.mPort.mStopped;
+      run->mRespond(ErrorResponse(500, Verdict::Ran, ErrorCode::Cancelled, "the task was stopped"));
+    } else if (run->mPayload.mFail) {
+      ++aUpstream.mPort.mFailed;
+      run->mRespond(ErrorResponse(500, Verdict::Ran, ErrorCode::TaskFailed, "the task failed"));
+    } else {
+      ++aUpstream.mPort.mEnded;
+      run->mRespond({ 200, "{\"echo\":" + run->mPayload.mEcho + "}", "" });
+    }
+  });
+}
+
+void HandleStop(Upstream& aUpstream, const Request& aRequest, const Respond& aRespond)
+{
+  std::string task(aRequest.mFields["Pollenwall-Task"]);
+  if (task.empty()) {
+    task = aRequest.mBody;
+  }
+  const auto [first, last] = aUpstream.mRuns.equal_range(task);
+  const bool stopped = first != last;
+  for (auto it = first; it != last; ++it) {
+    it->second->mTimer.cancel();
+  }
+  aRespond({ 200, stopped ? "{\"stopped\":true}" : "{\"stopped\":false}", "" });
+}
+
+std::string SlotsText(const Upstream& aUpstream)
+{
+  boost::json::array tasks;
+  for (const auto& [task, run] : aUpstream.mRuns) {
+    tasks.emplace_back(task);
+  }
+  return boost::json::serialize(boost::json::object{
+    { "slots", aUpstream.mPort.mSlots }, { "busy", aUpstream.mPort.mBusy }, { "tasks", tasks } });
+}
+
+std::string CountsText(const Worker& aWorker)
+{
+  boost::json::array ports;
+  for (const auto& [number, upstream] : aWorker.mUpstreams) {
+    const auto& port = upstream.mPort;
+    ports.push_back(boost::json::object{ { "port", number },
+                                         { "starts", port.mStarts },
+                                         { "ended", port.mEnded },
+                                         { "failed", port.mFailed },
+                                         { "stopped", port.mStopped },
+                                         { "busy", port.mBusy },
+                                         { "refused_busy", port.mRefusedBusy },
+                                         { "refused_leaving", port.mRefusedLeaving },
+                                         { "refused_expired", port.mRefusedExpired },
+                                         { "refused_by_fault", port.mRefusedByFault },
+                                         { "leaving", port.mLeaving },
+                                         { "leaving_since_ms", port.mLeavingSinceMs },
+                                         { "last_start_ms", port.mLastStartMs } });
+  }
+  boost::json::array duplicates;
+  for (const auto& id : aWorker.mCounts.mDuplicateIds) {
+    duplicates.emplace_back(id);
+  }
+  return boost::json::serialize(boost::json::object{ { "starts", aWorker.mCounts.mStarts },
+                                                     { "duplicates", aWorker.mCounts.mDuplicates },
+                                                     { "forgotten", aWorker.mCounts.mForgotten },
+                                                     { "duplicate_ids", duplicates },
+                                                     { "ports", ports } });
+}
+
+/// Answers the starts of each task id of a JSON list, in its order.
+Response CountsOfTasks(const Worker& aWorker, const std::string& aBody)
+{
+  boost::system::error_code ec;
+  const auto value = boost::json::parse(aBody, ec);
+  if (ec || !value.is_array()) {
+    return ErrorResponse(
+      400, Verdict::NotRun, ErrorCode::BadRequest, "the body is not a JSON list of task ids");
+  }
+  boost::json::array starts;
+  for (const auto& task : value.get_array()) {
+    starts.emplace_back(
+      task.is_string() ? StartsOf(aWorker.mCounts, std::string_view(task.get_string())) : 0);
+  }
+  return { 200, boost::json::serialize(boost::json::object{ { "starts", starts } }), "" };
+}
+
+/// POST /v1/leaving {"leaving": bool, "port": N}; without a port all upstreams are set.
+Response SetLeaving(Worker& aWorker, const std::string& aBody)
+{
+  boost::system::error_code ec;
+  const auto value = boost::json::parse(aBody, ec);
+  const auto* leaving =
+    !ec && value.is_object() ? value.get_object().if_contains("leaving") : nullptr;
+  if (leaving == nullptr || !leaving->is_bool()) {
+    return ErrorResponse(
+      400, Verdict::NotRun, ErrorCode::BadRequest, "leaving: allowed is true or false");
+  }
+  const auto* only = value.get_object().if_contains("port");
+  for (auto& [number, upstream] : aWorker.mUpstreams) {
+    if (only != nullptr && (!only->is_int64() || only->get_int64() != number)) {
+      continue;
+    }
+    upstream.mPort.mLeaving = leaving->get_bool();
+    upstream.mPort.mLeavingSinceMs = leaving->get_bool() ? ReadClocks().mUnixMs : 0;
+  }
+  return { 200, "{}", "" };
+}
+
+void Handle(Worker& aWorker, const Request& aRequest, const Respond& aRespond)
+{
+  const bool post = aRequest.mMethod == "POST";
+  if (aRequest.mPath == "/v1/counts") {
+    aRespond(post ? CountsOfTasks(aWorker, aRequest.mBody)
+                  : Response{ 200, CountsText(aWorker), "" });
+    return;
+  }
+  if (aRequest.mPath == "/v1/leaving" && post) {
+    aRespond(SetLeaving(aWorker, aRequest.mBody));
+    return;
+  }
+  const auto it = aWorker.mUpstreams.find(aRequest.mLocalPort);
+  if (it == aWorker.mUpstreams.end()) {
+    aRespond(
+      ErrorResponse(404, Verdict::NotRun, ErrorCode::BadRequest, "no upstream on this port"));
+  } else if (aRequest.mPath == "/v1/run" && post) {
+    HandleRun(aWorker, it->second, aRequest, aRespond);
+  } else if (aRequest.mPath == "/v1/stop" && post) {
+    HandleStop(it->second, aRequest, aRespond);
+  } else if (aRequest.mPath == "/v1/slots") {
+    aRespond({ 200, SlotsText(it->second), "" });
+  } else {
+    aRespond(ErrorResponse(404, Verdict::NotRun, ErrorCode::BadRequest, "no such call"));
+  }
+}
+
+bool IsExempt(const Request& aRequest)
+{
+  return aRequest.mPath == "/v1/counts" || aRequest.mPath == "/v1/leaving";
+}
+
+} // namespace
+
+int main(int aArgc, char** aArgv)
+{
+  absl::FlagsUsageConfig config;
+  config.version_string = [] { return std::string("standin-worker " POLLENWALL_VERSION "\n"); };
+  absl::SetFlagsUsageConfig(config);
+  absl::SetProgramUsageMessage(
+    "A stand-in for workers: each port is one upstream that runs tasks as timers.\n"
+    "Example: standin-worker --ports 9100-9149 --slots 8 --connections 60 --control_port 9099");
+  absl::ParseCommandLine(aArgc, aArgv);
+  log::Init("standin-worker");
+  const auto ports = absl::GetFlag(FLAGS_ports);
+  int first = 0;
+  int last = 0;
+  char extra = 0;
+  if (std::sscanf(ports.c_str(), "%d-%d%c", &first, &last, &extra) != 2 || first < 1 || // NOLINT
+      last < first || last > 65535) {
+    std::cerr << "standin-worker: --ports: found '" << ports
+              << "'; allowed: FIRST-LAST, both from 1 to 65535\n";
+    return 2;
+  }
+  const auto address = absl::GetFlag(FLAGS_address);
+  Worker worker;
+  worker.mCounts.mCapacity =
+    std::max<std::size_t>(1, static_cast<std::size_t>(absl::GetFlag(FLAGS_remembered_tasks)));
+  std::vector<Listen> listens;
+  for (int port = first; port <= last; ++port) {
+    const auto number = static_cast<std::uint16_t>(port);
+    worker.mUpstreams[number].mPort.mSlots = absl::GetFlag(FLAGS_slots);
+    listens.push_back({ address, number, absl::GetFlag(FLAGS_connections), false });
+  }
+  if (const auto control = absl::GetFlag(FLAGS_control_port); control != 0) {
+    listens.push_back({ address, control, 0, true });
+  }
+  try {
+    auto server = Serve(
+      worker.mContext,
+      listens,
+      [&worker](const Request& aRequest, const Respond& aRespond) {
+        Handle(worker, aRequest, aRespond);
+      },
+      IsExempt);
+    log::Info("started", { { "address", address }, { "ports", ports } });
+    RunUntilSignal(worker.mContext);
+  } catch (const boost::system::system_error& error) {
+    log::LogError("listen_failed", { { "address", address }, { "message", error.what() } });
+    return 1;
+  }
+  log::Info("stopped", { { "starts", static_cast<std::int64_t>(worker.mCounts.mStarts) } });
+  return 0;
+}
