Add restore records to the configuration log

Cause: when every process was down for longer than the log's retention, no record is left from which a reader can start, and no change could be judged again. Change: a restore record holds a whole configuration and names the only offset at which it takes effect; its version is that offset + 1, which no earlier version can have reached. Repeated and racing restores do nothing.

--- a/src/include/pollenwall/configuration_log.h
+++ b/src/include/pollenwall/configuration_log.h
@@ -29,6 +29,12 @@
 /// defers changes, and becomes exact again by a snapshot whose place it has read on from. Without
 /// this rule a snapshot of a process that slept would make a new reader accept a change that lost
 /// its race, and two readers would disagree on a version's content.
+///
+/// When the log has dropped every record from which a reader could start, and no process holds the
+/// configuration, an operator appends a restore record. It names the offset that it must have and
+/// takes effect at no other, so that a repeated or a racing one does nothing; every reader, exact
+/// or not, can judge it. Its version is its offset + 1, which no earlier record can have reached,
+/// because each version takes at least one record.
 namespace pollenwall::configuration {
 
 inline constexpr std::string_view kStream = "configuration";
@@ -57,7 +63,7 @@
 enum class OutcomeKind
 {
   Accepted,        ///< mVersion is the new version in force.
-  LostRace,        ///< The base is not in force; mVersion is the version in force.
+  LostRace,        ///< The base or offset is not the next; mVersion is the version in force.
   Duplicate,       ///< The id took effect before; mVersion is the version it made.
   Invalid,         ///< Changes nothing; mProblems say why.
   SnapshotAdopted, ///< mVersion is the version in force after the snapshot and deferred changes.
@@ -68,7 +74,7 @@
 struct Outcome
 {
   OutcomeKind mKind = OutcomeKind::Ignored;
-  std::string mId; ///< Of the change; empty for other records.
+  std::string mId; ///< Of the change or restore; empty for other records.
   Version mVersion = 0;
   std::vector<yaml::Problem> mProblems;
 };
@@ -133,6 +139,11 @@
 /// The JSON text of a change record.
 std::string ChangeRecord(const Change& aChange);
 
+/// The JSON text of a restore record of a whole configuration. It takes effect only at the offset.
+std::string RestoreRecord(const Configuration& aConfiguration,
+                          std::string_view aId,
+                          std::uint64_t aOffset);
+
 /// The JSON text of a snapshot record of what the reader holds, for the log or for a peer that
 /// asks.
 std::string SnapshotRecord(const ConfigurationLog& aLog);
--- a/src/libconfiguration/configuration_log.cpp
+++ b/src/libconfiguration/configuration_log.cpp
@@ -20,9 +20,14 @@
 constexpr double kEarliestShare = 0.4;
 constexpr double kShareSpread = 0.2;
 
+std::string Quoted(std::string_view aText)
+{
+  return std::string("'").append(aText).append("'");
+}
+
 using Items = std::map<std::string, Item, std::less<>>;
 
-/// A decoded snapshot record; the items are parsed only when it is adopted.
+/// A decoded snapshot or restore record; the items are parsed only when it is adopted.
 struct Snapshot
 {
   Version mVersion = 0;
@@ -96,7 +101,7 @@
   Change change;
   change.mId = TextOf(aObject, "id");
   if (!IsId(change.mId)) {
-    AddProblem(aReport, "id", "'" + change.mId + "'", "1 to 128 characters");
+    AddProblem(aReport, "id", Quoted(change.mId), "1 to 128 characters");
   }
   change.mBase = NumberOf(aReport, aObject, "base").value_or(0);
   if (const auto* puts = aObject.if_contains("puts")) {
@@ -605,6 +610,41 @@
   return outcome;
 }
 
+/// The whole configuration of a restore record, provided that the record has the offset it names.
+Outcome ApplyRestore(ConfigurationLog& aLog,
+                     std::uint64_t aOffset,
+                     UnixMs aAtMs,
+                     const json::object& aObject,
+                     yaml::Report& aReport)
+{
+  const auto version = VersionOf(aLog);
+  const auto id = TextOf(aObject, "id");
+  const auto at = NumberOf(aReport, aObject, "at");
+  const auto* items = aObject.if_contains("items");
+  if (!IsId(id)) {
+    AddProblem(aReport, "id", Quoted(id), "1 to 128 characters");
+  }
+  if (!items || !items->is_object()) {
+    AddProblem(aReport, "items", "no object", "an object of YAML texts");
+  }
+  if (!aReport.mProblems.empty()) {
+    return Reject(aReport, id, version);
+  }
+  if (*at != aOffset) {
+    return { OutcomeKind::LostRace, id, version, {} };
+  }
+  const Snapshot snapshot{ aOffset + 1, aOffset + 1, aAtMs, { id }, &items->get_object() };
+  if (!Load(aLog, snapshot, aReport)) {
+    return Reject(aReport, id, version);
+  }
+  aLog.mExact = true;
+  aLog.mDeferred.clear();
+  // A reader can start from this record as from a snapshot.
+  aLog.mSnapshotMs = aAtMs;
+  aLog.mRecordsSinceSnapshot = 0;
+  return { OutcomeKind::Accepted, id, aOffset + 1, {} };
+}
+
 void Defer(ConfigurationLog& aLog, std::uint64_t aOffset, UnixMs aAtMs, std::string_view aText)
 {
   auto& deferred = aLog.mDeferred;
@@ -624,6 +664,15 @@
   }
 }
 
+json::object PutsOf(const Configuration& aConfiguration)
+{
+  json::object items;
+  for (const auto& item : ItemsOf(aConfiguration)) {
+    items[KeyOf(item)] = PrintItem(item);
+  }
+  return items;
+}
+
 } // namespace
 
 std::string_view ToString(OutcomeKind aKind)
@@ -684,6 +733,8 @@
     outcome = Reject(report, {}, VersionOf(aLog));
   } else if (type == "snapshot") {
     outcome = ApplySnapshot(aLog, aOffset, aAtMs, *object, report);
+  } else if (type == "restore") {
+    outcome = ApplyRestore(aLog, aOffset, aAtMs, *object, report);
   } else if (type == "change" && aLog.mExact) {
     outcome = FoldChange(aLog, report, *object);
   } else if (type == "change") {
@@ -739,12 +790,16 @@
                                        { "deletes", std::move(deletes) } });
 }
 
+std::string RestoreRecord(const Configuration& aConfiguration,
+                          std::string_view aId,
+                          std::uint64_t aOffset)
+{
+  return json::serialize(json::object{
+    { "type", "restore" }, { "id", aId }, { "at", aOffset }, { "items", PutsOf(aConfiguration) } });
+}
+
 std::string SnapshotRecord(const ConfigurationLog& aLog)
 {
-  json::object items;
-  for (const auto& item : ItemsOf(*aLog.mConfiguration)) {
-    items[KeyOf(item)] = PrintItem(item);
-  }
   json::array ids;
   for (const auto& [version, id] : aLog.mRecentIds) {
     ids.emplace_back(id);
@@ -754,7 +809,7 @@
                                        { "through", aLog.mThrough },
                                        { "through_ms", aLog.mThroughMs },
                                        { "ids", std::move(ids) },
-                                       { "items", std::move(items) } });
+                                       { "items", PutsOf(*aLog.mConfiguration) } });
 }
 
 Outcome AdoptSnapshot(ConfigurationLog& aLog, std::string_view aText)
