--- a/src/libconfiguration/configuration_yaml.cpp
+++ b/src/libconfiguration/configuration_yaml.cpp
@@ -299,12 +299,18 @@
 void ReadList(Section& aRoot, std::string_view aKey, Map& aMap, const Check& aCheck)
 {
   for (auto& section : yaml::GetSections(aRoot, aKey)) {
+    if (!section.mNode.IsDefined() || !section.mNode.IsMap()) {
+      continue; // Reported by GetSections.
+    }
     typename Map::mapped_type item;
     ReadNames(section, item);
     Read(section, item);
     yaml::Finish(section);
     aCheck(section, item);
     auto name = NameOf(item);
+    if (name.empty()) {
+      continue;
+    }
     const auto [it, inserted] = aMap.emplace(std::move(name), std::move(item));
     if (!inserted) {
       const bool isUpstream = std::is_same_v<typename Map::mapped_type, Upstream>;
