--- a/src/include/pollenwall/standin/worker.h
+++ b/src/include/pollenwall/standin/worker.h
@@ -58,12 +58,13 @@
 struct Payload
 {
   std::chrono::microseconds mRun{ 0 };
-  std::string mEcho;  ///< As JSON text.
+  std::string mKey;   ///< The caller's own name of the task; empty when there is none.
+  std::string mEcho;  ///< As JSON text; the key when the payload has no echo.
   bool mFail = false; ///< The task fails when its run ends.
 };
 
-/// Parses {"run_ms": N, "echo": any, "fail": bool}; run_ms may have a fraction. Returns nothing for
-/// any other text.
+/// Parses {"run_ms": N, "echo": any, "key": "...", "fail": bool}, all optional; run_ms may have a
+/// fraction. Returns nothing for any other text.
 std::optional<Payload> ParsePayload(std::string_view aBody);
 
 } // namespace pollenwall::standin
--- a/src/libstandin/standin_test.cpp
+++ b/src/libstandin/standin_test.cpp
@@ -82,6 +82,9 @@
   passed &= Expect(payload && payload->mEcho == R"({"a":[1,"x"]})", "the echo is kept");
   passed &= Expect(!ParsePayload("[1]") && !ParsePayload(R"({"run_ms": -1})") && !ParsePayload("{"),
                    "other texts are refused");
+  const auto named = ParsePayload(R"({"key": "a/1"})");
+  passed &=
+    Expect(named && named->mKey == "a/1" && named->mEcho == R"("a/1")", "the key is echoed");
   const std::string large(100000, 'x');
   const auto big = ParsePayload(R"({"echo": ")" + large + "\"}");
   passed &= Expect(big && big->mEcho.size() == large.size() + 2, "a large payload");
--- a/src/libstandin/worker.cpp
+++ b/src/libstandin/worker.cpp
@@ -92,8 +92,14 @@
   if (const auto* fail = object.if_contains("fail"); fail != nullptr) {
     payload.mFail = fail->is_bool() && fail->get_bool();
   }
-  const auto* echo = object.if_contains("echo");
-  payload.mEcho = echo != nullptr ? boost::json::serialize(*echo) : "null";
+  if (const auto* key = object.if_contains("key"); key != nullptr && key->is_string()) {
+    payload.mKey = key->get_string();
+  }
+  if (const auto* echo = object.if_contains("echo"); echo != nullptr) {
+    payload.mEcho = boost::json::serialize(*echo);
+  } else {
+    payload.mEcho = boost::json::serialize(boost::json::string_view(payload.mKey));
+  }
   return payload;
 }
 
--- a/src/standin-worker/main.cpp
+++ b/src/standin-worker/main.cpp
@@ -47,7 +47,8 @@
 {
   boost::asio::io_context mContext{ 1 };
   std::map<std::uint16_t, Upstream> mUpstreams;
-  StartCounts mCounts;
+  StartCounts mCounts; ///< By the dispatcher's task id.
+  StartCounts mKeys;   ///< By the caller's key in the payload, for tasks that have one.
 };
 
 void EndRun(Upstream& aUpstream, const std::string& aTask, const std::shared_ptr<Run>& aRun)
@@ -96,6 +97,9 @@
     return;
   }
   BeginRun(port, aWorker.mCounts, task, now);
+  if (!payload->mKey.empty()) {
+    CountStart(aWorker.mKeys, payload->mKey);
+  }
   if (aRequest.mFault == FaultKind::Fail) {
     --port.mBusy;
     ++port.mFailed;
@@ -172,29 +176,38 @@
                                          { "last_start_ms", port.mLastStartMs } });
   }
   boost::json::array duplicates;
-  for (const auto& id : aWorker.mCounts.mDuplicateIds) {
-    duplicates.emplace_back(id);
+  for (const auto* counts : { &aWorker.mCounts, &aWorker.mKeys }) {
+    for (const auto& id : counts->mDuplicateIds) {
+      duplicates.emplace_back(id);
+    }
   }
-  return boost::json::serialize(boost::json::object{ { "starts", aWorker.mCounts.mStarts },
-                                                     { "duplicates", aWorker.mCounts.mDuplicates },
-                                                     { "forgotten", aWorker.mCounts.mForgotten },
-                                                     { "duplicate_ids", duplicates },
-                                                     { "ports", ports } });
+  return boost::json::serialize(
+    boost::json::object{ { "starts", aWorker.mCounts.mStarts },
+                         { "duplicates", aWorker.mCounts.mDuplicates },
+                         { "duplicate_keys", aWorker.mKeys.mDuplicates },
+                         { "forgotten", aWorker.mCounts.mForgotten },
+                         { "duplicate_ids", duplicates },
+                         { "ports", ports } });
 }
 
-/// Answers the starts of each task id of a JSON list, in its order.
+/// Answers the starts of each task id, or of each key, of {"tasks": [...]} or {"keys": [...]}, in
+/// its order.
 Response CountsOfTasks(const Worker& aWorker, const std::string& aBody)
 {
   boost::system::error_code ec;
   const auto value = boost::json::parse(aBody, ec);
-  if (ec || !value.is_array()) {
+  const auto* tasks = !ec && value.is_object() ? value.get_object().if_contains("tasks") : nullptr;
+  const auto* keys = !ec && value.is_object() ? value.get_object().if_contains("keys") : nullptr;
+  const auto* names = keys != nullptr ? keys : tasks;
+  if (names == nullptr || !names->is_array()) {
     return ErrorResponse(
-      400, Verdict::NotRun, ErrorCode::BadRequest, "the body is not a JSON list of task ids");
+      400, Verdict::NotRun, ErrorCode::BadRequest, "tasks or keys: allowed is a list of names");
   }
+  const auto& counts = keys != nullptr ? aWorker.mKeys : aWorker.mCounts;
   boost::json::array starts;
-  for (const auto& task : value.get_array()) {
-    starts.emplace_back(
-      task.is_string() ? StartsOf(aWorker.mCounts, std::string_view(task.get_string())) : 0);
+  for (const auto& name : names->get_array()) {
+    starts.emplace_back(name.is_string() ? StartsOf(counts, std::string_view(name.get_string()))
+                                         : 0);
   }
   return { 200, boost::json::serialize(boost::json::object{ { "starts", starts } }), "" };
 }
@@ -277,8 +290,8 @@
   }
   const auto address = absl::GetFlag(FLAGS_address);
   Worker worker;
-  worker.mCounts.mCapacity =
-    std::max<std::size_t>(1, static_cast<std::size_t>(absl::GetFlag(FLAGS_remembered_tasks)));
+  worker.mCounts.mCapacity = std::max<std::size_t>(1, absl::GetFlag(FLAGS_remembered_tasks));
+  worker.mKeys.mCapacity = worker.mCounts.mCapacity;
   std::vector<Listen> listens;
   for (int port = first; port <= last; ++port) {
     const auto number = static_cast<std::uint16_t>(port);
