--- a/src/pollenwall-load/client.cpp
+++ b/src/pollenwall-load/client.cpp
@@ -84,12 +84,12 @@
     http::async_read(
       mSocket, mBuffer, *mParser, [self = shared_from_this()](error_code aEc, std::size_t) {
         if (aEc) {
-          self->Finish({});
+          self->Finish({ false, true });
           return;
         }
         auto& message = self->mParser->get();
         self->mKept = message.keep_alive();
-        self->Finish({ true, message.result_int(), std::move(message.body()) });
+        self->Finish({ true, true, message.result_int(), std::move(message.body()) });
       });
   }
 
--- a/src/pollenwall-load/client.h
+++ b/src/pollenwall-load/client.h
@@ -15,7 +15,8 @@
 
 struct HttpAnswer
 {
-  bool mOk = false; ///< An answer arrived completely.
+  bool mOk = false;   ///< An answer arrived completely.
+  bool mSent = false; ///< A byte of the request may have reached the server.
   unsigned mStatus = 0;
   std::string mBody;
 };
--- a/src/pollenwall-load/main.cpp
+++ b/src/pollenwall-load/main.cpp
@@ -17,6 +17,10 @@
           "IP:PORT,... one of each worker stand-in, for counts of starts");
 ABSL_FLAG(bool, direct, false, "the entries are worker stand-ins: send each task straight to one");
 ABSL_FLAG(std::string, balance, "round_robin", "round_robin or random over the entries");
+ABSL_FLAG(std::int64_t,
+          ready_poll_ms,
+          0,
+          "how often /readyz of each entry is asked, as a balancer does; 0 is never");
 ABSL_FLAG(std::string, rates, "0:100", "SECONDS:TASKS_PER_SECOND,... from each time on");
 ABSL_FLAG(std::uint32_t, outstanding, 0, "closed loop with this many jobs in flight; 0 is open");
 ABSL_FLAG(double, seconds, 10, "time of arrivals");
@@ -101,6 +105,7 @@
     Refuse("rates", "SECONDS:TASKS_PER_SECOND,... with seconds rising from 0");
   }
   options.mRandomEntry = balance == "random";
+  options.mReadyPollMs = absl::GetFlag(FLAGS_ready_poll_ms);
   options.mDirect = absl::GetFlag(FLAGS_direct);
   options.mClosed = absl::GetFlag(FLAGS_outstanding);
   options.mConnections = absl::GetFlag(FLAGS_connections);
--- a/src/pollenwall-load/run.cpp
+++ b/src/pollenwall-load/run.cpp
@@ -51,7 +51,8 @@
   asio::steady_timer mTimer; ///< Of the next resubmission, or of giving up.
   std::uint32_t mCopies = 0;
   std::uint32_t mOutstanding = 0;
-  std::size_t mEntry = 0; ///< Of the last copy.
+  std::uint32_t mConnects = 10; ///< Failed connects after which the next copy goes elsewhere.
+  std::size_t mEntry = 0;       ///< Of the last copy.
   bool mDone = false;
   bool mRetryWaits = false;
   Claims mClaims;
@@ -82,6 +83,11 @@
     for (const auto& endpoint : aOptions.mEntries) {
       mEntries.push_back(std::make_shared<Server>(mContext, endpoint, aOptions.mConnections));
     }
+    mReady.assign(mEntries.size(), true);
+    mProbing.assign(mEntries.size(), false);
+    for (const auto& endpoint : aOptions.mEntries) {
+      mProbes.push_back(std::make_shared<Server>(mContext, endpoint, 1));
+    }
     for (const auto& endpoint : aOptions.mWorkers) {
       mWorkers.push_back(std::make_shared<Server>(mContext, endpoint, 1));
     }
@@ -109,6 +115,9 @@
         mContext, mStart + std::chrono::microseconds(std::llround(at * 1e6)));
       timer->async_wait([this, timer](error_code) { CancelWave(); });
     }
+    for (std::size_t n = 0; mOptions.mReadyPollMs > 0 && n < mEntries.size(); ++n) {
+      PollReady(n);
+    }
     if (mOptions.mClosed > 0) {
       for (std::uint32_t n = 0; n < mOptions.mClosed; ++n) {
         SubmitNextClosed();
@@ -125,7 +134,7 @@
       mReport.mClientQueued += entry->mQueued;
     }
     CheckCounts(before);
-    for (const auto* servers : { &mEntries, &mWorkers }) {
+    for (const auto* servers : { &mEntries, &mProbes, &mWorkers }) {
       for (const auto& server : *servers) {
         server->mIdle.clear();
       }
@@ -249,23 +258,60 @@
     return body + "]}";
   }
 
-  std::size_t PickEntry(const Job& aJob)
+  /// The first entry from a place on that the balancer holds for ready; that place when none is.
+  std::size_t ReadyFrom(std::size_t aPlace) const
   {
     const auto n = mEntries.size();
+    for (std::size_t step = 0; step < n; ++step) {
+      if (mReady[(aPlace + step) % n]) {
+        return (aPlace + step) % n;
+      }
+    }
+    return aPlace % n;
+  }
+
+  std::size_t PickEntry(const Job& aJob)
+  {
     if (aJob.mCopies > 0) {
-      return (aJob.mEntry + 1) % n;
+      return ReadyFrom(aJob.mEntry + 1);
     }
-    return mOptions.mRandomEntry ? mRandom() % n : mNextEntry++ % n;
+    return ReadyFrom(mOptions.mRandomEntry ? mRandom() % mEntries.size() : mNextEntry++);
+  }
+
+  /// Asks one entry for its readiness at regular intervals. An entry that has not answered by the
+  /// next time, or answers anything but 200, gets no new submissions.
+  void PollReady(std::size_t aEntry)
+  {
+    if (mSettled) {
+      return;
+    }
+    auto& server = *mProbes[aEntry];
+    if (mProbing[aEntry]) {
+      mReady[aEntry] = false;
+    } else {
+      mProbing[aEntry] = true;
+      Send(server, RequestText(server, "GET", "/readyz", ""), [this, aEntry](const auto& aAnswer) {
+        mProbing[aEntry] = false;
+        mReady[aEntry] = aAnswer.mOk && aAnswer.mStatus == 200;
+      });
+    }
+    auto timer =
+      std::make_shared<asio::steady_timer>(mContext, milliseconds(mOptions.mReadyPollMs));
+    timer->async_wait([this, timer, aEntry](error_code) { PollReady(aEntry); });
   }
 
   void SendCopy(const std::shared_ptr<Job>& aJob)
   {
-    const auto entry = PickEntry(*aJob);
     mReport.mResubmissions += aJob->mCopies > 0 ? 1 : 0;
-    aJob->mEntry = entry;
+    SendCopyTo(aJob, PickEntry(*aJob));
+  }
+
+  void SendCopyTo(const std::shared_ptr<Job>& aJob, std::size_t aEntry)
+  {
+    aJob->mEntry = aEntry;
     ++aJob->mCopies;
     ++aJob->mOutstanding;
-    auto& server = *mEntries[entry];
+    auto& server = *mEntries[aEntry];
     Send(server,
          RequestText(server, "POST", "/v1/jobs", aJob->mBody),
          [this, job = aJob](const HttpAnswer& aAnswer) { OnCopyEnded(job, aAnswer); });
@@ -316,6 +362,14 @@
   {
     auto& job = *aJob;
     --job.mOutstanding;
+    if (!aAnswer.mOk && !aAnswer.mSent && !job.mDone && mReady.size() > 1 && job.mConnects > 0) {
+      // Nothing was sent, so that another entry may be tried as if this one had not been.
+      --job.mConnects;
+      --job.mCopies;
+      mReady[job.mEntry] = mOptions.mReadyPollMs == 0;
+      SendCopyTo(aJob, ReadyFrom(job.mEntry + 1));
+      return;
+    }
     if (!aAnswer.mOk) {
       if (job.mDone) {
         return;
@@ -432,7 +486,10 @@
     }
     mSettling = true;
     mSettle.expires_after(milliseconds(mOptions.mSettleMs));
-    mSettle.async_wait([this](error_code) { mContext.stop(); });
+    mSettle.async_wait([this](error_code) {
+      mSettled = true;
+      mContext.stop();
+    });
   }
 
   void CancelWave()
@@ -588,7 +645,10 @@
   Plan mPlan;
   std::mt19937_64 mRandom;
   std::vector<std::shared_ptr<Server>> mEntries;
+  std::vector<std::shared_ptr<Server>> mProbes; ///< The entries again, for the balancer's probes.
   std::vector<std::shared_ptr<Server>> mWorkers;
+  std::vector<bool> mReady; ///< As the balancer sees the entries.
+  std::vector<bool> mProbing;
   asio::steady_timer mArrival;
   asio::steady_timer mSettle;
   std::optional<PlannedJob> mPending;
@@ -599,6 +659,7 @@
   std::size_t mNextEntry = 0;
   bool mArrivalsDone = false;
   bool mSettling = false;
+  bool mSettled = false;
   Clock::time_point mStart;
   Clock::time_point mLastAnswer;
   std::ofstream mJobsFile;
--- a/src/pollenwall-load/run.h
+++ b/src/pollenwall-load/run.h
@@ -21,9 +21,10 @@
   std::string mScenario = "load";
   std::string mPolicy = "pollenwall";
   std::string mService = "dispatch";
-  bool mDirect = false;      ///< The entries are workers: each task is sent straight to one.
-  bool mRandomEntry = false; ///< A random entry for each submission instead of the next one.
-  std::uint32_t mClosed = 0; ///< Jobs kept in flight instead of timed arrivals; 0 is open loop.
+  bool mDirect = false;          ///< The entries are workers: each task is sent straight to one.
+  bool mRandomEntry = false;     ///< A random entry for each submission instead of the next one.
+  std::int64_t mReadyPollMs = 0; ///< How often /readyz is asked, as a balancer does; 0 is never.
+  std::uint32_t mClosed = 0;     ///< Jobs kept in flight instead of timed arrivals; 0 is open loop.
   std::size_t mConnections = 2000; ///< To each entry at most.
   std::int64_t mDeadlineMs = 10000;
   std::int64_t mResubmitAfterMs = 0;     ///< Caller-chosen ids without an answer; 0 is never.
--- a/src/standin-worker/main.cpp
+++ b/src/standin-worker/main.cpp
@@ -9,12 +9,14 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
+#include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 
 #include <pollenwall/log.h>
 
 ABSL_FLAG(std::string, address, "127.0.0.1", "IP number to listen on");
+ABSL_FLAG(bool, address_per_port, false, "each further port is on the next IP number");
 ABSL_FLAG(std::string, ports, "9100-9100", "FIRST-LAST; each port is one upstream");
 ABSL_FLAG(std::uint16_t, control_port, 0, "port whose requests no fault affects; 0 is none");
 ABSL_FLAG(std::uint32_t, slots, 8, "tasks that one upstream runs at once");
@@ -261,6 +263,14 @@
   }
 }
 
+/// The IPv4 number that many after the first; the first itself when it is none.
+std::string AddressAt(const std::string& aFirst, std::uint32_t aOffset)
+{
+  boost::system::error_code ec;
+  const auto first = boost::asio::ip::make_address_v4(aFirst, ec);
+  return ec ? aFirst : boost::asio::ip::make_address_v4(first.to_uint() + aOffset).to_string();
+}
+
 bool IsExempt(const Request& aRequest)
 {
   return aRequest.mPath == "/v1/counts" || aRequest.mPath == "/v1/leaving";
@@ -296,7 +306,10 @@
   for (int port = first; port <= last; ++port) {
     const auto number = static_cast<std::uint16_t>(port);
     worker.mUpstreams[number].mPort.mSlots = absl::GetFlag(FLAGS_slots);
-    listens.push_back({ address, number, absl::GetFlag(FLAGS_connections), false });
+    const auto own = absl::GetFlag(FLAGS_address_per_port)
+                       ? AddressAt(address, static_cast<std::uint32_t>(port - first))
+                       : address;
+    listens.push_back({ own, number, absl::GetFlag(FLAGS_connections), false });
   }
   if (const auto control = absl::GetFlag(FLAGS_control_port); control != 0) {
     listens.push_back({ address, control, 0, true });
