Add scripts/quickstart and scripts/bench

Cause: the speed and fault targets concern real processes. Change: a Python harness (standard library only) that starts stand-ins and entries on loopback, publishes a configuration, drives pollenwall-load and stops what it started by process id; scenarios path, faults.* and control, and the virtual-time scenarios passed on to pollenwall-bench.

--- /dev/null
+++ b/scripts/harness/bench.py
@@ -0,0 +1,442 @@
+"""Benchmark scenarios. Prints one JSON object a line for each result; see docs/design.md, section 1."""
+
+import argparse
+import json
+import math
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import threading
+import time
+
+from harness.cluster import Cluster, Failure, binary, call, finish_load, note, start_load
+
+VIRTUAL = ["steady", "long_mix", "burst", "faulty_workers", "leaving", "cancel", "teams"]
+FAULTS = ["kill", "pause", "cut", "log_down", "log_down_and_kill"]
+CHANGES_PER_DAY = 3900
+SECONDS_PER_DAY = 86400
+
+# Bounds of docs/design.md, section 1. A field name ends in _min or _max.
+BOUNDS = {
+    "path": {"added_ms_p99_max": 2, "starts_per_second_per_core_min": 10000},
+    "control": {"in_force_seconds_p99_max": 5, "core_fraction_max": 0.039,
+                "rss_bytes_max": 128 * 1024 * 1024, "bytes_per_second_max": 28 * 1024},
+}
+FAULT_BOUNDS = {"duplicate_starts_max": 0, "wrong_verdicts_max": 0, "lost_answers_max": 0,
+                "wrong_answers_max": 0}
+
+
+def missed(result, bounds):
+    """The bounds that the result does not keep, as texts. A field that is absent is missed."""
+    texts = []
+    for name, bound in bounds.items():
+        field, kind = name.rsplit("_", 1)
+        value = result.get(field)
+        if value is None or (kind == "max" and value > bound) or (kind == "min" and value < bound):
+            texts.append(f"{field} {'<=' if kind == 'max' else '>='} {bound}")
+    return texts
+
+
+def emit(result, bounds):
+    result["missed_bounds"] = missed(result, bounds)
+    print(json.dumps(result), flush=True)
+
+
+def percentile(values, ratio):
+    values = sorted(values)
+    return values[max(0, math.ceil(ratio * len(values)) - 1)] if values else None
+
+
+def read_jobs(path):
+    with open(path, encoding="utf-8") as file:
+        return [json.loads(line) for line in file]
+
+
+class Trial:
+    """A cluster that is stopped at the end; its logs stay when the scenario fails."""
+
+    def __init__(self, *args, **kwargs):
+        self.cluster = Cluster(*args, **kwargs)
+
+    def __enter__(self):
+        try:
+            self.cluster.start()
+        except BaseException:
+            self.cluster.stop()
+            note(f"logs are in {self.cluster.directory}")
+            raise
+        return self.cluster
+
+    def __exit__(self, kind, *_):
+        codes = self.cluster.stop()
+        unclean = {name: code for name, code in codes.items() if code not in (0, -signal.SIGKILL)}
+        if unclean:
+            note(f"exit codes of entries: {unclean}")
+        if kind is None:
+            shutil.rmtree(self.cluster.directory)
+        else:
+            note(f"logs are in {self.cluster.directory}")
+
+
+# path
+
+
+def run_path(quick):
+    seconds = 4 if quick else 15
+    result = {"scenario": "path", "policy": "pollenwall"}
+    with Trial([("north", 1, 50)]) as cluster:
+        entry = cluster.entries[0]
+        latency_file = os.path.join(cluster.directory, "latency.jobs")
+        flags = {"job_size": 1, "run_ms": 5, "rates": "0:100", "seconds": seconds, "seed": 3}
+        direct = cluster.load([f"{ip}:{port}" for _, ip, port in cluster.workers["north"]],
+                              direct=True, **flags)
+        through = cluster.load(cluster.entries, **flags, jobs_file=latency_file)
+        result["tasks"] = through["tasks"]
+        result["load"] = through.get("load", 0)
+        for name in ("slowdown_p50", "slowdown_p99", "goodput_ratio", "late_answers",
+                     "duplicate_starts", "wrong_verdicts", "wasted_messages_per_task"):
+            result[name] = through[name]
+        result["short_slowdown_p99"] = through["short_slowdown_p99"]
+        result["response_ms_p50"] = through["response_ms_p50"]
+        result["response_ms_p99"] = through["response_ms_p99"]
+        result["direct_ms_p50"] = direct["response_ms_p50"]
+        result["direct_ms_p99"] = direct["response_ms_p99"]
+        result["incomplete"] = through["jobs"] - through["complete"]
+        # The strict reading: the tail of the path through the entry over the direct median.
+        result["added_ms_p50"] = round(through["response_ms_p50"] - direct["response_ms_p50"], 3)
+        result["added_ms_p99"] = round(through["response_ms_p99"] - direct["response_ms_p50"], 3)
+        cpu = entry.process.cpu_seconds()
+        started = time.monotonic()
+        saturated = cluster.load(cluster.entries, run_ms=1, outstanding=80, seconds=seconds,
+                                 jobs=100000000, seed=4)
+        used = entry.process.cpu_seconds() - cpu
+        wall = time.monotonic() - started
+        result["saturated_tasks"] = saturated["tasks"]
+        result["saturated_complete_jobs"] = saturated["complete"]
+        result["saturated_incomplete_jobs"] = saturated["jobs"] - saturated["complete"]
+        result["saturated_codes"] = saturated["codes"]
+        result["starts_per_second"] = saturated["tasks_per_second"]
+        result["starts_per_second_per_core"] = round(saturated["starts"] / used) if used else None
+        result["daemon_cores_used"] = round(used / wall, 3)
+        result["duplicate_starts"] += saturated["duplicate_starts"]
+        result["wrong_verdicts"] += saturated["wrong_verdicts"]
+    emit(result, BOUNDS["path"])
+
+
+# faults
+
+
+class FaultRun:
+    """Load on each data centre from clients of its own, while one thing fails."""
+
+    def __init__(self, cluster, seconds):
+        self.cluster = cluster
+        self.seconds = seconds
+        self.children = {}
+        self.started = {}
+        run = int(time.time() * 1000)
+        for n, (name, _, _) in enumerate(cluster.data_centres):
+            argv = cluster.load_command(
+                cluster.entries_of(name), rates="0:100", seconds=seconds, seed=11 + n,
+                run=run + n, caller_ids=0.5, homes=name, resubmit_after_ms=1500,
+                ready_poll_ms=200, deadline_ms=10000, answer_timeout_ms=20000, settle_ms=2000,
+                jobs_file=self.jobs_path(name), scenario="faults")
+            self.children[name] = start_load(argv)
+            self.started[name] = time.monotonic()
+
+    def jobs_path(self, name):
+        return os.path.join(self.cluster.directory, f"{name}.jobs")
+
+    def finish(self):
+        self.results = {name: finish_load(child) for name, child in self.children.items()}
+        self.jobs = {name: read_jobs(self.jobs_path(name)) for name in self.children}
+
+    def kill_children(self):
+        for child in self.children.values():
+            if child.poll() is None:
+                child.kill()
+                child.wait()
+
+    def sum(self, field):
+        return sum(it[field] for it in self.results.values())
+
+    def served(self, data_centres, from_monotonic, to_monotonic):
+        """Complete jobs over those submitted to these data centres' entries within the time."""
+        jobs = complete = 0
+        reasons = {}
+        for name in data_centres:
+            for job in self.jobs[name]:
+                at = self.started[name] + job["at"]
+                if not from_monotonic <= at <= to_monotonic:
+                    continue
+                jobs += 1
+                if job["outcome"] == "complete":
+                    complete += 1
+                else:
+                    reason = job["outcome"] + (":" + job["code"] if job["code"] else "")
+                    reasons[reason] = reasons.get(reason, 0) + 1
+        return jobs, complete, reasons
+
+
+def run_fault(name, quick):
+    fault_seconds = 4 if quick else 12
+    before, after = (2, 3) if quick else (4, 6)
+    data_centres = [("north", 2, 8), ("south", 2, 8), ("west", 2, 8)]
+    names = [it[0] for it in data_centres]
+    with Trial(data_centres, network=True) as cluster:
+        run = FaultRun(cluster, before + fault_seconds + after)
+        victim = cluster.entries_of("north")[0]
+        dead = set()
+        try:
+            time.sleep(before)
+            begin = time.monotonic()
+            if name in ("log_down", "log_down_and_kill"):
+                cluster.log_fault({"kind": "outage"})
+            if name in ("kill", "log_down_and_kill"):
+                # The log goes down first, so that the survivor cannot take the ranges over.
+                time.sleep(0.5 if name == "log_down_and_kill" else 0)
+                victim.process.signal(signal.SIGKILL)
+                dead.add(victim.callers)
+                begin = time.monotonic()
+            if name == "pause":
+                victim.process.signal(signal.SIGSTOP)
+            if name == "cut":
+                cluster.cut("north", True)
+            time.sleep(fault_seconds)
+            end = time.monotonic()
+            if name == "pause":
+                victim.process.signal(signal.SIGCONT)
+            if name == "cut":
+                cluster.cut("north", False)
+            if name.startswith("log_down"):
+                cluster.log_fault({"kind": "none"})
+            run.finish()
+        finally:
+            run.kill_children()
+        lost = run.sum("lost_answers")
+        for jobs in run.jobs.values():
+            # A connection may only break because its entry died.
+            lost += sum(1 for it in jobs if it["outcome"] == "broken" and it["entry"] not in dead)
+        grace = 0 if name in ("log_down", "cut") else 1
+        # Jobs in their last second may end after the fault, which does not matter to them.
+        jobs, complete, reasons = run.served(names, begin + grace, end)
+        result = {
+            "scenario": f"faults.{name}", "policy": "pollenwall", "tasks": run.sum("tasks"),
+            "load": round(sum(it["tasks"] for it in run.results.values()) * 0.27 /
+                          (cluster.total_slots() * run.seconds), 3),
+            "slowdown_p50": max(it["slowdown_p50"] for it in run.results.values()),
+            "slowdown_p99": max(it["slowdown_p99"] for it in run.results.values()),
+            "short_slowdown_p99": max(it["short_slowdown_p99"] for it in run.results.values()),
+            "goodput_ratio": min(it["goodput_ratio"] for it in run.results.values()),
+            "late_answers": run.sum("late_answers"),
+            # Each tool's count of all starts covers the others' time too; the largest is the total.
+            "duplicate_starts": max(it["duplicate_starts"] for it in run.results.values()),
+            "wrong_verdicts": run.sum("wrong_verdicts"), "lost_answers": lost,
+            "wrong_answers": run.sum("wrong_answers"),
+            "wasted_messages_per_task": max(it["wasted_messages_per_task"]
+                                            for it in run.results.values()),
+            "fault_seconds": fault_seconds, "jobs_in_fault": jobs,
+            "served_ratio": round(complete / jobs, 5) if jobs else None, "unserved": reasons,
+            "resubmissions": run.sum("resubmissions")}
+        for dc in names:
+            own, own_complete, own_reasons = run.served([dc], begin + grace, end)
+            result[f"served_ratio_{dc}"] = round(own_complete / own, 5) if own else None
+            result[f"unserved_{dc}"] = own_reasons
+        recovered = run.served(names, end + 1.5, end + 100)
+        result["served_ratio_after"] = round(recovered[1] / recovered[0], 5) if recovered[0] else None
+        bounds = dict(FAULT_BOUNDS)
+        if name == "log_down_and_kill":
+            # North's caller-chosen ids are half of its jobs, and the dead entry owned half of them.
+            bounds["served_ratio_min"] = 1 - 0.5 * 0.5 / len(names)
+        elif name != "pause":
+            bounds["served_ratio_min"] = 1.0
+        emit(result, bounds)
+
+
+# control
+
+
+def versions(cluster):
+    """The configuration version of each running entry; 0 for one that does not answer."""
+    found = {}
+    for entry in cluster.entries:
+        try:
+            status, body = call(entry.operators, "GET", "/v1/status", timeout=1)
+            found[entry.name] = body["configuration_version"] if status == 200 else 0
+        except (OSError, KeyError, TypeError):
+            found[entry.name] = 0
+    return found
+
+
+def publish_and_time(cluster, weight):
+    """Publishes one change; returns the seconds from the start of the tool until all entries
+    report it."""
+    before = max(versions(cluster).values())
+    started = time.monotonic()
+    child = {}
+
+    def publish():
+        try:
+            child["out"] = cluster.publish(weight, wait=False, timeout="30s")
+        except Failure as failure:
+            child["failure"] = failure
+
+    thread = threading.Thread(target=publish)
+    thread.start()
+    while True:
+        if min(versions(cluster).values()) > before:
+            break
+        if "failure" in child or time.monotonic() - started > 40:
+            thread.join()
+            raise Failure(f"a change is not in force: {child}; {versions(cluster)}")
+        time.sleep(0.01)
+    seconds = time.monotonic() - started
+    thread.join()
+    return seconds
+
+
+def usage(cluster, seconds, act=None):
+    """Processor time and socket bytes of each entry per second, while act runs."""
+    cpu = [it.process.cpu_seconds() for it in cluster.entries]
+    sent = [it.socket_bytes() for it in cluster.entries]
+    started = time.monotonic()
+    done = act() if act else None
+    rest = seconds - (time.monotonic() - started)
+    if rest > 0:
+        time.sleep(rest)
+    wall = time.monotonic() - started
+    return {
+        "wall": wall, "done": done,
+        "core_fraction": max((it.process.cpu_seconds() - was) / wall
+                             for it, was in zip(cluster.entries, cpu)),
+        "bytes_per_second": max((it.socket_bytes() - was) / wall
+                                for it, was in zip(cluster.entries, sent))}
+
+
+def run_control_size(workers, services, teams, quick):
+    data_centres = [("north", 3, workers // 3), ("south", 2, workers // 3),
+                    ("west", 2, workers - 2 * (workers // 3))]
+    result = {"scenario": "control", "policy": "pollenwall", "tasks": 0, "load": 0,
+              "workers": workers, "services": services, "teams": teams, "entries": 7}
+    with Trial(data_centres, network=True, services=[f"service-{n}" for n in range(services)],
+               teams=[f"team-{n}" for n in range(teams)]) as cluster:
+        time.sleep(2)
+        window = 5 if quick else 20
+        idle = usage(cluster, window)
+        result["idle_core_fraction"] = round(idle["core_fraction"], 5)
+        result["idle_bytes_per_second"] = round(idle["bytes_per_second"])
+        weight = 1
+
+        def changes():
+            nonlocal weight
+            count = 0
+            until = time.monotonic() + window
+            while time.monotonic() < until:
+                weight = weight % 1000 + 1
+                cluster.publish(weight, wait=False)
+                count += 1
+                time.sleep(0.4)
+            return count
+
+        busy = usage(cluster, window, changes)
+        # The accelerated sample gives the cost of one change; 3,900 a day are added to the idle use.
+        changes_per_second = busy["done"] / busy["wall"]
+        share = CHANGES_PER_DAY / SECONDS_PER_DAY / changes_per_second
+        for field in ("core_fraction", "bytes_per_second"):
+            extra = max(0.0, busy[field] - idle[field])
+            result[field] = round(idle[field] + extra * share, 5)
+        result["accelerated_changes_per_second"] = round(changes_per_second, 2)
+        result["accelerated_core_fraction"] = round(busy["core_fraction"], 5)
+        result["accelerated_bytes_per_second"] = round(busy["bytes_per_second"])
+        result["rss_bytes"] = max(it.process.rss_bytes() for it in cluster.entries)
+        times = []
+        for n in range(5 if quick else 25):
+            times.append(publish_and_time(cluster, 2000 + n))
+        result["in_force_seconds_p50"] = round(percentile(times, 0.5), 3)
+        result["in_force_seconds_p99"] = round(percentile(times, 0.99), 3)
+        faulty = []
+        for n, fault in enumerate(({"kind": "late", "ms": 300}, {"kind": "lose_answer", "count": 3},
+                                   {"kind": "drop", "count": 10}, {"kind": "refuse", "count": 10})):
+            cluster.log_fault(fault)
+            faulty.append(publish_and_time(cluster, 3000 + n))
+            cluster.log_fault({"kind": "none"})
+        result["in_force_seconds_with_faults"] = [round(it, 3) for it in faulty]
+        result["in_force_seconds_p99_with_faults"] = round(max(faulty), 3)
+        bounds = dict(BOUNDS["control"])
+        bounds["in_force_seconds_p99_with_faults_max"] = 5
+        emit(result, bounds)
+    return result
+
+
+def slope(results, field, size):
+    """Least squares of a field over the number of workers."""
+    xs = [it[size] for it in results]
+    ys = [it[field] for it in results]
+    mean_x, mean_y = sum(xs) / len(xs), sum(ys) / len(ys)
+    spread = sum((x - mean_x) ** 2 for x in xs)
+    if spread == 0:
+        return None
+    return sum((x - mean_x) * (y - mean_y) for x, y in zip(xs, ys)) / spread
+
+
+def run_control(quick):
+    sizes = [(30, 1, 10), (120, 4, 40)] if quick else [
+        (30, 1, 10), (120, 4, 40), (480, 8, 100), (1500, 8, 150)]
+    results = [run_control_size(*size, quick) for size in sizes]
+    line = {"scenario": "control.slopes", "policy": "pollenwall", "tasks": 0, "load": 0}
+    for field in ("core_fraction", "bytes_per_second", "rss_bytes", "in_force_seconds_p99"):
+        value = slope(results, field, "workers")
+        line[f"{field}_per_1000_workers"] = None if value is None else float(f"{1000 * value:.4g}")
+    line["sizes"] = [list(size) for size in sizes]
+    emit(line, {})
+
+
+# Virtual time
+
+
+def run_virtual(name, quick):
+    argv = [binary("pollenwall-bench"), "--scenario", name] + (["--quick"] if quick else [])
+    done = subprocess.run(argv, stdout=subprocess.PIPE, text=True, check=False)
+    for line in done.stdout.splitlines():
+        print(line, flush=True)
+    if done.returncode != 0:
+        raise Failure(f"{' '.join(argv)} ended with {done.returncode}")
+
+
+def main():
+    scenarios = {"path": run_path}
+    for name in VIRTUAL:
+        scenarios[name] = lambda quick, name=name: run_virtual(name, quick)
+    for name in FAULTS:
+        scenarios[f"faults.{name}"] = lambda quick, name=name: run_fault(name, quick)
+    scenarios["control"] = run_control
+    parser = argparse.ArgumentParser(
+        prog="scripts/bench", description="Runs benchmark scenarios; one JSON object a line.",
+        epilog="scenarios: " + ", ".join(scenarios) + "; 'faults' runs all faults")
+    parser.add_argument("--quick", action="store_true", help="shorter runs, for a first look")
+    parser.add_argument("scenario", nargs="*", help="all when none is named")
+    arguments = parser.parse_args()
+    names = []
+    for name in arguments.scenario or list(scenarios):
+        names += [f"faults.{it}" for it in FAULTS] if name == "faults" else [name]
+    unknown = [it for it in names if it not in scenarios]
+    if unknown:
+        parser.error(f"unknown scenarios: {', '.join(unknown)}")
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    failed = []
+    for name in names:
+        note(f"running {name}")
+        try:
+            scenarios[name](arguments.quick)
+        except (Failure, OSError, subprocess.SubprocessError) as failure:
+            note(f"{name} could not run: {failure}")
+            failed.append(name)
+    if failed:
+        note(f"could not run: {', '.join(failed)}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/scripts/harness/quickstart.py
@@ -0,0 +1,70 @@
+"""Two data centres with two entries each, one published configuration, real jobs."""
+
+import shutil
+import signal
+import sys
+
+from harness.cluster import Cluster, Failure, note
+
+SECONDS = 5
+
+
+def report(result, cluster):
+    print(f"jobs            {result['jobs']} with {result['tasks']} tasks, "
+          f"{result['complete']} complete, {result['failed']} failed, {result['refused']} refused")
+    print(f"response time   p50 {result['response_ms_p50']:.1f} ms, "
+          f"p99 {result['response_ms_p99']:.1f} ms, p99.9 {result['response_ms_p999']:.1f} ms")
+    print(f"slowdown        p50 {result['slowdown_p50']:.3f}, p99 {result['slowdown_p99']:.3f}")
+    verdicts = ", ".join(f"{name} {n}" for name, n in result["verdicts"].items())
+    codes = ", ".join(f"{name} {n}" for name, n in result["codes"].items())
+    print(f"verdicts        {verdicts}; codes: {codes or 'none'}")
+    print(f"checks          lost answers {result['lost_answers']}, "
+          f"wrong answers {result['wrong_answers']}, "
+          f"duplicate starts {result['duplicate_starts']}, "
+          f"wrong verdicts {result['wrong_verdicts']}")
+    starts = result["starts_per_worker"]
+    at = 0
+    for name, workers in cluster.workers.items():
+        own = starts[at:at + len(workers)]
+        at += len(workers)
+        print(f"starts          {name}: {' '.join(str(n) for n in own)}")
+
+
+def main():
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    cluster = Cluster([("north", 2, 6), ("south", 2, 6)],
+                      teams=["pickups", "quotes", "routing"])
+    passed = False
+    try:
+        note(f"starting the stand-ins and 4 entries on ports from {cluster.base}")
+        cluster.start_standins()
+        cluster.start_entries()
+        note("publishing the configuration")
+        print(cluster.publish())
+        cluster.await_ready()
+        note(f"submitting jobs for {SECONDS} s through 4 entries")
+        result = cluster.load(cluster.entries, rates="0:120", seconds=SECONDS,
+                              slots=cluster.total_slots(), caller_ids=0.5, homes="north,south",
+                              scenario="quickstart")
+        report(result, cluster)
+        passed = result["jobs"] > 0 and result["complete"] == result["jobs"] and not any(
+            result[it] for it in ("lost_answers", "wrong_answers", "duplicate_starts",
+                                  "wrong_verdicts"))
+    except Failure as failure:
+        note(f"quickstart: {failure}")
+    finally:
+        codes = cluster.stop()
+    unclean = {name: code for name, code in codes.items() if code != 0}
+    if unclean:
+        note(f"quickstart: entries that did not stop with exit code 0: {unclean}")
+        passed = False
+    if passed:
+        shutil.rmtree(cluster.directory)
+        print("all jobs were answered right")
+    else:
+        note(f"quickstart: failed; logs are in {cluster.directory}")
+    return 0 if passed else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
