--- a/src/include/pollenwall/log.h
+++ b/src/include/pollenwall/log.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <utility>
 #include <variant>
+#include <vector>
 
 /// Structured logs: one JSON object a line on standard error, written through glog.
 namespace pollenwall::log {
@@ -23,6 +24,9 @@
 void Warning(std::string_view aEvent, std::initializer_list<Field> aFields = {});
 void LogError(std::string_view aEvent, std::initializer_list<Field> aFields = {});
 
+/// Writes one line whose fields are known only at run time.
+void Write(bool aWarning, std::string_view aEvent, const std::vector<Field>& aFields);
+
 /// Returns the event as the JSON object that the calls above write, without the time.
 std::string FormatEvent(std::string_view aLevel,
                         std::string_view aEvent,
--- /dev/null
+++ b/src/include/pollenwall/net/http_client.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/verb.hpp>
+
+#include <pollenwall/net/stream.h>
+#include <pollenwall/net/tls.h>
+
+namespace pollenwall::net {
+
+/// One kept HTTP/1.1 connection for calls at a low rate. One call at a time.
+struct HttpClient
+{
+  HttpClient(boost::asio::io_context& aContext, Tcp::endpoint aServer)
+    : mContext(aContext)
+    , mServer(std::move(aServer))
+  {
+  }
+
+  boost::asio::io_context& mContext;
+  Tcp::endpoint mServer;
+  std::shared_ptr<TlsKeys> mTls; ///< Null: no TLS.
+  std::shared_ptr<Stream> mStream;
+  boost::beast::flat_buffer mBuffer;
+};
+
+struct HttpReply
+{
+  unsigned mStatus = 0; ///< 0: there is no answer, and mProblem says why.
+  std::string mBody;
+  std::string mProblem;
+};
+
+/// Sends one request in the calling fiber. A request is never sent twice: when the connection fails
+/// after it was written, the reply has no status.
+HttpReply Fetch(HttpClient& aClient,
+                boost::beast::http::verb aMethod,
+                const std::string& aTarget,
+                std::string aBody,
+                std::chrono::milliseconds aTimeout,
+                std::size_t aMaxBodyBytes);
+
+/// Whether the other side has closed, or has sent bytes that nobody asked for. Costs one system
+/// call.
+bool IsStale(Socket& aSocket);
+
+} // namespace pollenwall::net
--- /dev/null
+++ b/src/libkernel/kernel_test.cpp
@@ -0,0 +1,144 @@
+#include <pollenwall/kernel.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <set>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <rapidcheck.h>
+
+using namespace pollenwall;
+
+namespace {
+
+bool Expect(bool aCondition, const char* aWhat)
+{
+  if (!aCondition) {
+    std::fprintf(stderr, "failed: %s\n", aWhat);
+  }
+  return aCondition;
+}
+
+kernel::Service Named(std::string aName, std::vector<std::string> aNeeds)
+{
+  return { std::move(aName), std::move(aNeeds), {}, {}, {} };
+}
+
+std::string MessageOf(const std::function<Result<void>()>& aFunction)
+{
+  return boost::leaf::try_handle_all(
+    [&aFunction]() -> Result<std::string> {
+      BOOST_LEAF_CHECK(aFunction());
+      return std::string();
+    },
+    [](const Error& aError) { return aError.mMessage; },
+    [] { return std::string("unknown error"); });
+}
+
+/// Guards against a service that starts before, or stops after, one that it needs.
+bool NeedsComeFirst()
+{
+  return rc::check("services start after what they need and stop before it", [] {
+    const int n = *rc::gen::inRange(1, 12);
+    kernel::Kernel kernel;
+    std::vector<std::string> started;
+    std::vector<std::string> stopped;
+    std::map<std::string, std::vector<std::string>> needs;
+    for (int it = 0; it < n; ++it) {
+      // Names are in no relation to the order; needs point only to earlier services.
+      const auto name = std::to_string((it * 7 + 3) % 101) + "-" + std::to_string(it);
+      std::vector<std::string> mine;
+      for (const auto& [other, unused] : needs) {
+        if (*rc::gen::inRange(0, 3) == 0) {
+          mine.push_back(other);
+        }
+      }
+      needs[name] = mine;
+      kernel::Register(kernel,
+                       { name,
+                         mine,
+                         [&started, name]() -> Result<void> {
+                           started.push_back(name);
+                           return {};
+                         },
+                         [&stopped, name] { stopped.push_back(name); },
+                         {} });
+    }
+    RC_ASSERT(MessageOf([&kernel] { return kernel::Start(kernel); }).empty());
+    RC_ASSERT(started.size() == static_cast<std::size_t>(n));
+    for (const auto& [name, mine] : needs) {
+      const auto place = std::find(started.begin(), started.end(), name);
+      for (const auto& need : mine) {
+        RC_ASSERT(std::find(started.begin(), started.end(), need) < place);
+      }
+    }
+    kernel::Stop(kernel);
+    std::reverse(stopped.begin(), stopped.end());
+    RC_ASSERT(stopped == started);
+  });
+}
+
+/// Guards against a start that hangs or recurses without end on services that need each other.
+bool CyclesAndMissingServicesAreReported()
+{
+  kernel::Kernel kernel;
+  kernel::Register(kernel, Named("a", { "b" }));
+  kernel::Register(kernel, Named("b", { "c", "nowhere" }));
+  kernel::Register(kernel, Named("c", { "a" }));
+  kernel::Register(kernel, Named("c", {}));
+  const auto message = MessageOf([&kernel] { return kernel::Start(kernel); });
+  bool passed = Expect(message.find("a -> b -> c -> a") != std::string::npos, "the cycle is named");
+  passed &= Expect(message.find("service b needs nowhere") != std::string::npos,
+                   "the missing service is named");
+  passed &=
+    Expect(message.find("c is registered twice") != std::string::npos, "the duplicate is named");
+  return passed;
+}
+
+/// Guards against services that keep running after the start of another one has failed.
+bool FailedStartStopsTheOthers()
+{
+  kernel::Kernel kernel;
+  std::vector<std::string> stopped;
+  const auto stop = [&stopped](const std::string& aName) {
+    return [&stopped, aName] { stopped.push_back(aName); };
+  };
+  kernel::Register(kernel, { "a", {}, {}, stop("a"), {} });
+  kernel::Register(kernel, { "b", { "a" }, {}, stop("b"), {} });
+  kernel::Register(
+    kernel,
+    { "c",
+      { "b" },
+      []() -> Result<void> {
+        return boost::leaf::new_error(Error{ ErrorCode::Internal, Verdict::NotRun, "no port", {} });
+      },
+      stop("c"),
+      {} });
+  const auto message = MessageOf([&kernel] { return kernel::Start(kernel); });
+  bool passed = Expect(message == "no port", "the reason is passed on");
+  passed &= Expect(stopped == std::vector<std::string>{ "b", "a" }, "started ones are stopped");
+  return passed;
+}
+
+/// Guards against an object that is taken for one of another type.
+bool ObjectsAreFoundByNameAndType()
+{
+  kernel::Kernel kernel;
+  int object = 7;
+  kernel::Register(kernel, { "n", {}, {}, {}, &object });
+  bool passed = Expect(kernel::Find<int>(kernel, "n") == &object, "found");
+  passed &= Expect(kernel::Find<double>(kernel, "n") == nullptr, "another type");
+  passed &= Expect(kernel::Find<int>(kernel, "m") == nullptr, "another name");
+  return passed;
+}
+
+} // namespace
+
+int main()
+{
+  bool passed = NeedsComeFirst();
+  passed &= CyclesAndMissingServicesAreReported();
+  passed &= FailedStartStopsTheOthers();
+  passed &= ObjectsAreFoundByNameAndType();
+  return passed ? 0 : 1;
+}
--- a/src/libutil/log.cpp
+++ b/src/libutil/log.cpp
@@ -53,6 +53,18 @@
   return sink;
 }
 
+template<typename Fields>
+std::string Format(std::string_view aLevel, std::string_view aEvent, const Fields& aFields)
+{
+  boost::json::object line;
+  line["level"] = aLevel;
+  line["event"] = aEvent;
+  for (const auto& [name, value] : aFields) {
+    std::visit([&line, key = name](const auto& aValue) { line[key] = aValue; }, value);
+  }
+  return boost::json::serialize(line);
+}
+
 } // namespace
 
 void Init(std::string_view aProgram)
@@ -74,13 +86,16 @@
                         std::string_view aEvent,
                         std::initializer_list<Field> aFields)
 {
-  boost::json::object line;
-  line["level"] = aLevel;
-  line["event"] = aEvent;
-  for (const auto& [name, value] : aFields) {
-    std::visit([&line, key = name](const auto& aValue) { line[key] = aValue; }, value);
+  return Format(aLevel, aEvent, aFields);
+}
+
+void Write(bool aWarning, std::string_view aEvent, const std::vector<Field>& aFields)
+{
+  if (aWarning) {
+    LOG(WARNING) << Format("warning", aEvent, aFields);
+  } else {
+    LOG(INFO) << Format("info", aEvent, aFields);
   }
-  return boost::json::serialize(line);
 }
 
 void Info(std::string_view aEvent, std::initializer_list<Field> aFields)
--- /dev/null
+++ b/src/pollenwalld/callers.cpp
@@ -0,0 +1,286 @@
+#include "callers.h"
+
+#include <charconv>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <boost/url/parse.hpp>
+
+#include <pollenwall/log.h>
+
+namespace pollenwall::daemon {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::string_view kJobs = "/v1/jobs";
+/// Header that a caller may set to find its request in our logs; echoed in the answer.
+constexpr std::string_view kRequestIdHeader = "Pollenwall-Request";
+constexpr std::size_t kMaxRequestIdBytes = 128;
+/// A longer wait holds a connection that the caller may have forgotten.
+constexpr std::int64_t kMaxWaitMs = 300'000;
+constexpr std::chrono::milliseconds kStopLimit{ 5000 };
+
+net::HttpResponse Refusal(ErrorCode aCode, std::string aMessage)
+{
+  return net::ErrorResponse({ aCode, Verdict::NotRun, std::move(aMessage), {} });
+}
+
+net::HttpResponse WrongMethod(std::string_view aAllowed)
+{
+  auto response = Refusal(ErrorCode::BadRequest, "the method is not allowed for this path");
+  response.result(http::status::method_not_allowed);
+  response.set(http::field::allow, { aAllowed.data(), aAllowed.size() });
+  return response;
+}
+
+/// The call waits in the connection's fiber for the node's one answer.
+node::AnswerCaller Call(Callers& aCallers,
+                        net::HttpConnection& aConnection,
+                        dispatch::RequestId aRequest,
+                        node::Event aEvent)
+{
+  net::OneShot<node::AnswerCaller> answer;
+  aCallers.mWaiting[aRequest] = &answer;
+  Post(aCallers.mLoop, std::move(aEvent));
+  net::GoneWatch watch(aConnection, [&aCallers, &answer, aRequest] {
+    // Nobody can read the answer any more; the job goes on.
+    aCallers.mWaiting.erase(aRequest);
+    Post(aCallers.mLoop, node::CallerGone{ aRequest });
+    metrics::Add(aCallers.mShell.mMetrics, "callers_gone_total");
+    answer.Set({ aRequest,
+                 std::nullopt,
+                 Error{ ErrorCode::Internal, Verdict::MayHaveRun, "the caller is gone", {} } });
+  });
+  return std::move(answer.Wait());
+}
+
+net::HttpResponse ToResponse(const node::AnswerCaller& aAnswer, bool aSubmitted)
+{
+  if (aAnswer.mError) {
+    return net::ErrorResponse(*aAnswer.mError);
+  }
+  if (!aAnswer.mAnswer) {
+    return net::ErrorResponse(
+      { ErrorCode::Internal, Verdict::MayHaveRun, "the answer is missing", {} });
+  }
+  const auto& answer = *aAnswer.mAnswer;
+  if (answer.mState == JobState::Running && aSubmitted) {
+    std::string body = "{\"id\":";
+    AppendJsonString(body, answer.mId);
+    return net::JsonResponse(http::status::accepted, body + "}");
+  }
+  auto response = net::JsonResponse(http::status::ok, EncodeAnswer(answer));
+  response.set("Pollenwall-Verdict", ToString(answer.mVerdict));
+  return response;
+}
+
+net::HttpResponse SubmitJob(Callers& aCallers,
+                            const net::HttpRequest& aRequest,
+                            net::HttpConnection& aConnection)
+{
+  Error error;
+  // Decoding does not suspend: LEAF keeps its handlers in thread-local storage, which another fiber
+  // would change.
+  auto submission = boost::leaf::try_handle_all(
+    [&]() -> Result<std::optional<Submission>> {
+      BOOST_LEAF_AUTO(decoded, DecodeSubmission(aRequest.body(), aCallers.mLimits));
+      return std::optional<Submission>(std::move(decoded));
+    },
+    [&error](const Error& aError) {
+      error = aError;
+      return std::optional<Submission>();
+    },
+    [] { return std::optional<Submission>(); });
+  if (!submission) {
+    metrics::Add(aCallers.mShell.mMetrics, "jobs_malformed_total");
+    return net::ErrorResponse(error);
+  }
+  const auto start = std::chrono::steady_clock::now();
+  const bool wait = submission->mWait;
+  const auto request = ++aCallers.mLoop.mLastRequest;
+  const auto answer = Call(aCallers,
+                           aConnection,
+                           request,
+                           node::CallerSubmit{ request, wait, std::move(submission->mJob) });
+  metrics::Observe(aCallers.mShell.mMetrics,
+                   wait ? "job_seconds{wait=\"true\"}" : "job_seconds{wait=\"false\"}",
+                   std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count());
+  return ToResponse(answer, !wait);
+}
+
+/// The query of a status or cancel call.
+struct JobQuery
+{
+  std::string mId;
+  std::string mTeam;
+  std::int64_t mWaitMs = 0;
+  std::string mProblem; ///< Empty when all is well.
+};
+
+JobQuery ParseQuery(std::string_view aTarget)
+{
+  JobQuery query;
+  const auto url = boost::urls::parse_origin_form(aTarget);
+  if (!url) {
+    query.mProblem = "the request target is not valid";
+    return query;
+  }
+  const auto path = url->path();
+  query.mId = path.substr(std::min(path.size(), kJobs.size() + 1));
+  if (query.mId.empty() || query.mId.size() > 512) {
+    query.mProblem = "the path has no valid job id";
+  }
+  for (const auto& param : url->params()) {
+    if (param.key == "team" && !param.value.empty()) {
+      query.mTeam = param.value;
+    } else if (param.key == "wait_ms") {
+      const auto* end = param.value.data() + param.value.size();
+      const auto [last, ec] = std::from_chars(param.value.data(), end, query.mWaitMs);
+      if (ec != std::errc() || last != end || query.mWaitMs < 0 || query.mWaitMs > kMaxWaitMs) {
+        query.mProblem = "wait_ms is not an integer from 0 to " + std::to_string(kMaxWaitMs);
+      }
+    } else {
+      query.mProblem = "the query has the unknown or empty parameter " + param.key.substr(0, 64);
+    }
+  }
+  if (query.mTeam.empty() && query.mProblem.empty()) {
+    query.mProblem = "the query parameter team is missing";
+  }
+  return query;
+}
+
+net::HttpResponse FindJob(Callers& aCallers,
+                          const net::HttpRequest& aRequest,
+                          net::HttpConnection& aConnection)
+{
+  auto query = ParseQuery({ aRequest.target().data(), aRequest.target().size() });
+  const bool cancel = aRequest.method() == http::verb::delete_;
+  if (query.mProblem.empty() && cancel && query.mWaitMs != 0) {
+    query.mProblem = "wait_ms is not allowed with DELETE";
+  }
+  if (!query.mProblem.empty()) {
+    // The job that was asked for may well have run.
+    return net::ErrorResponse({ ErrorCode::BadRequest, Verdict::MayHaveRun, query.mProblem, {} });
+  }
+  const auto request = ++aCallers.mLoop.mLastRequest;
+  node::Event event;
+  if (cancel) {
+    event = node::CallerCancel{ request, std::move(query.mId), std::move(query.mTeam) };
+  } else {
+    event = node::CallerStatus{ request,
+                                std::move(query.mId),
+                                std::move(query.mTeam),
+                                std::chrono::milliseconds(query.mWaitMs) };
+  }
+  return ToResponse(Call(aCallers, aConnection, request, std::move(event)), false);
+}
+
+bool IsOperatorsPath(std::string_view aPath)
+{
+  return aPath == "/metrics" || aPath == "/dump" || aPath == "/v1/status" || aPath == "/v1/drain";
+}
+
+net::HttpResponse Route(Callers& aCallers,
+                        net::HttpRequest& aRequest,
+                        net::HttpConnection& aConnection)
+{
+  const std::string_view target(aRequest.target().data(), aRequest.target().size());
+  const auto path = target.substr(0, target.find('?'));
+  if (path == kJobs) {
+    return aRequest.method() == http::verb::post ? SubmitJob(aCallers, aRequest, aConnection)
+                                                 : WrongMethod("POST");
+  }
+  if (path.starts_with("/v1/jobs/")) {
+    const bool known =
+      aRequest.method() == http::verb::get || aRequest.method() == http::verb::delete_;
+    return known ? FindJob(aCallers, aRequest, aConnection) : WrongMethod("GET, DELETE");
+  }
+  if (path == "/healthz") {
+    return net::JsonResponse(http::status::ok, "{\"alive\":true}");
+  }
+  if (path == "/readyz") {
+    const bool ready = !aCallers.mLoop.mStopping && node::IsReady(*aCallers.mLoop.mState);
+    return net::JsonResponse(ready ? http::status::ok : http::status::service_unavailable,
+                             ready ? "{\"ready\":true}" : "{\"ready\":false}");
+  }
+  if (IsOperatorsPath(path)) {
+    auto response =
+      Refusal(ErrorCode::BadRequest, "this call is available on the operators' port only");
+    response.result(http::status::forbidden);
+    return response;
+  }
+  auto response = Refusal(ErrorCode::BadRequest, "there is no such path");
+  response.result(http::status::not_found);
+  return response;
+}
+
+Result<void> Start(Callers& aCallers)
+{
+  aCallers.mLoop.mTable.mAnswerCaller = [&aCallers](node::AnswerCaller& aAction) {
+    const auto it = aCallers.mWaiting.find(aAction.mRequest);
+    if (it == aCallers.mWaiting.end()) {
+      return; // The caller is gone.
+    }
+    auto* waiting = it->second;
+    aCallers.mWaiting.erase(it);
+    waiting->Set(std::move(aAction));
+  };
+  const auto& settings = aCallers.mShell.mSettings;
+  net::HttpServerOptions options;
+  options.mName = "callers";
+  options.mListen = *net::ParseEndpoint(settings::ToString(settings.mCallers));
+  options.mMaxBodyBytes = settings.mHttp.mMaxBodyBytes;
+  options.mMaxHeaderBytes = settings.mHttp.mMaxHeaderBytes;
+  options.mMaxConnections = settings.mHttp.mMaxConnections;
+  options.mRequestTimeout = settings.mHttp.mReadTimeout;
+  aCallers.mLimits.mMaxTasks = settings.mNode.mDispatch.mMaxTasksPerJob;
+  BOOST_LEAF_ASSIGN(aCallers.mServer,
+                    net::StartHttpServer(
+                      aCallers.mShell.mContext,
+                      std::move(options),
+                      [&aCallers](net::HttpRequest& aRequest, net::HttpConnection& aConnection) {
+                        return HandleCaller(aCallers, aRequest, aConnection);
+                      },
+                      aCallers.mShell.mMetrics));
+  log::Info("listening",
+            { { "listener", std::string("callers") },
+              { "address", net::ToString(net::LocalEndpoint(*aCallers.mServer)) } });
+  return {};
+}
+
+void Stop(Callers& aCallers)
+{
+  const auto left = net::StopHttpServer(*aCallers.mServer, kStopLimit);
+  if (left > 0) {
+    log::Warning("connections_cut_off", { { "count", static_cast<std::int64_t>(left) } });
+  }
+}
+
+} // namespace
+
+net::HttpResponse HandleCaller(Callers& aCallers,
+                               net::HttpRequest& aRequest,
+                               net::HttpConnection& aConnection)
+{
+  std::string id(aRequest[kRequestIdHeader.data()].data(),
+                 aRequest[kRequestIdHeader.data()].size());
+  auto response = Route(aCallers, aRequest, aConnection);
+  if (!id.empty() && id.size() <= kMaxRequestIdBytes) {
+    response.set(kRequestIdHeader.data(), id);
+  }
+  return response;
+}
+
+void RegisterCallers(Shell& aShell)
+{
+  auto& loop = *kernel::Find<NodeLoop>(aShell.mKernel, "node");
+  auto callers = std::make_shared<Callers>(aShell, loop);
+  kernel::Register(aShell.mKernel,
+                   { "callers",
+                     { "node", "upstreams", "peers", "log", "vm_list" },
+                     [callers] { return Start(*callers); },
+                     [callers] { Stop(*callers); },
+                     callers.get() });
+}
+
+} // namespace pollenwall::daemon
--- /dev/null
+++ b/src/pollenwalld/callers.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <memory>
+#include <unordered_map>
+
+#include <pollenwall/net/http_server.h>
+
+#include "caller_json.h"
+#include "node_loop.h"
+
+/// The service `callers`: the callers' HTTP API.
+namespace pollenwall::daemon {
+
+struct Callers
+{
+  Callers(Shell& aShell, NodeLoop& aLoop)
+    : mShell(aShell)
+    , mLoop(aLoop)
+  {
+  }
+
+  Shell& mShell;
+  NodeLoop& mLoop;
+  CallerLimits mLimits;
+  std::shared_ptr<net::HttpServer> mServer;
+  /// Calls that wait for an AnswerCaller; the values live on the stacks of their fibers.
+  std::unordered_map<dispatch::RequestId, net::OneShot<node::AnswerCaller>*> mWaiting;
+};
+
+/// Answers one request of a caller. Public for tests.
+net::HttpResponse HandleCaller(Callers& aCallers,
+                               net::HttpRequest& aRequest,
+                               net::HttpConnection& aConnection);
+
+void RegisterCallers(Shell& aShell);
+
+} // namespace pollenwall::daemon
--- /dev/null
+++ b/src/pollenwalld/log_client.cpp
@@ -0,0 +1,116 @@
+#include "log_client.h"
+
+#include <pollenwall/log.h>
+
+#include "log_protocol.h"
+
+namespace pollenwall::daemon {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::size_t kMaxRecords = 1000; ///< Of one read.
+constexpr std::size_t kMaxPageBytes = 32 * 1024 * 1024;
+constexpr std::size_t kMaxAppendReplyBytes = 4096;
+/// On top of a read's long poll. Appends take several milliseconds when the service is well.
+constexpr std::chrono::milliseconds kTimeout{ 2000 };
+/// Appends queued for one stream beyond this fail at once; the core repeats what it needs.
+constexpr std::size_t kMaxQueuedAppends = 1000;
+
+LogStream& StreamOf(LogClient& aClient, const std::string& aName)
+{
+  auto& stream = aClient.mStreams[aName];
+  if (!stream.mReader) {
+    const auto address =
+      *net::ParseEndpoint(settings::ToString(aClient.mShell.mSettings.mLogService));
+    stream.mReader = std::make_unique<net::HttpClient>(aClient.mShell.mContext, address);
+    stream.mAppender = std::make_unique<net::HttpClient>(aClient.mShell.mContext, address);
+  }
+  return stream;
+}
+
+void Read(LogClient& aClient, const node::ReadLog& aAction)
+{
+  auto& stream = StreamOf(aClient, aAction.mStream);
+  const auto started = ReadClocks().mTime;
+  auto reply = net::Fetch(*stream.mReader,
+                          http::verb::get,
+                          ReadTarget(aAction, kMaxRecords),
+                          "",
+                          aAction.mWait + kTimeout,
+                          kMaxPageBytes);
+  node::LogRead result;
+  result.mStream = aAction.mStream;
+  if (reply.mStatus == 200) {
+    result = ParsePage(reply.mBody, aAction.mStream, aAction.mFrom);
+    if (!result.mOk) {
+      log::Warning("log_answer_invalid", { { "stream", aAction.mStream } });
+    }
+  }
+  if (!result.mOk) {
+    metrics::Add(aClient.mShell.mMetrics, "log_read_failures_total");
+  }
+  result.mStarted = started;
+  stream.mReading = false;
+  Post(aClient.mLoop, std::move(result));
+}
+
+void Append(LogClient& aClient, const std::string& aName)
+{
+  auto& stream = StreamOf(aClient, aName);
+  while (!stream.mAppends.empty()) {
+    auto action = std::move(stream.mAppends.front());
+    stream.mAppends.erase(stream.mAppends.begin());
+    const auto reply = net::Fetch(*stream.mAppender,
+                                  http::verb::post,
+                                  AppendTarget(aName),
+                                  std::move(action.mData),
+                                  kTimeout,
+                                  kMaxAppendReplyBytes);
+    const bool ok = reply.mStatus == 200 || reply.mStatus == 201;
+    metrics::Add(aClient.mShell.mMetrics, ok ? "log_appends_total" : "log_append_failures_total");
+    Post(aClient.mLoop, node::LogAppended{ aName, action.mToken, ok });
+  }
+  stream.mAppending = false;
+}
+
+Result<void> Start(LogClient& aClient)
+{
+  auto& table = aClient.mLoop.mTable;
+  table.mReadLog = [&aClient](node::ReadLog& aAction) {
+    auto& stream = StreamOf(aClient, aAction.mStream);
+    if (stream.mReading) {
+      log::LogError("log_read_overlaps", { { "stream", aAction.mStream } });
+      return;
+    }
+    stream.mReading = true;
+    net::Spawn([&aClient, action = std::move(aAction)] { Read(aClient, action); });
+  };
+  table.mAppendLog = [&aClient](node::AppendLog& aAction) {
+    auto& stream = StreamOf(aClient, aAction.mStream);
+    if (stream.mAppends.size() >= kMaxQueuedAppends) {
+      Post(aClient.mLoop, node::LogAppended{ aAction.mStream, aAction.mToken, false });
+      return;
+    }
+    const auto name = aAction.mStream;
+    stream.mAppends.push_back(std::move(aAction));
+    if (!stream.mAppending) {
+      stream.mAppending = true;
+      net::Spawn([&aClient, name] { Append(aClient, name); });
+    }
+  };
+  return {};
+}
+
+} // namespace
+
+void RegisterLogClient(Shell& aShell)
+{
+  auto& loop = *kernel::Find<NodeLoop>(aShell.mKernel, "node");
+  auto client = std::make_shared<LogClient>(aShell, loop);
+  kernel::Register(
+    aShell.mKernel,
+    { "log", { "node" }, [client] { return Start(*client); }, [client] {}, client.get() });
+}
+
+} // namespace pollenwall::daemon
--- /dev/null
+++ b/src/pollenwalld/log_client.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include <pollenwall/net/http_client.h>
+
+#include "node_loop.h"
+
+/// The service `log`: carries out ReadLog and AppendLog.
+namespace pollenwall::daemon {
+
+struct LogStream
+{
+  std::unique_ptr<net::HttpClient> mReader;
+  std::unique_ptr<net::HttpClient> mAppender;
+  bool mReading = false;
+  std::vector<node::AppendLog> mAppends; ///< Not yet sent; one is under way at a time.
+  bool mAppending = false;
+};
+
+struct LogClient
+{
+  LogClient(Shell& aShell, NodeLoop& aLoop)
+    : mShell(aShell)
+    , mLoop(aLoop)
+  {
+  }
+
+  Shell& mShell;
+  NodeLoop& mLoop;
+  std::map<std::string, LogStream, std::less<>> mStreams;
+};
+
+void RegisterLogClient(Shell& aShell);
+
+} // namespace pollenwall::daemon
--- /dev/null
+++ b/src/pollenwalld/main.cpp
@@ -0,0 +1,203 @@
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <pollenwall/log.h>
+#include <pollenwall/net/fiber.h>
+
+#include "callers.h"
+#include "log_client.h"
+#include "operators.h"
+#include "peers.h"
+#include "signals.h"
+#include "upstreams.h"
+#include "vm_list.h"
+
+ABSL_FLAG(std::string, settings, "", "file with the settings of this entry (YAML)");
+ABSL_FLAG(bool, check_settings, false, "check the settings file and exit: 0 when valid, 2 if not");
+
+namespace {
+
+using namespace pollenwall;
+using namespace pollenwall::daemon;
+
+constexpr const char* kUsage =
+  R"(Entry daemon of pollenwall: accepts jobs from callers and dispatches
+their tasks to upstreams.
+
+  pollenwalld --settings=FILE                    run this entry
+  pollenwalld --settings=FILE --check_settings   report every problem of the settings, exit code 2
+
+Examples:
+  pollenwalld --settings=examples/entry.yaml
+  curl -s http://127.0.0.1:8080/readyz           ask whether it is ready for callers
+
+Signals: SIGTERM and SIGINT begin a graceful stop, a second one logs what is still running;
+SIGUSR1 logs a dump of the state; SIGHUP loads the TLS files again.
+
+Exit codes: 0 after a graceful stop, 1 when a service cannot start, 2 for invalid settings.)";
+
+constexpr int kExitFailure = 1;
+constexpr int kExitInvalid = 2;
+/// The core reports that it has stopped within its drain limit; past this the process ends anyway.
+constexpr std::chrono::milliseconds kDrainMargin{ 5000 };
+
+/// Prints every problem to standard error. Nothing is returned when there are any.
+std::optional<settings::Settings> ReadSettingsFile(const std::string& aFile)
+{
+  std::ifstream file(aFile);
+  std::stringstream text;
+  if (!file || !(text << file.rdbuf())) {
+    std::cerr << aFile << ": cannot be read; allowed: a readable, non-empty YAML file\n";
+    return std::nullopt;
+  }
+  auto result = settings::ReadSettings(aFile, text.str());
+  for (const auto& problem : result.mReport.mProblems) {
+    std::cerr << yaml::ToString(problem) << "\n";
+  }
+  if (!result.mReport.mProblems.empty()) {
+    return std::nullopt;
+  }
+  return std::move(result.mSettings);
+}
+
+/// Loads the TLS files, if TLS is on. Nothing is returned when they cannot be used.
+std::optional<std::shared_ptr<net::TlsKeys>> ReadTls(const settings::Tls& aTls)
+{
+  if (!aTls.mOn) {
+    return std::shared_ptr<net::TlsKeys>();
+  }
+  using Loaded = std::optional<std::shared_ptr<net::TlsKeys>>;
+  return boost::leaf::try_handle_all(
+    [&aTls]() -> Result<Loaded> {
+      BOOST_LEAF_AUTO(keys,
+                      net::LoadTls({ aTls.mCertificateFile, aTls.mKeyFile, aTls.mAuthorityFile }));
+      return Loaded(std::move(keys));
+    },
+    [](const Error& aError) {
+      std::cerr << aError.mMessage << "\n";
+      return Loaded();
+    },
+    [] { return Loaded(); });
+}
+
+/// Each connection takes a descriptor; the soft limit is often 1024.
+void RaiseDescriptorLimit()
+{
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = limit.rlim_max;
+    (void)::setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
+node::Options MakeNodeOptions(const settings::Settings& aSettings)
+{
+  auto options = aSettings.mNode;
+  std::random_device random;
+  options.mIncarnation = MakeIncarnation(ReadClocks().mUnixMs, random());
+  options.mSeed = (std::uint64_t{ random() } << 32) | random();
+  return options;
+}
+
+/// Returns whether all services have started.
+bool StartServices(Shell& aShell)
+{
+  return boost::leaf::try_handle_all(
+    [&aShell]() -> Result<bool> {
+      BOOST_LEAF_CHECK(kernel::Start(aShell.mKernel));
+      return true;
+    },
+    [](const Error& aError) {
+      log::LogError("start_failed", { { "message", aError.mMessage } });
+      return false;
+    },
+    [] {
+      log::LogError("start_failed");
+      return false;
+    });
+}
+
+/// Runs the entry until a planned stop is complete. Returns the exit code.
+int Run(settings::Settings aSettings, std::shared_ptr<net::TlsKeys> aTls)
+{
+  RaiseDescriptorLimit();
+  // A write to a connection that the other side has closed is an error code, not a signal.
+  std::signal(SIGPIPE, SIG_IGN);
+  Shell shell;
+  shell.mSettings = std::move(aSettings);
+  net::UseScheduler(shell.mContext);
+  const auto options = MakeNodeOptions(shell.mSettings);
+  RegisterNodeLoop(shell, options);
+  RegisterUpstreams(shell);
+  RegisterPeers(shell, options, aTls);
+  RegisterLogClient(shell);
+  RegisterVmList(shell);
+  RegisterCallers(shell);
+  RegisterOperators(shell, aTls);
+  auto& loop = *kernel::Find<NodeLoop>(shell.mKernel, "node");
+  if (!StartServices(shell)) {
+    return kExitFailure;
+  }
+  HandleSignals(shell, std::move(aTls));
+  log::Info("started",
+            { { "name", options.mName },
+              { "data_centre", options.mDataCentre },
+              { "incarnation", ToString(options.mIncarnation) },
+              { "version", std::string(POLLENWALL_VERSION) } });
+  loop.mStopped.Wait();
+  log::Info("stopping_services");
+  kernel::Stop(shell.mKernel);
+  log::Info("stopped");
+  return 0;
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  absl::SetProgramUsageMessage(kUsage);
+  absl::FlagsUsageConfig usage;
+  usage.version_string = [] { return std::string("pollenwalld ") + POLLENWALL_VERSION + "\n"; };
+  // Without this, --help shows only flags of a file named like the program.
+  usage.contains_help_flags = [](absl::string_view aFile) {
+    return aFile.find("pollenwalld/main.cpp") != absl::string_view::npos;
+  };
+  absl::SetFlagsUsageConfig(usage);
+  absl::ParseCommandLine(aCount, aArguments);
+  const auto file = absl::GetFlag(FLAGS_settings);
+  if (file.empty()) {
+    std::cerr << "--settings is missing; see --help\n";
+    return kExitInvalid;
+  }
+  auto settings = ReadSettingsFile(file);
+  if (!settings) {
+    return kExitInvalid;
+  }
+  auto tls = ReadTls(settings->mTls);
+  if (!tls) {
+    return kExitInvalid;
+  }
+  if (absl::GetFlag(FLAGS_check_settings)) {
+    std::cout << file << ": valid\n";
+    return 0;
+  }
+  log::Init("pollenwalld");
+  const int code = Run(std::move(*settings), std::move(*tls));
+  // Fibers that wait for sockets would keep the scheduler's destructor waiting for ever. All
+  // services have stopped, so nothing is lost by leaving without it.
+  std::cout.flush();
+  std::cerr.flush();
+  ::_exit(code);
+}
--- /dev/null
+++ b/src/pollenwalld/node_loop.cpp
@@ -0,0 +1,120 @@
+#include "node_loop.h"
+
+#include <pollenwall/log.h>
+
+namespace pollenwall::daemon {
+namespace {
+
+/// The core expects a tick every 10 to 50 ms.
+constexpr std::chrono::milliseconds kTickInterval{ 20 };
+
+template<typename Action>
+void Carry(const std::function<void(Action&)>& aFunction, Action& aAction)
+{
+  if (aFunction) {
+    aFunction(aAction);
+  }
+}
+
+struct Carrier
+{
+  NodeLoop& mLoop;
+
+  void operator()(node::AnswerCaller& aAction) { Carry(mLoop.mTable.mAnswerCaller, aAction); }
+  void operator()(dispatch::StartTask& aAction) { Carry(mLoop.mTable.mStartTask, aAction); }
+  void operator()(dispatch::StopTask& aAction) { Carry(mLoop.mTable.mStopTask, aAction); }
+  void operator()(node::QuerySlots& aAction) { Carry(mLoop.mTable.mQuerySlots, aAction); }
+  void operator()(node::Connect& aAction) { Carry(mLoop.mTable.mConnect, aAction); }
+  void operator()(node::Disconnect& aAction) { Carry(mLoop.mTable.mDisconnect, aAction); }
+  void operator()(node::SendPeer& aAction) { Carry(mLoop.mTable.mSendPeer, aAction); }
+  void operator()(node::ReadLog& aAction) { Carry(mLoop.mTable.mReadLog, aAction); }
+  void operator()(node::AppendLog& aAction) { Carry(mLoop.mTable.mAppendLog, aAction); }
+  void operator()(node::Stopped&) { mLoop.mStopped.Set(true); }
+
+  void operator()(node::Report& aAction)
+  {
+    std::vector<log::Field> fields;
+    for (const auto& [name, value] : aAction.mFields) {
+      fields.emplace_back(name, value);
+    }
+    log::Write(aAction.mWarning, aAction.mEvent, fields);
+  }
+};
+
+void Run(NodeLoop& aLoop)
+{
+  std::vector<node::Event> events;
+  node::Actions actions;
+  for (;;) {
+    aLoop.mWakeup.Wait();
+    events.swap(aLoop.mEvents);
+    for (const auto& event : events) {
+      node::Handle(*aLoop.mState, event, ReadClocks(), actions);
+    }
+    events.clear();
+    for (auto& action : actions) {
+      std::visit(Carrier{ aLoop }, action);
+    }
+    actions.clear();
+  }
+}
+
+void Tick(NodeLoop& aLoop)
+{
+  aLoop.mTick.expires_after(kTickInterval);
+  aLoop.mTick.async_wait([&aLoop](const boost::system::error_code& aEc) {
+    if (!aEc) {
+      Post(aLoop, node::Tick{});
+      Tick(aLoop);
+    }
+  });
+}
+
+} // namespace
+
+Now ReadClocks()
+{
+  using std::chrono::duration_cast;
+  const auto steady = std::chrono::steady_clock::now().time_since_epoch();
+  const auto wall = std::chrono::system_clock::now().time_since_epoch();
+  return { Time(duration_cast<Duration>(steady)),
+           duration_cast<std::chrono::milliseconds>(wall).count() };
+}
+
+NodeLoop::NodeLoop(Shell& aShell, const node::Options& aOptions)
+  : mShell(aShell)
+  , mState(node::MakeState(aOptions, ReadClocks()))
+  , mTick(aShell.mContext)
+{
+}
+
+void Post(NodeLoop& aLoop, node::Event aEvent)
+{
+  aLoop.mEvents.push_back(std::move(aEvent));
+  aLoop.mWakeup.Set();
+}
+
+void BeginDrain(NodeLoop& aLoop)
+{
+  if (!aLoop.mStopping) {
+    aLoop.mStopping = true;
+    Post(aLoop, node::Drain{});
+  }
+}
+
+void RegisterNodeLoop(Shell& aShell, const node::Options& aOptions)
+{
+  auto loop = std::make_shared<NodeLoop>(aShell, aOptions);
+  kernel::Register(aShell.mKernel,
+                   { "node",
+                     {},
+                     [loop]() -> Result<void> {
+                       net::Spawn([loop] { Run(*loop); }, net::kLargeStackBytes);
+                       Tick(*loop);
+                       return {};
+                     },
+                     [loop] { loop->mTick.cancel(); },
+                     loop.get() });
+}
+
+} // namespace pollenwall::daemon
--- /dev/null
+++ b/src/pollenwalld/operators.cpp
@@ -0,0 +1,162 @@
+#include "operators.h"
+
+#include <fstream>
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <pollenwall/log.h>
+#include <pollenwall/net/fiber.h>
+#include <pollenwall/net/http_server.h>
+
+#include "callers.h"
+#include "node_loop.h"
+#include "peers.h"
+#include "upstreams.h"
+
+namespace pollenwall::daemon {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::chrono::milliseconds kStopLimit{ 2000 };
+constexpr std::size_t kMaxBodyBytes = 64 * 1024;
+constexpr std::size_t kMaxConnections = 100;
+
+struct Operators
+{
+  Shell& mShell;
+  NodeLoop& mLoop;
+  std::shared_ptr<net::TlsKeys> mTls;
+  std::shared_ptr<net::HttpServer> mServer;
+};
+
+double Seconds(const timeval& aTime)
+{
+  return static_cast<double>(aTime.tv_sec) + 1e-6 * static_cast<double>(aTime.tv_usec);
+}
+
+std::uint64_t ResidentBytes()
+{
+  std::ifstream file("/proc/self/statm");
+  std::uint64_t total = 0;
+  std::uint64_t resident = 0;
+  file >> total >> resident;
+  return resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
+}
+
+std::string MetricsText(Operators& aOperators)
+{
+  auto registry = aOperators.mShell.mMetrics;
+  for (const auto& [name, value] : node::Counters(*aOperators.mLoop.mState)) {
+    registry.mCounters[name] = value;
+  }
+  for (const auto& [name, value] : node::Gauges(*aOperators.mLoop.mState)) {
+    registry.mGauges[name] = value;
+  }
+  rusage usage{};
+  ::getrusage(RUSAGE_SELF, &usage);
+  metrics::Set(registry, "process_cpu_seconds", Seconds(usage.ru_utime) + Seconds(usage.ru_stime));
+  metrics::Set(registry, "process_resident_bytes", static_cast<double>(ResidentBytes()));
+  metrics::Set(registry, "fibers", static_cast<double>(net::RunningFibers()));
+  return metrics::ToText(registry);
+}
+
+net::HttpResponse Refusal(http::status aStatus, std::string aMessage)
+{
+  auto response =
+    net::ErrorResponse({ ErrorCode::BadRequest, Verdict::NotRun, std::move(aMessage), {} });
+  response.result(aStatus);
+  return response;
+}
+
+net::HttpResponse Handle(Operators& aOperators, const net::HttpRequest& aRequest)
+{
+  const std::string_view target(aRequest.target().data(), aRequest.target().size());
+  const auto path = target.substr(0, target.find('?'));
+  if (path == "/v1/drain") {
+    if (aRequest.method() != http::verb::post) {
+      return Refusal(http::status::method_not_allowed, "use POST for this path");
+    }
+    log::Info("drain_requested", { { "source", std::string("operators") } });
+    BeginDrain(aOperators.mLoop);
+    return net::JsonResponse(http::status::accepted, "{\"draining\":true}");
+  }
+  if (path.starts_with("/v1/jobs")) {
+    return Refusal(http::status::forbidden, "this call is available on the callers' port only");
+  }
+  if (path != "/metrics" && path != "/dump" && path != "/v1/status" && path != "/healthz") {
+    return Refusal(http::status::not_found, "there is no such path");
+  }
+  if (aRequest.method() != http::verb::get) {
+    return Refusal(http::status::method_not_allowed, "use GET for this path");
+  }
+  if (path == "/metrics") {
+    auto response = net::JsonResponse(http::status::ok, MetricsText(aOperators));
+    response.set(http::field::content_type, "text/plain; version=0.0.4; charset=utf-8");
+    return response;
+  }
+  if (path == "/dump") {
+    return net::JsonResponse(http::status::ok, DumpText(aOperators.mShell));
+  }
+  if (path == "/healthz") {
+    return net::JsonResponse(http::status::ok, "{\"alive\":true}");
+  }
+  return net::JsonResponse(http::status::ok,
+                           node::StatusText(*aOperators.mLoop.mState, ReadClocks()));
+}
+
+Result<void> Start(Operators& aOperators)
+{
+  const auto& settings = aOperators.mShell.mSettings;
+  net::HttpServerOptions options;
+  options.mName = "operators";
+  options.mListen = *net::ParseEndpoint(settings::ToString(settings.mOperators));
+  options.mMaxBodyBytes = kMaxBodyBytes;
+  options.mMaxConnections = kMaxConnections;
+  options.mTls = aOperators.mTls;
+  BOOST_LEAF_ASSIGN(aOperators.mServer,
+                    net::StartHttpServer(
+                      aOperators.mShell.mContext,
+                      std::move(options),
+                      [&aOperators](net::HttpRequest& aRequest, net::HttpConnection&) {
+                        return Handle(aOperators, aRequest);
+                      },
+                      aOperators.mShell.mMetrics));
+  log::Info("listening",
+            { { "listener", std::string("operators") },
+              { "address", net::ToString(net::LocalEndpoint(*aOperators.mServer)) } });
+  return {};
+}
+
+} // namespace
+
+void RegisterOperators(Shell& aShell, std::shared_ptr<net::TlsKeys> aTls)
+{
+  auto& loop = *kernel::Find<NodeLoop>(aShell.mKernel, "node");
+  auto operators = std::make_shared<Operators>(Operators{ aShell, loop, std::move(aTls), nullptr });
+  kernel::Register(aShell.mKernel,
+                   { "operators",
+                     { "node", "upstreams", "peers" },
+                     [operators] { return Start(*operators); },
+                     [operators] { net::StopHttpServer(*operators->mServer, kStopLimit); },
+                     operators.get() });
+}
+
+std::string DumpText(const Shell& aShell)
+{
+  const auto* loop = kernel::Find<NodeLoop>(aShell.mKernel, "node");
+  const auto* upstreams = kernel::Find<Upstreams>(aShell.mKernel, "upstreams");
+  const auto* peers = kernel::Find<Peers>(aShell.mKernel, "peers");
+  const auto* callers = kernel::Find<Callers>(aShell.mKernel, "callers");
+  std::string text = "{\"draining\":";
+  text += loop->mStopping ? "true" : "false";
+  text += ",\"waiting_calls\":" + std::to_string(callers->mWaiting.size());
+  text += ",\"fibers\":" + std::to_string(net::RunningFibers());
+  text += ",\"peers\":" + DescribePeers(*peers);
+  text += ",\"upstream_pools\":" + DescribeUpstreams(*upstreams);
+  text += ",\"node\":" + node::Dump(*loop->mState, ReadClocks());
+  return text + "}";
+}
+
+} // namespace pollenwall::daemon
--- /dev/null
+++ b/src/pollenwalld/peer_link.cpp
@@ -0,0 +1,107 @@
+#include "peer_link.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <pollenwall/net/fiber.h>
+#include <pollenwall/net/frame.h>
+
+namespace pollenwall::daemon {
+namespace {
+
+constexpr std::size_t kReadBytes = 16 * 1024;
+
+/// Writes what is queued. Everything that gathers during a write goes out with the next one.
+void Write(const std::shared_ptr<PeerLink>& aLink)
+{
+  if (aLink->mClosed || !aLink->mWriting.empty()) {
+    return;
+  }
+  if (aLink->mOut.empty()) {
+    if (aLink->mClosing) {
+      boost::system::error_code ec;
+      aLink->mStream.mSocket.shutdown(net::Socket::shutdown_send, ec);
+    }
+    return;
+  }
+  aLink->mWriting.swap(aLink->mOut);
+  boost::asio::async_write(aLink->mStream,
+                           boost::asio::buffer(aLink->mWriting),
+                           [aLink](const boost::system::error_code& aEc, std::size_t aBytes) {
+                             aLink->mSentBytes += aBytes;
+                             aLink->mWriting.clear();
+                             if (aEc) {
+                               CloseLink(*aLink);
+                               return;
+                             }
+                             Write(aLink);
+                           });
+}
+
+} // namespace
+
+bool SendOn(PeerLink& aLink, const message::Message& aMessage, const PeerLimits& aLimits)
+{
+  if (aLink.mClosed || aLink.mClosing) {
+    return true;
+  }
+  if (aLink.mOut.size() > aLimits.mMaxQueuedBytes) {
+    CloseLink(aLink);
+    return false;
+  }
+  net::AppendFrame(aLink.mOut, message::Encode(aMessage));
+  Write(aLink.shared_from_this());
+  return true;
+}
+
+void CloseAfterWrites(PeerLink& aLink)
+{
+  aLink.mClosing = true;
+  Write(aLink.shared_from_this());
+}
+
+void CloseLink(PeerLink& aLink)
+{
+  aLink.mClosed = true;
+  net::Close(aLink.mStream);
+}
+
+LinkEnd ReadMessages(PeerLink& aLink,
+                     const PeerLimits& aLimits,
+                     const std::function<void(message::Message)>& aFunction)
+{
+  boost::beast::flat_buffer buffer;
+  while (!aLink.mClosed) {
+    boost::system::error_code ec;
+    const auto n = aLink.mStream.async_read_some(buffer.prepare(kReadBytes), net::Await(ec));
+    if (ec) {
+      return LinkEnd::Closed;
+    }
+    aLink.mReceivedBytes += n;
+    buffer.commit(n);
+    for (;;) {
+      const auto data = buffer.data();
+      const std::string_view input(static_cast<const char*>(data.data()), data.size());
+      std::string_view payload;
+      const auto status = net::TakeFrame(input, aLimits.mMaxFrameBytes, payload);
+      if (status == net::FrameStatus::Incomplete) {
+        break;
+      }
+      if (status == net::FrameStatus::TooLarge) {
+        return LinkEnd::BadFrame;
+      }
+      auto decoded = message::Decode(payload);
+      if (!decoded) {
+        return LinkEnd::BadFrame;
+      }
+      buffer.consume(net::kFrameHeaderBytes + payload.size());
+      aFunction(std::move(*decoded));
+      if (aLink.mClosed) {
+        return LinkEnd::Closed;
+      }
+    }
+  }
+  return LinkEnd::Closed;
+}
+
+} // namespace pollenwall::daemon
--- /dev/null
+++ b/src/pollenwalld/peers.cpp
@@ -0,0 +1,312 @@
+#include "peers.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+#include <boost/leaf/error.hpp>
+
+#include <pollenwall/log.h>
+#include <pollenwall/net/fiber.h>
+
+namespace pollenwall::daemon {
+namespace {
+
+/// A refused or unreachable address is tried again within 50 ms to 2 s, so that a restarted peer is
+/// found well before it is suspected and a dead one costs little.
+constexpr std::chrono::milliseconds kFirstBackoff{ 100 };
+constexpr std::chrono::milliseconds kLastBackoff{ 2000 };
+constexpr std::chrono::milliseconds kConnectTimeout{ 1000 };
+/// A flood of connections from one misconfigured host must not use up all descriptors.
+constexpr std::size_t kMaxLinks = 400;
+
+void Count(Peers& aPeers, std::string_view aName)
+{
+  metrics::Add(aPeers.mShell.mMetrics, aName);
+}
+
+/// Which of two connections to one peer stays: the one that the lower incarnation opened, so that
+/// both sides decide alike; of two that the same side opened, the later one.
+bool Replaces(const Peers& aPeers, const PeerLink& aNew, const PeerLink& aOld)
+{
+  if (aNew.mDialled == aOld.mDialled) {
+    return true;
+  }
+  const bool ownIsLower = aPeers.mOwnHello.mIncarnation.mValue < aNew.mHello->mIncarnation.mValue;
+  return aNew.mDialled == ownIsLower;
+}
+
+/// Takes a link into use after its Hello. False: another link to the same peer stays.
+bool TakeIntoUse(Peers& aPeers, const std::shared_ptr<PeerLink>& aLink)
+{
+  auto& used = aPeers.mUp[aLink->mHello->mIncarnation.mValue];
+  const bool known = used != nullptr;
+  if (known && !Replaces(aPeers, *aLink, *used)) {
+    return false;
+  }
+  const auto old = std::exchange(used, aLink);
+  if (known) {
+    // What was sent on the old connection still arrives.
+    CloseAfterWrites(*old);
+    return true;
+  }
+  log::Info("peer_up",
+            { { "peer", aLink->mHello->mName }, { "address", aLink->mHello->mPeerAddress } });
+  Post(aPeers.mLoop, node::PeerUp{ *aLink->mHello });
+  return true;
+}
+
+void HandleMessage(Peers& aPeers,
+                   const std::shared_ptr<PeerLink>& aLink,
+                   message::Message aMessage,
+                   bool& aBad)
+{
+  auto* hello = std::get_if<message::Hello>(&aMessage);
+  if ((hello != nullptr) == aLink->mHello.has_value()) {
+    // No Hello first, or a second one.
+    aBad = true;
+    CloseLink(*aLink);
+    return;
+  }
+  if (hello == nullptr) {
+    Count(aPeers, "peer_messages_received_total");
+    Post(aPeers.mLoop, node::PeerMessage{ aLink->mHello->mIncarnation, std::move(aMessage) });
+    return;
+  }
+  if (hello->mIncarnation == aPeers.mOwnHello.mIncarnation) {
+    CloseLink(*aLink); // The seeds may name this entry itself.
+    return;
+  }
+  aLink->mHello = std::move(*hello);
+  if (!TakeIntoUse(aPeers, aLink)) {
+    CloseAfterWrites(*aLink);
+  }
+}
+
+/// Runs a connected link until it ends. Returns whether the peer said Hello.
+bool RunLink(Peers& aPeers, const std::shared_ptr<PeerLink>& aLink)
+{
+  aPeers.mLinks.insert(aLink);
+  auto timer = std::make_shared<boost::asio::steady_timer>(aPeers.mShell.mContext,
+                                                           aPeers.mLimits.mHelloTimeout);
+  timer->async_wait([aLink, timer](const boost::system::error_code& aEc) {
+    if (!aEc && !aLink->mHello) {
+      CloseLink(*aLink);
+    }
+  });
+  boost::system::error_code ec;
+  if (aPeers.mTls) {
+    ec = aLink->mDialled
+           ? net::Handshake(
+               aLink->mStream, aPeers.mTls->mClient, boost::asio::ssl::stream_base::client)
+           : net::Handshake(
+               aLink->mStream, aPeers.mTls->mServer, boost::asio::ssl::stream_base::server);
+    if (ec) {
+      Count(aPeers, "tls_failures_total{listener=\"peers\"}");
+      log::Warning("peer_handshake_failed", { { "message", ec.message() } });
+    }
+  }
+  bool bad = false;
+  if (!ec) {
+    SendOn(*aLink, aPeers.mOwnHello, aPeers.mLimits);
+    const auto end =
+      ReadMessages(*aLink, aPeers.mLimits, [&aPeers, &aLink, &bad](message::Message aMessage) {
+        HandleMessage(aPeers, aLink, std::move(aMessage), bad);
+      });
+    bad = bad || end == LinkEnd::BadFrame;
+  }
+  if (bad) {
+    Count(aPeers, "peer_bad_frames_total");
+    log::Warning("peer_bad_frame",
+                 { { "peer", aLink->mHello ? aLink->mHello->mName : std::string("unknown") } });
+  }
+  CloseLink(*aLink);
+  timer->cancel();
+  aPeers.mLinks.erase(aLink);
+  if (!aLink->mHello) {
+    return false;
+  }
+  const auto it = aPeers.mUp.find(aLink->mHello->mIncarnation.mValue);
+  if (it != aPeers.mUp.end() && it->second == aLink) {
+    aPeers.mUp.erase(it);
+    log::Info("peer_down", { { "peer", aLink->mHello->mName } });
+    Post(aPeers.mLoop, node::PeerDown{ aLink->mHello->mIncarnation });
+  }
+  return true;
+}
+
+bool IsConnected(const Peers& aPeers, const std::string& aAddress)
+{
+  for (const auto& [incarnation, link] : aPeers.mUp) {
+    if (link->mHello->mPeerAddress == aAddress) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::shared_ptr<PeerLink> Dial(Peers& aPeers, const net::Tcp::endpoint& aEndpoint)
+{
+  auto link = std::make_shared<PeerLink>(net::Socket(aPeers.mShell.mContext));
+  link->mDialled = true;
+  boost::asio::steady_timer timer(aPeers.mShell.mContext, kConnectTimeout);
+  timer.async_wait([link](const boost::system::error_code& aEc) {
+    if (!aEc) {
+      CloseLink(*link);
+    }
+  });
+  boost::system::error_code ec;
+  link->mStream.mSocket.async_connect(aEndpoint, net::Await(ec));
+  if (ec || timer.cancel() == 0) {
+    return nullptr;
+  }
+  net::ConfigureSocket(link->mStream.mSocket);
+  return link;
+}
+
+/// Keeps a connection to the address for as long as it is wanted.
+void KeepConnected(Peers& aPeers, const std::string& aAddress)
+{
+  const auto endpoint = net::ParseEndpoint(aAddress);
+  auto backoff = kFirstBackoff;
+  while (endpoint && !aPeers.mStopped && aPeers.mWanted.contains(aAddress)) {
+    if (!IsConnected(aPeers, aAddress)) {
+      const auto link = Dial(aPeers, *endpoint);
+      backoff = link && RunLink(aPeers, link) ? kFirstBackoff : std::min(2 * backoff, kLastBackoff);
+    }
+    std::uniform_int_distribution<std::int64_t> jitter(backoff.count() / 2, backoff.count());
+    net::SleepFor(aPeers.mShell.mContext, std::chrono::milliseconds(jitter(aPeers.mRandom)));
+  }
+  aPeers.mDialling.erase(aAddress);
+}
+
+void Accept(Peers& aPeers)
+{
+  while (!aPeers.mStopped) {
+    boost::system::error_code ec;
+    net::Socket socket(aPeers.mShell.mContext);
+    aPeers.mAcceptor.async_accept(socket, net::Await(ec));
+    if (aPeers.mStopped) {
+      return;
+    }
+    if (ec) {
+      log::Warning("accept_failed", { { "message", ec.message() } });
+      net::SleepFor(aPeers.mShell.mContext, std::chrono::milliseconds(100));
+      continue;
+    }
+    if (aPeers.mLinks.size() >= kMaxLinks) {
+      Count(aPeers, "peer_connections_refused_total");
+      continue;
+    }
+    net::ConfigureSocket(socket);
+    auto link = std::make_shared<PeerLink>(std::move(socket));
+    net::Spawn([&aPeers, link] { RunLink(aPeers, link); });
+  }
+}
+
+Result<void> Listen(Peers& aPeers)
+{
+  const auto& address = aPeers.mShell.mSettings.mPeers;
+  const auto endpoint = *net::ParseEndpoint(settings::ToString(address));
+  boost::system::error_code ec;
+  aPeers.mAcceptor.open(endpoint.protocol(), ec);
+  aPeers.mAcceptor.set_option(boost::asio::socket_base::reuse_address(true), ec);
+  aPeers.mAcceptor.bind(endpoint, ec);
+  if (!ec) {
+    aPeers.mAcceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
+  }
+  if (ec) {
+    return boost::leaf::new_error(
+      Error{ ErrorCode::Internal,
+             Verdict::NotRun,
+             "cannot listen on " + settings::ToString(address) + " (peers): " + ec.message(),
+             {} });
+  }
+  return {};
+}
+
+Result<void> Start(Peers& aPeers)
+{
+  BOOST_LEAF_CHECK(Listen(aPeers));
+  auto& table = aPeers.mLoop.mTable;
+  table.mConnect = [&aPeers](node::Connect& aAction) {
+    aPeers.mWanted.insert(aAction.mAddress);
+    if (aAction.mAddress != aPeers.mOwnHello.mPeerAddress &&
+        aPeers.mDialling.insert(aAction.mAddress).second) {
+      net::Spawn([&aPeers, address = aAction.mAddress] { KeepConnected(aPeers, address); });
+    }
+  };
+  table.mDisconnect = [&aPeers](node::Disconnect& aAction) {
+    aPeers.mWanted.erase(aAction.mAddress);
+    for (const auto& link : aPeers.mLinks) {
+      if (link->mHello && link->mHello->mPeerAddress == aAction.mAddress) {
+        CloseAfterWrites(*link);
+      }
+    }
+  };
+  table.mSendPeer = [&aPeers](node::SendPeer& aAction) {
+    const auto it = aPeers.mUp.find(aAction.mTo.mValue);
+    if (it == aPeers.mUp.end()) {
+      Count(aPeers, "peer_messages_dropped_total");
+      return;
+    }
+    Count(aPeers, "peer_messages_sent_total");
+    if (!SendOn(*it->second, aAction.mMessage, aPeers.mLimits)) {
+      Count(aPeers, "peer_queue_overflows_total");
+      log::Warning("peer_queue_overflow", { { "peer", it->second->mHello->mName } });
+    }
+  };
+  net::Spawn([&aPeers] { Accept(aPeers); });
+  return {};
+}
+
+void Stop(Peers& aPeers)
+{
+  aPeers.mStopped = true;
+  boost::system::error_code ec;
+  aPeers.mAcceptor.close(ec);
+  for (const auto& link : aPeers.mLinks) {
+    CloseAfterWrites(*link);
+  }
+}
+
+} // namespace
+
+Peers::Peers(Shell& aShell, NodeLoop& aLoop, const node::Options& aOptions)
+  : mShell(aShell)
+  , mLoop(aLoop)
+  , mOwnHello{ aOptions.mIncarnation, aOptions.mName, aOptions.mDataCentre, aOptions.mPeerAddress }
+  , mAcceptor(aShell.mContext)
+  , mRandom(aOptions.mSeed)
+{
+  mLimits.mMaxFrameBytes = aShell.mSettings.mMaxFrameBytes;
+}
+
+void RegisterPeers(Shell& aShell, const node::Options& aOptions, std::shared_ptr<net::TlsKeys> aTls)
+{
+  auto& loop = *kernel::Find<NodeLoop>(aShell.mKernel, "node");
+  auto peers = std::make_shared<Peers>(aShell, loop, aOptions);
+  peers->mTls = std::move(aTls);
+  kernel::Register(aShell.mKernel,
+                   { "peers",
+                     { "node" },
+                     [peers] { return Start(*peers); },
+                     [peers] { Stop(*peers); },
+                     peers.get() });
+}
+
+std::string DescribePeers(const Peers& aPeers)
+{
+  boost::json::array list;
+  for (const auto& link : aPeers.mLinks) {
+    boost::json::object item;
+    item["peer"] = link->mHello ? link->mHello->mName : std::string();
+    item["address"] = link->mHello ? link->mHello->mPeerAddress : std::string();
+    item["dialled"] = link->mDialled;
+    item["queued_bytes"] = link->mOut.size() + link->mWriting.size();
+    item["sent_bytes"] = link->mSentBytes;
+    item["received_bytes"] = link->mReceivedBytes;
+    list.push_back(std::move(item));
+  }
+  return boost::json::serialize(list);
+}
+
+} // namespace pollenwall::daemon
--- /dev/null
+++ b/src/pollenwalld/shell.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+
+#include <pollenwall/kernel.h>
+#include <pollenwall/metrics.h>
+#include <pollenwall/node.h>
+#include <pollenwall/settings.h>
+
+namespace pollenwall::daemon {
+
+/// What all services of the process share. Lives in main for the whole run.
+struct Shell
+{
+  boost::asio::io_context mContext{ 1 };
+  metrics::Registry mMetrics;
+  settings::Settings mSettings;
+  kernel::Kernel mKernel;
+};
+
+/// Both clocks, for an event that happens now.
+Now ReadClocks();
+
+} // namespace pollenwall::daemon
--- /dev/null
+++ b/src/pollenwalld/signals.cpp
@@ -0,0 +1,78 @@
+#include "signals.h"
+
+#include <csignal>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <pollenwall/log.h>
+#include <pollenwall/net/fiber.h>
+
+#include "callers.h"
+#include "node_loop.h"
+#include "operators.h"
+
+namespace pollenwall::daemon {
+namespace {
+
+void Reload(net::TlsKeys& aKeys)
+{
+  boost::leaf::try_handle_all(
+    [&aKeys]() -> Result<void> {
+      BOOST_LEAF_CHECK(net::ReloadTls(aKeys));
+      log::Info("tls_reloaded");
+      return {};
+    },
+    [](const Error& aError) {
+      log::LogError("tls_reload_failed", { { "message", aError.mMessage } });
+    },
+    [] { log::LogError("tls_reload_failed"); });
+}
+
+void HandleSignal(Shell& aShell, net::TlsKeys* aTls, int aSignal)
+{
+  auto& loop = *kernel::Find<NodeLoop>(aShell.mKernel, "node");
+  const auto& callers = *kernel::Find<Callers>(aShell.mKernel, "callers");
+  if (aSignal == SIGUSR1) {
+    log::Info("dump", { { "state", DumpText(aShell) } });
+    return;
+  }
+  if (aSignal == SIGHUP) {
+    if (aTls != nullptr) {
+      Reload(*aTls);
+    }
+    return;
+  }
+  if (!loop.mStopping) {
+    log::Info("drain_requested", { { "source", std::string("signal") } });
+    BeginDrain(loop);
+    return;
+  }
+  log::Warning("still_draining",
+               { { "waiting_calls", static_cast<std::int64_t>(callers.mWaiting.size()) },
+                 { "state", node::StatusText(*loop.mState, ReadClocks()) } });
+}
+
+} // namespace
+
+void HandleSignals(Shell& aShell, std::shared_ptr<net::TlsKeys> aTls)
+{
+  // A fiber with a large stack, because a dump formats the whole state.
+  net::Spawn(
+    [&aShell, tls = std::move(aTls)] {
+      boost::asio::signal_set signals(aShell.mContext);
+      for (const int signal : { SIGTERM, SIGINT, SIGUSR1, SIGHUP }) {
+        signals.add(signal);
+      }
+      for (;;) {
+        boost::system::error_code ec;
+        const int signal = signals.async_wait(net::Await(ec));
+        if (!ec) {
+          HandleSignal(aShell, tls.get(), signal);
+        }
+      }
+    },
+    net::kLargeStackBytes);
+}
+
+} // namespace pollenwall::daemon
