--- a/src/include/pollenwall/dispatch.h
+++ b/src/include/pollenwall/dispatch.h
@@ -6,6 +6,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -38,13 +39,21 @@
   std::chrono::milliseconds mSignExpiry{
     10000
   }; ///< An unconfirmed sign of leaving lapses after this.
+  /// Remaining work, in slot seconds, that a job is forgiven for each second of waiting; bounds the
+  /// wait of large jobs behind small ones.
+  double mAgeing = 4;
+  /// Results of ended jobs held for resubmissions. Beyond it the oldest results are dropped and
+  /// their jobs answer that they ran, without results.
+  std::size_t mMaxKeptResultBytes = std::size_t{ 256 } << 20;
 
   friend bool operator==(const Options&, const Options&) = default;
 };
 
 // Events.
 
-/// A job that this entry owns. The id is set. mRequest waits for the answer when it is not 0.
+/// A job that this entry owns. The id is set. mRequest waits for the answer when it is not 0. With
+/// the id of a known job it is a resubmission: it waits for that job's answer, without another
+/// Accepted, or is refused with id_conflict when team or body hash differ.
 struct Submit
 {
   RequestId mRequest = 0;
@@ -94,10 +103,27 @@
   Live,             ///< The platform's list shows it live, or it answered.
 };
 
+/// Live ends a confirmed Leaving. It ends a suspicion only when mAsOfMs, the time of the report, is
+/// later than the suspicion; 0 stands for a report of unknown age.
 struct UpstreamSign
 {
   std::string mUpstream;
   Sign mSign = Sign::Live;
+  UnixMs mAsOfMs = 0;
+};
+
+/// A peer's heartbeat says that the upstream fails its tasks.
+struct UpstreamNote
+{
+  std::string mUpstream;
+  double mFailureRate = 0;
+};
+
+/// The part of a team's quota that this entry may admit, 0 to 1; 1 until set.
+struct SetQuotaShare
+{
+  std::string mTeam;
+  double mShare = 1;
 };
 
 struct ConfigurationApplied
@@ -122,7 +148,9 @@
                            UpstreamSign,
                            ConfigurationApplied,
                            StopAccepting,
-                           Tick>;
+                           Tick,
+                           UpstreamNote,
+                           SetQuotaShare>;
 
 // Actions.
 
@@ -226,6 +254,29 @@
 /// Tasks waiting for a slot of the service, and those that no idle credit of this entry can serve.
 std::size_t UnservedTasks(const State& aState, std::string_view aService);
 
+/// Task starts a second that each team asks of this entry (a decaying mean over about 5 s), refused
+/// ones included, by team name. Teams without demand are left out.
+std::vector<std::pair<std::string, double>> TeamDemands(const State& aState, const Now& aNow);
+
+/// Upstreams that this entry found unhealthy, by key, with their failure rate (0 to 1; an upstream
+/// that is only slow has a low one).
+std::vector<std::pair<std::string, double>> UnhealthyUpstreams(const State& aState);
+
+/// Ids of running jobs of which no task has ever been sent, oldest first.
+std::vector<std::string> UnstartedJobs(const State& aState, std::size_t aMost);
+
+/// A job that was taken out of the queue to be handed to another entry. mJob's deadline is what is
+/// left of it. The calls that waited are the node's to answer.
+struct Withdrawn
+{
+  JobSpec mJob;
+  std::vector<RequestId> mRequests;
+};
+
+/// Takes a job out, which is unknown from then on. Nothing when it is unknown, has ended, or a task
+/// of it has been sent. This is the one call besides Handle that changes the state.
+std::optional<Withdrawn> Withdraw(State& aState, std::string_view aId, const Now& aNow);
+
 /// Counters by name, for metrics (values only rise).
 std::vector<std::pair<std::string, std::uint64_t>> Counters(const State& aState);
 
--- /dev/null
+++ b/src/include/pollenwall/task_queue.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <tuple>
+#include <vector>
+
+#include <pollenwall/indexed_heap.h>
+#include <pollenwall/time.h>
+
+/// The queued tasks of one service. No I/O and no clock. Nothing here is thread safe.
+///
+/// Tasks that suit the same upstreams and are of the same class wait in the same *lane*. A job has
+/// one *slice* for each lane in which it has queued tasks. In a lane, teams take turns by
+/// start-time fair queueing (Goyal, Vin and Cheng 1996) with one virtual time a team over all
+/// lanes; within a team the slice of the job with least remaining work goes first.
+namespace pollenwall::queue {
+
+using TeamIndex = std::uint32_t;
+using LaneIndex = std::uint32_t;
+using SliceIndex = std::uint32_t;
+using JobIndex = std::uint32_t;
+
+/// A job's place within its team. The least goes first.
+struct JobKey
+{
+  bool mOrdinary = true;  ///< False for the last tasks of a nearly complete job.
+  std::int64_t mWork = 0; ///< Remaining work in microseconds plus a term that grows with the
+                          ///< arrival time, so that older jobs gain without being reordered.
+  std::uint64_t mSequence = 0;
+
+  friend bool operator<(const JobKey& aOne, const JobKey& aOther)
+  {
+    return std::tie(aOne.mOrdinary, aOne.mWork, aOne.mSequence) <
+           std::tie(aOther.mOrdinary, aOther.mWork, aOther.mSequence);
+  }
+};
+
+struct TeamKey
+{
+  double mVirtualTime = 0;
+  TeamIndex mTeam = 0;
+
+  friend bool operator<(const TeamKey& aOne, const TeamKey& aOther)
+  {
+    return std::tie(aOne.mVirtualTime, aOne.mTeam) < std::tie(aOther.mVirtualTime, aOther.mTeam);
+  }
+};
+
+struct Slice
+{
+  JobIndex mJob = 0;
+  TeamIndex mTeam = 0;
+  LaneIndex mLane = 0;
+  std::vector<std::uint32_t> mTasks; ///< The next one is last.
+  std::uint32_t mPosition = heap::kNotInHeap;
+};
+
+/// One team's slices in one lane.
+struct TeamLine
+{
+  heap::Heap<JobKey> mSlices;
+  std::uint32_t mPosition = heap::kNotInHeap; ///< In the lane's heap of teams.
+};
+
+struct Lane
+{
+  std::vector<TeamLine> mTeams;
+  heap::Heap<TeamKey> mActive; ///< Teams with slices.
+  std::size_t mTasks = 0;
+};
+
+/// Work of queued jobs by size class: a job's work is counted in the class of its binary logarithm.
+struct WorkBySize
+{
+  static constexpr std::size_t kClasses = 48;
+
+  std::array<std::int64_t, kClasses> mMicroseconds{};
+};
+
+struct Team
+{
+  double mWeight = 1;
+  double mVirtualTime = 0;
+  std::size_t mTasks = 0;
+  WorkBySize mWork;
+};
+
+struct Queue
+{
+  std::vector<Lane> mLanes;
+  std::vector<Team> mTeams;
+  std::vector<Slice> mSlices;
+  std::vector<SliceIndex> mFreeSlices;
+  double mVirtualTime = 0;  ///< Of the team served last.
+  double mActiveWeight = 0; ///< Of the teams with queued tasks.
+  std::size_t mTasks = 0;
+  std::int64_t mWork = 0; ///< Microseconds.
+};
+
+/// Adds the team when it is new.
+void SetWeight(Queue& aQueue, TeamIndex aTeam, double aWeight);
+
+/// Puts a job's tasks of one lane into the queue. The last element is served first.
+SliceIndex AddSlice(Queue& aQueue,
+                    LaneIndex aLane,
+                    TeamIndex aTeam,
+                    JobIndex aJob,
+                    const JobKey& aKey,
+                    std::vector<std::uint32_t> aTasks);
+
+/// Puts one more task into a slice; it is served next.
+void AddTask(Queue& aQueue, SliceIndex aSlice, const JobKey& aKey, std::uint32_t aTask);
+
+/// The next slice of a lane.
+std::optional<SliceIndex> Head(const Queue& aQueue, LaneIndex aLane);
+
+/// The virtual time of the team that a lane serves next. The lane must not be empty.
+double HeadTime(const Queue& aQueue, LaneIndex aLane);
+
+/// Takes a slice's next task out. The slice must not be empty; an empty one stays known.
+std::uint32_t TakeTask(Queue& aQueue, SliceIndex aSlice);
+
+void SetKey(Queue& aQueue, SliceIndex aSlice, const JobKey& aKey);
+
+/// Drops a slice with all its tasks, in a time that does not depend on their number.
+void DropSlice(Queue& aQueue, SliceIndex aSlice);
+
+/// Charges work to a team; negative work is given back.
+void Charge(Queue& aQueue, TeamIndex aTeam, double aMicroseconds);
+
+/// Notes that a team is being served.
+void Serve(Queue& aQueue, TeamIndex aTeam);
+
+/// Counts a job's queued work, or takes it out of the count with a negative sign. aSize is the
+/// job's whole queued work, which selects the size class.
+void CountWork(Queue& aQueue, TeamIndex aTeam, std::int64_t aSize, int aSign);
+
+/// The queued work of a team's jobs that are not larger than aSize.
+std::int64_t WorkUpTo(const Queue& aQueue, TeamIndex aTeam, std::int64_t aSize);
+
+/// Heap elements moved so far by all operations.
+std::uint64_t Moves(const Queue& aQueue);
+
+} // namespace pollenwall::queue
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -1,358 +1,996 @@
 #include <pollenwall/dispatch.h>
 
 #include <algorithm>
-#include <deque>
-#include <map>
-#include <set>
+#include <cmath>
+
+#include "state.h"
 
 namespace pollenwall::dispatch {
 namespace {
 
-enum class Phase
-{
-  Queued,
-  Running,
-  Ended,
-};
-
-struct Task
-{
-  Phase mPhase = Phase::Queued;
-  std::uint32_t mAttempt = 0;
-  UpstreamIndex mUpstream = 0;
-  bool mOutstanding = false; ///< A start request has no outcome yet.
-  TaskAnswer mAnswer;
-};
-
-struct Job
-{
-  std::shared_ptr<const JobSpec> mSpec;
-  Time mDeadline{};
-  Time mEnded{};
-  JobState mState = JobState::Running;
-  std::optional<Error> mError;
-  std::vector<Task> mTasks;
-  std::vector<RequestId> mWaiters;
-  std::size_t mRan = 0;
-};
-
-struct Upstream
-{
-  std::string mKey;
-  std::string mService;
-  std::string mAddress;
-  bool mConfigured = false;
-  bool mLeaving = false;
-  std::uint32_t mCredits = 0;
-  std::uint32_t mRunning = 0;
-};
+using std::chrono::milliseconds;
+
+constexpr milliseconds kRetryDelay{ 5 };
+constexpr std::uint32_t kMostRetryDoublings = 6;
+constexpr milliseconds kBudgetDelay{ 50 };
+/// A refused task goes to another upstream for this long, and only then to the same one if no other
+/// is free.
+constexpr milliseconds kAvoidFor{ 200 };
+constexpr milliseconds kAvoidDelay{ 20 };
+/// The long class may always hold this part of its largest share, so that it never starves.
+constexpr double kLongGuarantee = 0.25;
+/// Slots kept for the short class over its recent peak.
+constexpr double kShortHeadroom = 1.1;
+constexpr double kShortPeakSeconds = 10;
+constexpr double kDemandSeconds = 5;
+/// Attempts looked at in each tick for being overdue or long; 256 at 50 ticks a second pass over
+/// 2,000 running tasks in 160 ms.
+constexpr std::size_t kSweep = 256;
+constexpr double kOverdueRatio = 4;
+constexpr milliseconds kLeastOverdue{ 50 };
+constexpr milliseconds kLeastKept{ 1000 };
+/// A failed probe fails its job, so probes are tasks of small jobs as far as there are any.
+constexpr std::size_t kMostTasksToProbe = 4;
+constexpr double kLeastWeight = 0.001;
+constexpr double kLeastNotedFailureRate = 0.5;
 
 Error MakeError(ErrorCode aCode, Verdict aVerdict, std::string aMessage)
 {
   return Error{ aCode, aVerdict, std::move(aMessage), std::nullopt };
 }
 
-} // namespace
+double Seconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
 
-struct State
-{
-  Options mOptions;
-  std::mt19937_64 mRandom;
-  std::shared_ptr<const configuration::Configuration> mConfiguration;
-  bool mAccepting = true;
-  std::map<std::string, Job, std::less<>> mJobs;
-  std::map<RequestId, std::string> mWaiters;
-  std::map<std::string, std::deque<TaskId>, std::less<>> mQueues;
-  std::vector<Upstream> mUpstreams;
-  std::map<std::string, UpstreamIndex, std::less<>> mUpstreamByKey;
-  std::size_t mQueuedTasks = 0;
-  std::uint64_t mStarts = 0;
-  std::uint64_t mLateOutcomes = 0;
-  std::uint64_t mUnknownOutcomes = 0;
-};
+Duration Jittered(State& aState, Duration aDuration)
+{
+  return Duration{ std::llround(static_cast<double>(aDuration.count()) *
+                                (0.5 + admission::UnitRandom(aState.mRandom))) };
+}
 
-namespace {
+void MarkChanged(State& aState, ServiceIndex aService)
+{
+  auto& pool = aState.mPlacement.mPools[aService];
+  if (!pool.mChanged) {
+    pool.mChanged = true;
+    aState.mPlacement.mChanged.push_back(aService);
+  }
+}
 
-JobAnswer AnswerOf(const Job& aJob)
+Service& ServiceOf(State& aState, ServiceIndex aService)
 {
-  JobAnswer answer;
-  answer.mId = aJob.mSpec->mId;
-  answer.mState = aJob.mState;
-  answer.mError = aJob.mError;
-  for (const auto& task : aJob.mTasks) {
-    answer.mTasks.push_back(task.mAnswer);
-    answer.mVerdict = Combine(answer.mVerdict, task.mAnswer.mVerdict);
-    if (aJob.mState != JobState::Complete) {
-      answer.mTasks.back().mResult.clear();
+  while (aState.mServices.size() <= aService) {
+    aState.mServices.emplace_back();
+  }
+  return aState.mServices[aService];
+}
+
+// The queue.
+
+queue::JobKey KeyOf(const State& aState, const Job& aJob)
+{
+  const auto tasks = static_cast<std::uint32_t>(aJob.mTasks.size());
+  const auto started = tasks - aJob.mQueued - aJob.mDelayed;
+  const bool nearlyComplete =
+    2 * started >= tasks && started > 0 && aJob.mQueued <= std::max(1U, tasks / 10);
+  const double ageing =
+    aState.mOptions.mAgeing * static_cast<double>(aJob.mAccepted.time_since_epoch().count());
+  return { !nearlyComplete, aJob.mQueuedWork + std::llround(ageing), aJob.mSequence };
+}
+
+/// Changes a job's queued work and its place in the queue.
+void ChangeWork(State& aState, Job& aJob, std::int64_t aChange)
+{
+  auto& queue = aState.mServices[aJob.mService].mQueue;
+  queue::CountWork(queue, aJob.mTeam, aJob.mQueuedWork, -1);
+  aJob.mQueuedWork += aChange;
+  queue::CountWork(queue, aJob.mTeam, aJob.mQueuedWork, 1);
+  const auto key = KeyOf(aState, aJob);
+  for (const auto slice : aJob.mSlices) {
+    queue::SetKey(queue, slice, key);
+  }
+}
+
+void CountQueued(State& aState, Job& aJob, std::size_t aAdded, std::size_t aRemoved)
+{
+  aState.mQueuedTasks += aAdded - aRemoved;
+  aState.mTeams[aJob.mTeam].mQueued += aAdded - aRemoved;
+}
+
+/// The group for needs that a configured worker meets.
+std::uint32_t GroupOf(State& aState, ServiceIndex aService, const Needs& aRounded)
+{
+  auto& groups = aState.mServices[aService].mGroups;
+  const auto it = std::find_if(
+    groups.begin(), groups.end(), [&](const Group& aGroup) { return aGroup.mNeeds == aRounded; });
+  if (it != groups.end()) {
+    return static_cast<std::uint32_t>(it - groups.begin());
+  }
+  Group group{ aRounded, {} };
+  const auto& shapes = aState.mPlacement.mPools[aService].mShapes;
+  for (placement::ShapeIndex n = 0; n < shapes.size(); ++n) {
+    if (placement::Suits(shapes[n].mCapacity, aRounded)) {
+      group.mShapes.push_back(n);
     }
   }
-  return answer;
+  groups.push_back(std::move(group));
+  return static_cast<std::uint32_t>(groups.size() - 1);
 }
 
-void End(State& aState, Job& aJob, JobState aEnd, const Now& aNow, Actions& aActions)
+/// Delays a task that is out of the queue.
+void Delay(State& aState, JobIndex aIndex, std::uint32_t aTask, Time aUntil)
 {
-  aJob.mState = aEnd;
-  aJob.mEnded = aNow.mTime;
-  for (std::uint32_t n = 0; n < aJob.mTasks.size(); ++n) {
-    auto& task = aJob.mTasks[n];
+  auto& job = aState.mJobs[aIndex];
+  job.mTasks[aTask].mPhase = Phase::Delayed;
+  ++job.mDelayed;
+  aState.mDelays.push({ aUntil, aIndex, job.mGeneration, aTask });
+}
+
+// The end of a job.
+
+/// Frees the tasks of an ended job once no attempt refers to them.
+void ReleaseTasks(Job& aJob)
+{
+  if (aJob.mState != JobState::Running && aJob.mOutstanding == 0) {
+    aJob.mTasks = {};
+  }
+}
+
+/// Takes everything of the job out of the queue.
+void LeaveQueue(State& aState, Job& aJob)
+{
+  auto& queue = aState.mServices[aJob.mService].mQueue;
+  for (const auto slice : aJob.mSlices) {
+    queue::DropSlice(queue, slice);
+  }
+  aJob.mSlices = {};
+  ChangeWork(aState, aJob, -aJob.mQueuedWork);
+  CountQueued(aState, aJob, 0, aJob.mQueued + aJob.mDelayed);
+  aJob.mQueued = 0;
+  aJob.mDelayed = 0;
+}
+
+void KeepAnswer(State& aState, JobIndex aIndex, const Now& aNow)
+{
+  auto& job = aState.mJobs[aIndex];
+  const JobTimer timer{ aNow.mTime + aState.mOptions.mAnswerRetention, aIndex, job.mGeneration, 0 };
+  aState.mKept.push_back(timer);
+  for (const auto& task : job.mAnswer.mTasks) {
+    job.mKeptBytes += task.mResult.size();
+  }
+  if (job.mKeptBytes == 0) {
+    return;
+  }
+  aState.mKeptResults.push_back(timer);
+  aState.mKeptResultBytes += job.mKeptBytes;
+  while (aState.mKeptResultBytes > aState.mOptions.mMaxKeptResultBytes &&
+         !aState.mKeptResults.empty()) {
+    const auto oldest = aState.mKeptResults.front();
+    aState.mKeptResults.pop_front();
+    auto& old = aState.mJobs[oldest.mJob];
+    if (old.mGeneration != oldest.mGeneration) {
+      continue;
+    }
+    aState.mKeptResultBytes -= old.mKeptBytes;
+    old.mKeptBytes = 0;
+    ++aState.mCounts.mDroppedResults;
+    // An answer is complete with all results or failed, so a complete one is kept no longer.
+    old.mAnswer.mState = JobState::Failed;
+    old.mAnswer.mError =
+      MakeError(ErrorCode::UnknownJob, Verdict::Ran, "The job ran; its results are not kept.");
+    for (auto& task : old.mAnswer.mTasks) {
+      task.mResult = {};
+    }
+  }
+}
+
+void EndJob(State& aState,
+            JobIndex aIndex,
+            JobState aEnd,
+            std::optional<Error> aError,
+            const Now& aNow,
+            Actions& aActions)
+{
+  auto& job = aState.mJobs[aIndex];
+  LeaveQueue(aState, job);
+  job.mState = aEnd;
+  auto& answer = job.mAnswer;
+  answer.mId = *job.mId;
+  answer.mState = aEnd;
+  answer.mTasks.reserve(job.mTasks.size());
+  // Other tasks than the one that failed were called off on its account.
+  const auto code =
+    aError && aError->mCode != ErrorCode::Expired && aError->mCode != ErrorCode::DeadlineUnreachable
+      ? ErrorCode::Cancelled
+      : ErrorCode::Expired;
+  for (std::uint32_t n = 0; n < job.mTasks.size(); ++n) {
+    auto& task = job.mTasks[n];
     if (task.mPhase == Phase::Running) {
-      aActions.emplace_back(StopTask{ { aJob.mSpec->mId, n }, task.mUpstream });
-      task.mAnswer.mCode = aJob.mError->mCode;
+      auto& attempt = aState.mAttempts[task.mSlot];
+      attempt.mStopped = true;
+      ++aState.mCounts.mTaskStops;
+      aActions.emplace_back(StopTask{ { *job.mId, n }, attempt.mUpstream });
     }
-    if (task.mPhase == Phase::Queued) {
-      task.mAnswer.mCode = aJob.mError->mCode;
-      --aState.mQueuedTasks;
+    if (task.mPhase != Phase::Ended) {
+      task.mAnswer.mCode = code;
     }
     task.mPhase = Phase::Ended;
+    answer.mVerdict = Combine(answer.mVerdict, task.mAnswer.mVerdict);
+    answer.mTasks.push_back(std::move(task.mAnswer));
+    if (aEnd != JobState::Complete) {
+      answer.mTasks.back().mResult = {};
+    }
   }
-  const auto answer = AnswerOf(aJob);
-  if (aJob.mError) {
-    aJob.mError->mVerdict = answer.mVerdict;
+  if (aError) {
+    aError->mVerdict = answer.mVerdict;
+    answer.mError = std::move(aError);
   }
-  for (const auto request : aJob.mWaiters) {
-    aState.mWaiters.erase(request);
-    aActions.emplace_back(Answer{ request, AnswerOf(aJob) });
+  ++(aEnd == JobState::Complete ? aState.mCounts.mJobsComplete : aState.mCounts.mJobsFailed);
+  for (const auto request : job.mWaiters) {
+    aState.mJobByRequest.erase(request);
+    aActions.emplace_back(Answer{ request, answer });
   }
-  aJob.mWaiters.clear();
-  aActions.emplace_back(Finished{ answer.mId, answer.mState, answer.mVerdict });
+  job.mWaiters = {};
+  aActions.emplace_back(Finished{ answer.mId, aEnd, answer.mVerdict });
+  job.mSpec.reset();
+  job.mRacks = {};
+  KeepAnswer(aState, aIndex, aNow);
+  ReleaseTasks(job);
+}
+
+void FailJob(State& aState,
+             JobIndex aIndex,
+             ErrorCode aCode,
+             std::string aMessage,
+             const Now& aNow,
+             Actions& aActions)
+{
+  EndJob(aState,
+         aIndex,
+         JobState::Failed,
+         MakeError(aCode, Verdict::NotRun, std::move(aMessage)),
+         aNow,
+         aActions);
 }
 
-void Fail(State& aState, Job& aJob, Error aError, const Now& aNow, Actions& aActions)
+void ForgetJob(State& aState, JobIndex aIndex)
 {
-  aJob.mError = std::move(aError);
-  End(aState, aJob, JobState::Failed, aNow, aActions);
+  auto& job = aState.mJobs[aIndex];
+  aState.mKeptResultBytes -= job.mKeptBytes;
+  aState.mJobByName.erase(aState.mJobByName.find(*job.mId));
+  const auto generation = job.mGeneration + 1;
+  job = Job{};
+  job.mGeneration = generation;
+  aState.mFreeJobs.push_back(aIndex);
 }
 
-/// Starts queued tasks of the service while a credit is free.
-void Fill(State& aState, const std::string& aService, const Now& aNow, Actions& aActions)
+// Starts.
+
+void Start(State& aState,
+           JobIndex aIndex,
+           std::uint32_t aTask,
+           UpstreamIndex aUpstream,
+           const Now& aNow,
+           Actions& aActions)
 {
-  auto& queue = aState.mQueues[aService];
-  for (UpstreamIndex n = 0; n < aState.mUpstreams.size(); ++n) {
-    auto& upstream = aState.mUpstreams[n];
-    if (upstream.mService != aService || !upstream.mConfigured || upstream.mLeaving) {
+  auto& job = aState.mJobs[aIndex];
+  auto& task = job.mTasks[aTask];
+  auto& service = aState.mServices[job.mService];
+  if (aState.mFreeAttempts.empty()) {
+    aState.mFreeAttempts.push_back(static_cast<std::uint32_t>(aState.mAttempts.size()));
+    aState.mAttempts.emplace_back();
+  }
+  const auto slot = aState.mFreeAttempts.back();
+  aState.mFreeAttempts.pop_back();
+  aState.mAttempts[slot] = { aIndex, aTask, aUpstream, aNow.mTime, task.mLong, false, false };
+  placement::CountStart(aState.mPlacement, aUpstream, aNow);
+  CountQueued(aState, job, 0, 1);
+  ++aState.mRunningTasks;
+  ++service.mRunning[task.mLong ? 1 : 0];
+  service.mShortPeak = std::max(service.mShortPeak, static_cast<double>(service.mRunning[0]));
+  queue::Charge(service.mQueue, job.mTeam, static_cast<double>(task.mMean.count()));
+  ++aState.mCounts.mTaskStarts;
+  if (task.mAttempt == 0) {
+    admission::CountStart(aState.mRetryBudget);
+  } else {
+    ++aState.mCounts.mTaskRetries;
+  }
+  task.mPhase = Phase::Running;
+  task.mSlot = slot;
+  task.mRetryPaid = false;
+  task.mAnswer.mVerdict = Verdict::MayHaveRun;
+  ++task.mAttempt;
+  ++job.mOutstanding;
+  job.mEverStarted = true;
+  const auto rack = aState.mPlacement.mUpstreams[aUpstream].mRack;
+  const auto it = std::find_if(job.mRacks.begin(), job.mRacks.end(), [rack](const auto& aRack) {
+    return aRack.first == rack;
+  });
+  if (it == job.mRacks.end()) {
+    job.mRacks.emplace_back(rack, 1);
+  } else {
+    ++it->second;
+  }
+  const auto left = std::chrono::duration_cast<milliseconds>(job.mDeadline - aNow.mTime);
+  aActions.emplace_back(
+    StartTask{ { *job.mId, aTask },
+               task.mAttempt,
+               aUpstream,
+               { job.mSpec, &job.mSpec->mTasks[aTask].mPayload },
+               aNow.mUnixMs + std::min(left, aState.mOptions.mStartWindow).count() });
+}
+
+/// The lane that gets the next free slot; nothing when no queued task can start.
+std::optional<queue::LaneIndex> PickLane(const State& aState, ServiceIndex aIndex)
+{
+  const auto& service = aState.mServices[aIndex];
+  const auto running = service.mRunning[1];
+  const auto limit = LongLimit(aState, aIndex);
+  const double guaranteed = kLongGuarantee * service.mSettings.mLongShare *
+                            aState.mPlacement.mPools[aIndex].mHealthyCredits;
+  const bool longFirst = static_cast<double>(running) < std::floor(guaranteed);
+  for (const std::uint32_t lane : longFirst ? std::array{ 1U, 0U } : std::array{ 0U, 1U }) {
+    if (lane == 1 && running >= limit) {
       continue;
     }
-    while (!queue.empty() && upstream.mRunning < upstream.mCredits) {
-      const auto id = queue.front();
-      queue.pop_front();
-      const auto it = aState.mJobs.find(id.mJob);
-      if (it == aState.mJobs.end() || it->second.mTasks[id.mIndex].mPhase != Phase::Queued) {
+    std::optional<queue::LaneIndex> best;
+    for (std::uint32_t n = 0; n < service.mGroups.size(); ++n) {
+      const auto candidate = 2 * n + lane;
+      if (candidate >= service.mQueue.mLanes.size() ||
+          service.mQueue.mLanes[candidate].mTasks == 0 ||
+          !placement::HasIdle(aState.mPlacement, aIndex, service.mGroups[n].mShapes)) {
         continue;
       }
-      auto& job = it->second;
-      auto& task = job.mTasks[id.mIndex];
-      task.mPhase = Phase::Running;
-      task.mOutstanding = true;
-      task.mUpstream = n;
-      task.mAnswer.mVerdict = Verdict::MayHaveRun;
-      ++task.mAttempt;
-      ++upstream.mRunning;
-      ++aState.mStarts;
-      --aState.mQueuedTasks;
-      const auto left =
-        std::chrono::duration_cast<std::chrono::milliseconds>(job.mDeadline - aNow.mTime);
-      aActions.emplace_back(
-        StartTask{ id,
-                   task.mAttempt,
-                   n,
-                   { job.mSpec, &job.mSpec->mTasks[id.mIndex].mPayload },
-                   aNow.mUnixMs + std::min(left, aState.mOptions.mStartWindow).count() });
+      if (!best ||
+          queue::HeadTime(service.mQueue, candidate) < queue::HeadTime(service.mQueue, *best)) {
+        best = candidate;
+      }
+    }
+    if (best) {
+      return best;
     }
   }
+  return std::nullopt;
 }
 
-void Apply(State& aState, const Submit& aEvent, const Now& aNow, Actions& aActions)
+/// Starts queued tasks of the service while one can start.
+void Fill(State& aState, ServiceIndex aIndex, const Now& aNow, Actions& aActions)
 {
-  const auto& spec = aEvent.mJob;
-  const auto refuse = [&](ErrorCode aCode, std::string aMessage) {
-    aActions.emplace_back(
-      Refuse{ aEvent.mRequest, spec.mId, MakeError(aCode, Verdict::NotRun, std::move(aMessage)) });
-  };
-  if (const auto it = aState.mJobs.find(spec.mId); it != aState.mJobs.end()) {
-    auto& job = it->second;
-    if (job.mSpec->mTeam != spec.mTeam || job.mSpec->mBodyHash != spec.mBodyHash) {
-      return refuse(ErrorCode::IdConflict, "The id belongs to another submission.");
-    }
-    if (aEvent.mRequest == 0) {
+  auto& service = ServiceOf(aState, aIndex);
+  auto& queue = service.mQueue;
+  while (queue.mTasks > 0) {
+    const auto lane = PickLane(aState, aIndex);
+    if (!lane) {
       return;
     }
-    if (job.mState != JobState::Running) {
-      aActions.emplace_back(Answer{ aEvent.mRequest, AnswerOf(job) });
-      return;
+    const auto slice = *queue::Head(queue, *lane);
+    const auto index = queue.mSlices[slice].mJob;
+    auto& job = aState.mJobs[index];
+    const auto next = queue.mSlices[slice].mTasks.back();
+    auto& task = job.mTasks[next];
+    if (task.mLearned && aNow.mTime + task.mMedian / 2 > job.mDeadline) {
+      FailJob(aState,
+              index,
+              ErrorCode::DeadlineUnreachable,
+              "Task " + std::to_string(next) + " can no longer end before the job's deadline.",
+              aNow,
+              aActions);
+      continue;
     }
-    job.mWaiters.push_back(aEvent.mRequest);
-    aState.mWaiters[aEvent.mRequest] = spec.mId;
-    return;
+    const bool avoid = task.mAvoid != kNone && aNow.mTime < task.mAvoidUntil;
+    const auto& group = service.mGroups[*lane / 2];
+    const placement::Request request{ aIndex,
+                                      &group.mShapes,
+                                      group.mNeeds.mAccelerators > 0,
+                                      &job.mRacks,
+                                      avoid ? task.mAvoid : kNone,
+                                      job.mTasks.size() <= kMostTasksToProbe };
+    const auto upstream = placement::Choose(aState.mPlacement, request, aState.mRandom);
+    queue::Serve(queue, job.mTeam);
+    queue::TakeTask(queue, slice);
+    --job.mQueued;
+    if (upstream) {
+      Start(aState, index, next, *upstream, aNow, aActions);
+    } else {
+      Delay(aState, index, next, aNow.mTime + Jittered(aState, kAvoidDelay));
+    }
+    ChangeWork(aState, job, -task.mMean.count());
   }
-  if (!aState.mAccepting) {
-    return refuse(ErrorCode::Stopping, "The entry is stopping.");
+}
+
+/// Fills the services in which a slot or a task has been added since.
+void FillChanged(State& aState, const Now& aNow, Actions& aActions)
+{
+  auto& changed = aState.mPlacement.mChanged;
+  while (!changed.empty()) {
+    const auto service = changed.back();
+    changed.pop_back();
+    aState.mPlacement.mPools[service].mChanged = false;
+    Fill(aState, service, aNow, aActions);
+  }
+}
+
+// Timers.
+
+void ExpireJobs(State& aState, const Now& aNow, Actions& aActions)
+{
+  while (!aState.mDeadlines.empty() && aState.mDeadlines.top().mAt <= aNow.mTime) {
+    const auto timer = aState.mDeadlines.top();
+    aState.mDeadlines.pop();
+    const auto& job = aState.mJobs[timer.mJob];
+    if (job.mGeneration != timer.mGeneration || job.mState != JobState::Running) {
+      continue;
+    }
+    ++aState.mCounts.mJobsExpired;
+    FailJob(aState, timer.mJob, ErrorCode::Expired, "The job's deadline passed.", aNow, aActions);
   }
-  if (!aState.mConfiguration) {
-    return refuse(ErrorCode::NotReady, "The entry has no configuration yet.");
+}
+
+/// Puts delayed tasks back into the queue, as far as the retry budget allows.
+void EndDelays(State& aState, const Now& aNow)
+{
+  while (!aState.mDelays.empty() && aState.mDelays.top().mAt <= aNow.mTime) {
+    auto timer = aState.mDelays.top();
+    aState.mDelays.pop();
+    auto& job = aState.mJobs[timer.mJob];
+    if (job.mGeneration != timer.mGeneration || job.mState != JobState::Running) {
+      continue;
+    }
+    auto& task = job.mTasks[timer.mTask];
+    if (!task.mRetryPaid && !admission::TryRetry(aState.mRetryBudget, aNow.mTime)) {
+      ++aState.mCounts.mRetriesDeferred;
+      timer.mAt = aNow.mTime + Jittered(aState, kBudgetDelay);
+      aState.mDelays.push(timer);
+      continue;
+    }
+    task.mRetryPaid = true;
+    task.mPhase = Phase::Queued;
+    --job.mDelayed;
+    ++job.mQueued;
+    auto& queue = aState.mServices[job.mService].mQueue;
+    queue::AddTask(queue, job.mSlices[task.mSlice], KeyOf(aState, job), timer.mTask);
+    ChangeWork(aState, job, task.mMean.count());
+    MarkChanged(aState, job.mService);
+  }
+}
+
+void ForgetJobs(State& aState, const Now& aNow)
+{
+  while (!aState.mKept.empty() && aState.mKept.front().mAt <= aNow.mTime) {
+    auto timer = aState.mKept.front();
+    aState.mKept.pop_front();
+    // A task that was stopped but has not ended still holds its slot under the job's id.
+    if (aState.mJobs[timer.mJob].mOutstanding > 0) {
+      timer.mAt = aNow.mTime + std::max(aState.mOptions.mAnswerRetention, kLeastKept);
+      aState.mKept.push_back(timer);
+      continue;
+    }
+    ForgetJob(aState, timer.mJob);
   }
-  if (!aState.mConfiguration->mServices.contains(spec.mService)) {
+  while (!aState.mKeptResults.empty() && aState.mKeptResults.front().mAt <= aNow.mTime) {
+    aState.mKeptResults.pop_front();
+  }
+}
+
+/// Looks at some of the running attempts: those that run longer than their class allows count as
+/// long, those far over their expected run time tell of a straggler.
+void SweepAttempts(State& aState, const Now& aNow)
+{
+  auto& attempts = aState.mAttempts;
+  for (std::size_t n = 0; n < std::min(kSweep, attempts.size()); ++n) {
+    auto& attempt = attempts[aState.mAttemptCursor++ % attempts.size()];
+    if (attempt.mJob == kNone) {
+      continue;
+    }
+    const auto& job = aState.mJobs[attempt.mJob];
+    const auto& task = job.mTasks[attempt.mTask];
+    auto& service = aState.mServices[job.mService];
+    const auto elapsed = aNow.mTime - attempt.mStarted;
+    if (!attempt.mLong && elapsed > service.mSettings.mLongAfter) {
+      attempt.mLong = true;
+      --service.mRunning[0];
+      ++service.mRunning[1];
+      ++aState.mCounts.mReclassified;
+    }
+    if (!attempt.mOverdue && !attempt.mStopped && task.mLearned && elapsed > kLeastOverdue &&
+        static_cast<double>(elapsed.count()) >
+          kOverdueRatio * static_cast<double>(task.mMedian.count())) {
+      attempt.mOverdue = true;
+      placement::CountOverdue(
+        aState.mPlacement,
+        attempt.mUpstream,
+        static_cast<double>(elapsed.count()) /
+          static_cast<double>(std::max<std::int64_t>(1, task.mMedian.count())),
+        aNow);
+    }
+  }
+}
+
+// Admission.
+
+void CountDemand(Team& aTeam, std::size_t aTasks, const Now& aNow)
+{
+  const double passed = std::max(0.0, Seconds(aNow.mTime - aTeam.mDemandAt));
+  aTeam.mDemand = aTeam.mDemand * std::exp(-passed / kDemandSeconds) +
+                  static_cast<double>(aTasks) / kDemandSeconds;
+  aTeam.mDemandAt = aNow.mTime;
+}
+
+/// What is wrong with a job regardless of load.
+std::optional<Error> CheckSpec(const State& aState, const JobSpec& aSpec)
+{
+  const auto refuse = [](ErrorCode aCode, std::string aMessage) {
+    return MakeError(aCode, Verdict::NotRun, std::move(aMessage));
+  };
+  const auto service = aState.mPlacement.mServices.find(aSpec.mService);
+  if (service == aState.mPlacement.mServices.end() || service->second >= aState.mServices.size() ||
+      !aState.mServices[service->second].mConfigured) {
     return refuse(ErrorCode::UnknownService, "The service is not configured.");
   }
-  if (!aState.mConfiguration->mTeams.contains(spec.mTeam)) {
+  const auto& settings = aState.mServices[service->second].mSettings;
+  const auto team = aState.mTeamByName.find(aSpec.mTeam);
+  if (team == aState.mTeamByName.end() || !aState.mTeams[team->second].mConfigured) {
     return refuse(ErrorCode::UnknownTeam, "The team has no quota.");
   }
-  if (spec.mTasks.empty()) {
-    return refuse(ErrorCode::BadRequest, "The job has no tasks.");
+  if (!settings.mKinds.empty() &&
+      std::find(settings.mKinds.begin(), settings.mKinds.end(), aSpec.mKind) ==
+        settings.mKinds.end()) {
+    return refuse(ErrorCode::BadRequest, "The service has no such kind.");
+  }
+  if (aSpec.mId.empty() || aSpec.mTasks.empty()) {
+    return refuse(ErrorCode::BadRequest, "The job has no id or no tasks.");
   }
-  if (spec.mTasks.size() > aState.mOptions.mMaxTasksPerJob) {
-    return refuse(ErrorCode::TooLarge, "The job has too many tasks.");
+  if (aSpec.mTasks.size() > aState.mOptions.mMaxTasksPerJob) {
+    return refuse(ErrorCode::TooLarge,
+                  "The job has more than " + std::to_string(aState.mOptions.mMaxTasksPerJob) +
+                    " tasks.");
   }
-  if (aState.mQueuedTasks + spec.mTasks.size() > aState.mOptions.mMaxQueuedTasks) {
-    return refuse(ErrorCode::Overloaded, "The queue is full.");
+  if (aSpec.mDeadline.count() <= 0 || aSpec.mDeadline > settings.mMaxDeadline) {
+    return refuse(ErrorCode::BadRequest,
+                  "The deadline is not within 1 and " +
+                    std::to_string(settings.mMaxDeadline.count()) + " ms.");
   }
+  return std::nullopt;
+}
+
+/// Builds the job's tasks. Nothing when a task suits no configured worker.
+std::optional<Job> BuildJob(State& aState, const Submit& aEvent, const Now& aNow)
+{
+  const auto& spec = aEvent.mJob;
   Job job;
-  job.mSpec = std::make_shared<const JobSpec>(spec);
+  job.mService = aState.mPlacement.mServices.find(spec.mService)->second;
+  job.mTeam = aState.mTeamByName.find(spec.mTeam)->second;
+  job.mBodyHash = spec.mBodyHash;
+  job.mAccepted = aNow.mTime;
   job.mDeadline = aNow.mTime + spec.mDeadline;
+  auto& service = aState.mServices[job.mService];
+  job.mKind = &run_times::KindOf(service.mKinds, spec.mKind);
   job.mTasks.resize(spec.mTasks.size());
-  if (aEvent.mRequest != 0) {
-    job.mWaiters.push_back(aEvent.mRequest);
-    aState.mWaiters[aEvent.mRequest] = spec.mId;
+  for (std::size_t n = 0; n < spec.mTasks.size(); ++n) {
+    auto& task = job.mTasks[n];
+    const auto& needs = spec.mTasks[n].mNeeds;
+    const auto rounded = placement::RoundUp(aState.mPlacement, job.mService, needs);
+    if (!rounded) {
+      return std::nullopt;
+    }
+    const auto estimate = run_times::EstimateOf(*job.mKind,
+                                                spec.mTasks[n].mDeclaredRun,
+                                                service.mSettings.mExpectedRun,
+                                                service.mSettings.mLongAfter);
+    task.mLong = estimate.mLong;
+    task.mLearned = estimate.mLearned;
+    task.mMean = std::max(estimate.mMean, Duration{ 1 });
+    task.mMedian = estimate.mMedian;
+    // Holds the lane until the slices are made.
+    task.mSlice = 2 * GroupOf(aState, job.mService, *rounded) + (task.mLong ? 1 : 0);
+    job.mQueuedWork += task.mMean.count();
+  }
+  return job;
+}
+
+/// What speaks against accepting the job now.
+std::optional<Error> CheckLoad(State& aState,
+                               const Job& aJob,
+                               const JobSpec& aSpec,
+                               const Now& aNow)
+{
+  const auto refuse = [&](ErrorCode aCode, std::string aMessage, Duration aLeast) {
+    auto error = MakeError(aCode, Verdict::NotRun, std::move(aMessage));
+    error.mRetryAfter = admission::RetryAfter(aLeast, aState.mRandom);
+    return error;
+  };
+  auto& team = aState.mTeams[aJob.mTeam];
+  const auto& queue = aState.mServices[aJob.mService].mQueue;
+  const auto& pool = aState.mPlacement.mPools[aJob.mService];
+  const auto& queueTeam = queue.mTeams[aJob.mTeam];
+  // The job's own work counts as far as it is known from outcomes.
+  Duration longest{ 0 };
+  Duration own{ 0 };
+  for (const auto& task : aJob.mTasks) {
+    longest = std::max(longest, task.mLearned ? task.mMedian : Duration{ 0 });
+    own += task.mLearned ? task.mMean : Duration{ 0 };
+  }
+  const admission::Backlog backlog{
+    Duration{ queue::WorkUpTo(queue, aJob.mTeam, aJob.mQueuedWork) } + own,
+    Duration{ queue.mWork } + own,
+    queueTeam.mWeight,
+    queue.mActiveWeight + (queueTeam.mTasks > 0 ? 0 : queueTeam.mWeight),
+    static_cast<double>(pool.mHealthyCredits)
+  };
+  const auto wait = admission::EstimateWait(backlog).value_or(Duration{ 0 });
+  if (!admission::HasRoom(
+        aState.mQueuedTasks, team.mQueued, aSpec.mTasks.size(), aState.mOptions.mMaxQueuedTasks)) {
+    return refuse(ErrorCode::Overloaded, "The queue is full.", wait / 4);
+  }
+  if (wait + longest > aSpec.mDeadline) {
+    return refuse(ErrorCode::DeadlineUnreachable,
+                  "The estimated wait is " + std::to_string(wait.count() / 1000) + " ms.",
+                  wait + longest - aSpec.mDeadline);
+  }
+  // Last, because it takes the tokens.
+  const auto tasks = static_cast<double>(aSpec.mTasks.size());
+  if (!admission::TryTake(team.mQuota, tasks, aNow.mTime)) {
+    const auto until = admission::TimeUntil(team.mQuota, tasks, aNow.mTime);
+    return refuse(ErrorCode::QuotaExceeded,
+                  "The team's quota of task starts is used up.",
+                  until.value_or(Duration::max()));
+  }
+  return std::nullopt;
+}
+
+/// Cuts the job's tasks into one slice for each lane.
+void EnterQueue(State& aState, JobIndex aIndex)
+{
+  auto& job = aState.mJobs[aIndex];
+  auto& queue = aState.mServices[job.mService].mQueue;
+  job.mQueued = static_cast<std::uint32_t>(job.mTasks.size());
+  CountQueued(aState, job, job.mQueued, 0);
+  queue::CountWork(queue, job.mTeam, job.mQueuedWork, 1);
+  const auto key = KeyOf(aState, job);
+  std::vector<std::pair<queue::LaneIndex, std::vector<std::uint32_t>>> lanes;
+  for (auto n = job.mQueued; n-- > 0;) {
+    const auto lane = job.mTasks[n].mSlice;
+    auto it = std::find_if(
+      lanes.begin(), lanes.end(), [lane](const auto& aLane) { return aLane.first == lane; });
+    if (it == lanes.end()) {
+      it = lanes.insert(it, { lane, {} });
+      it->second.reserve(n + 1);
+    }
+    job.mTasks[n].mSlice = static_cast<std::uint32_t>(it - lanes.begin());
+    it->second.push_back(n);
+  }
+  for (auto& [lane, tasks] : lanes) {
+    job.mSlices.push_back(queue::AddSlice(queue, lane, job.mTeam, aIndex, key, std::move(tasks)));
+  }
+}
+
+void AddWaiter(State& aState, JobIndex aIndex, RequestId aRequest, Actions& aActions)
+{
+  auto& job = aState.mJobs[aIndex];
+  if (aRequest == 0) {
+    return;
+  }
+  if (job.mState != JobState::Running) {
+    aActions.emplace_back(Answer{ aRequest, job.mAnswer });
+    return;
+  }
+  job.mWaiters.push_back(aRequest);
+  aState.mJobByRequest[aRequest] = aIndex;
+}
+
+// Events.
+
+void Apply(State& aState, const Submit& aEvent, const Now& aNow, Actions& aActions)
+{
+  const auto& spec = aEvent.mJob;
+  const auto refuse = [&](Error aError) {
+    ++aState.mCounts.mJobsRefused;
+    aActions.emplace_back(Refuse{ aEvent.mRequest, spec.mId, std::move(aError) });
+  };
+  if (const auto it = aState.mJobByName.find(spec.mId); it != aState.mJobByName.end()) {
+    const auto& known = aState.mJobs[it->second];
+    if (aState.mTeams[known.mTeam].mName != spec.mTeam || known.mBodyHash != spec.mBodyHash) {
+      return refuse(MakeError(ErrorCode::IdConflict,
+                              Verdict::NotRun,
+                              "The id belongs to another submission; this one has not run."));
+    }
+    return AddWaiter(aState, it->second, aEvent.mRequest, aActions);
+  }
+  if (!aState.mAccepting) {
+    return refuse(MakeError(ErrorCode::Stopping, Verdict::NotRun, "The entry is stopping."));
+  }
+  if (!aState.mHasConfiguration) {
+    return refuse(
+      MakeError(ErrorCode::NotReady, Verdict::NotRun, "The entry has no configuration yet."));
   }
-  for (std::uint32_t n = 0; n < spec.mTasks.size(); ++n) {
-    aState.mQueues[spec.mService].push_back({ spec.mId, n });
+  if (auto error = CheckSpec(aState, spec)) {
+    return refuse(std::move(*error));
   }
-  aState.mQueuedTasks += spec.mTasks.size();
-  aState.mJobs.emplace(spec.mId, std::move(job));
+  CountDemand(aState.mTeams[aState.mTeamByName.find(spec.mTeam)->second], spec.mTasks.size(), aNow);
+  auto job = BuildJob(aState, aEvent, aNow);
+  if (!job) {
+    return refuse(MakeError(ErrorCode::NeverRunnable,
+                            Verdict::NotRun,
+                            "A task needs more than any worker of the service has."));
+  }
+  if (auto error = CheckLoad(aState, *job, spec, aNow)) {
+    return refuse(std::move(*error));
+  }
+  if (aState.mFreeJobs.empty()) {
+    aState.mFreeJobs.push_back(static_cast<JobIndex>(aState.mJobs.size()));
+    aState.mJobs.emplace_back();
+  }
+  const auto index = aState.mFreeJobs.back();
+  aState.mFreeJobs.pop_back();
+  job->mGeneration = aState.mJobs[index].mGeneration;
+  job->mId = &aState.mJobByName.emplace(spec.mId, index).first->first;
+  job->mSequence = aState.mNextSequence++;
+  job->mSpec = std::make_shared<const JobSpec>(spec);
+  aState.mJobs[index] = std::move(*job);
+  aState.mDeadlines.push(
+    { aState.mJobs[index].mDeadline, index, aState.mJobs[index].mGeneration, 0 });
+  ++aState.mCounts.mJobsAccepted;
+  EnterQueue(aState, index);
+  AddWaiter(aState, index, aEvent.mRequest, aActions);
   aActions.emplace_back(Accepted{ aEvent.mRequest, spec.mId });
-  Fill(aState, spec.mService, aNow, aActions);
+  MarkChanged(aState, aState.mJobs[index].mService);
 }
 
 void Apply(State& aState, const Wait& aEvent, const Now&, Actions& aActions)
 {
-  const auto it = aState.mJobs.find(aEvent.mId);
-  if (it == aState.mJobs.end()) {
+  const auto it = aState.mJobByName.find(aEvent.mId);
+  if (it == aState.mJobByName.end()) {
     aActions.emplace_back(Refuse{
       aEvent.mRequest,
       aEvent.mId,
       MakeError(ErrorCode::UnknownJob, Verdict::MayHaveRun, "The job is not known here.") });
     return;
   }
-  if (it->second.mState != JobState::Running) {
-    aActions.emplace_back(Answer{ aEvent.mRequest, AnswerOf(it->second) });
-    return;
-  }
-  it->second.mWaiters.push_back(aEvent.mRequest);
-  aState.mWaiters[aEvent.mRequest] = aEvent.mId;
+  AddWaiter(aState, it->second, aEvent.mRequest, aActions);
 }
 
 void Apply(State& aState, const Unwait& aEvent, const Now&, Actions&)
 {
-  const auto it = aState.mWaiters.find(aEvent.mRequest);
-  if (it == aState.mWaiters.end()) {
+  const auto it = aState.mJobByRequest.find(aEvent.mRequest);
+  if (it == aState.mJobByRequest.end()) {
     return;
   }
-  std::erase(aState.mJobs.find(it->second)->second.mWaiters, aEvent.mRequest);
-  aState.mWaiters.erase(it);
+  std::erase(aState.mJobs[it->second].mWaiters, aEvent.mRequest);
+  aState.mJobByRequest.erase(it);
 }
 
 void Apply(State& aState, const Cancel& aEvent, const Now& aNow, Actions& aActions)
 {
-  const auto it = aState.mJobs.find(aEvent.mId);
-  if (it == aState.mJobs.end() || it->second.mState != JobState::Running) {
+  const auto it = aState.mJobByName.find(aEvent.mId);
+  if (it == aState.mJobByName.end() || aState.mJobs[it->second].mState != JobState::Running) {
     return;
   }
-  Fail(aState,
-       it->second,
-       MakeError(ErrorCode::Cancelled, Verdict::NotRun, "The job was cancelled."),
-       aNow,
-       aActions);
+  ++aState.mCounts.mJobsCancelled;
+  FailJob(aState, it->second, ErrorCode::Cancelled, "The job was cancelled.", aNow, aActions);
+}
+
+/// What the outcome says about its upstream.
+placement::Report ReportOf(const TaskOutcome& aOutcome, bool aStopped)
+{
+  using placement::Report;
+  if (aOutcome.mVerdict == Verdict::Ran && !aOutcome.mCode) {
+    return Report::RanWell;
+  }
+  if (aOutcome.mVerdict != Verdict::NotRun) {
+    // A stopped task may end in any way without a fault of the upstream.
+    return aStopped                            ? Report::Ignored
+           : aOutcome.mVerdict == Verdict::Ran ? Report::Failed
+                                               : Report::Lost;
+  }
+  switch (aOutcome.mCode.value_or(ErrorCode::Internal)) {
+    case ErrorCode::Overloaded:
+      return Report::Busy;
+    case ErrorCode::Stopping:
+      return Report::Leaving;
+    case ErrorCode::Expired:
+      return Report::Stale;
+    case ErrorCode::UpstreamLost:
+      return Report::Refused;
+    default:
+      return Report::Failed;
+  }
+}
+
+void Retry(State& aState,
+           JobIndex aIndex,
+           std::uint32_t aTask,
+           UpstreamIndex aFrom,
+           const Now& aNow)
+{
+  auto& job = aState.mJobs[aIndex];
+  auto& task = job.mTasks[aTask];
+  ++aState.mCounts.mTaskRefusals;
+  task.mAnswer.mVerdict = Verdict::NotRun;
+  task.mAvoid = aFrom;
+  task.mAvoidUntil = aNow.mTime + kAvoidFor;
+  CountQueued(aState, job, 1, 0);
+  const auto doublings = std::min(task.mAttempt - 1, kMostRetryDoublings);
+  Delay(aState,
+        aIndex,
+        aTask,
+        aNow.mTime + Jittered(aState, Duration(kRetryDelay) * (1U << doublings)));
 }
 
 void Apply(State& aState, const TaskEnded& aEvent, const Now& aNow, Actions& aActions)
 {
-  const auto it = aState.mJobs.find(aEvent.mTask.mJob);
-  if (it == aState.mJobs.end() || aEvent.mTask.mIndex >= it->second.mTasks.size()) {
-    ++aState.mUnknownOutcomes;
+  const auto it = aState.mJobByName.find(aEvent.mTask.mJob);
+  const auto index = it == aState.mJobByName.end() ? kNone : it->second;
+  if (index == kNone || aEvent.mTask.mIndex >= aState.mJobs[index].mTasks.size()) {
+    ++aState.mCounts.mUnknownOutcomes;
     return;
   }
-  auto& job = it->second;
+  auto& job = aState.mJobs[index];
   auto& task = job.mTasks[aEvent.mTask.mIndex];
-  if (!task.mOutstanding || task.mAttempt != aEvent.mAttempt ||
-      task.mUpstream != aEvent.mUpstream) {
-    ++aState.mUnknownOutcomes;
+  if (task.mSlot == kNone || task.mAttempt != aEvent.mAttempt ||
+      aState.mAttempts[task.mSlot].mUpstream != aEvent.mUpstream) {
+    ++aState.mCounts.mUnknownOutcomes;
     return;
   }
-  task.mOutstanding = false;
-  auto& upstream = aState.mUpstreams[task.mUpstream];
-  --upstream.mRunning;
+  const auto attempt = aState.mAttempts[task.mSlot];
+  aState.mAttempts[task.mSlot] = Attempt{};
+  aState.mFreeAttempts.push_back(task.mSlot);
+  task.mSlot = kNone;
+  --job.mOutstanding;
+  --aState.mRunningTasks;
+  auto& service = aState.mServices[job.mService];
+  --service.mRunning[attempt.mLong ? 1 : 0];
+
   const auto& outcome = aEvent.mOutcome;
-  if (outcome.mVerdict == Verdict::NotRun && outcome.mCode == ErrorCode::Stopping) {
-    upstream.mLeaving = true;
+  const auto report = ReportOf(outcome, attempt.mStopped);
+  const auto ranFor =
+    outcome.mRunTime.count() > 0 ? outcome.mRunTime : Duration(aNow.mTime - attempt.mStarted);
+  std::optional<double> ratio;
+  if (task.mLearned && task.mMedian.count() > 0) {
+    ratio = static_cast<double>(ranFor.count()) / static_cast<double>(task.mMedian.count());
   }
-  if (task.mPhase != Phase::Running) {
-    ++aState.mLateOutcomes;
-  } else if (outcome.mVerdict == Verdict::NotRun) {
-    task.mPhase = Phase::Queued;
-    task.mAnswer.mVerdict = Verdict::NotRun;
-    ++aState.mQueuedTasks;
-    aState.mQueues[job.mSpec->mService].push_back(aEvent.mTask);
-  } else if (outcome.mVerdict == Verdict::Ran && !outcome.mCode) {
+  placement::CountEnd(aState.mPlacement, attempt.mUpstream, report, ratio, aState.mRandom, aNow);
+  const auto used = outcome.mVerdict == Verdict::NotRun ? Duration{ 0 } : ranFor;
+  queue::Charge(service.mQueue, job.mTeam, static_cast<double>((used - task.mMean).count()));
+  // A slot or the long class's share has become free.
+  MarkChanged(aState, job.mService);
+
+  if (job.mState != JobState::Running) {
+    ++aState.mCounts.mLateOutcomes;
+    ReleaseTasks(job);
+    return;
+  }
+  if (report == placement::Report::RanWell) {
+    const auto declared = job.mSpec->mTasks[aEvent.mTask.mIndex].mDeclaredRun;
+    run_times::Observe(*job.mKind, declared, ranFor);
     task.mPhase = Phase::Ended;
     task.mAnswer = { Verdict::Ran, std::nullopt, outcome.mResult };
-    if (++job.mRan == job.mTasks.size()) {
-      End(aState, job, JobState::Complete, aNow, aActions);
+    ++job.mRan;
+    // Past the deadline the job expires right after this event.
+    if (job.mRan == job.mTasks.size() && aNow.mTime < job.mDeadline) {
+      EndJob(aState, index, JobState::Complete, std::nullopt, aNow, aActions);
     }
-  } else {
-    const auto code = outcome.mCode.value_or(ErrorCode::UpstreamLost);
-    task.mPhase = Phase::Ended;
-    task.mAnswer = { outcome.mVerdict, code, "" };
-    Fail(aState,
-         job,
-         MakeError(code, Verdict::NotRun, "Task " + ToString(aEvent.mTask) + " failed."),
-         aNow,
-         aActions);
+    return;
+  }
+  if (outcome.mVerdict == Verdict::NotRun) {
+    Retry(aState, index, aEvent.mTask.mIndex, attempt.mUpstream, aNow);
+    return;
   }
-  Fill(aState, upstream.mService, aNow, aActions);
+  const auto code = outcome.mCode.value_or(ErrorCode::UpstreamLost);
+  task.mPhase = Phase::Ended;
+  task.mAnswer = { outcome.mVerdict, code, "" };
+  FailJob(aState,
+          index,
+          code,
+          "Task " + std::to_string(aEvent.mTask.mIndex) +
+            (outcome.mVerdict == Verdict::Ran ? " failed at its upstream."
+                                              : " may have run; its answer was lost."),
+          aNow,
+          aActions);
+}
+
+void Apply(State& aState, const SetCredits& aEvent, const Now& aNow, Actions&)
+{
+  auto& placement = aState.mPlacement;
+  placement::SetCredits(
+    placement, placement::FindOrAddUpstream(placement, aEvent.mUpstream), aEvent.mCredits, aNow);
 }
 
-Upstream& UpstreamOf(State& aState, const std::string& aKey)
+void Apply(State& aState, const UpstreamSign& aEvent, const Now& aNow, Actions&)
 {
-  const auto [it, isNew] =
-    aState.mUpstreamByKey.try_emplace(aKey, static_cast<UpstreamIndex>(aState.mUpstreams.size()));
-  if (isNew) {
-    aState.mUpstreams.push_back({});
-    aState.mUpstreams.back().mKey = aKey;
-    aState.mUpstreams.back().mService = aKey.substr(0, aKey.find('/'));
+  auto& placement = aState.mPlacement;
+  const auto n = placement::FindOrAddUpstream(placement, aEvent.mUpstream);
+  switch (aEvent.mSign) {
+    case Sign::Leaving:
+      placement::MarkLeaving(placement, n, aNow);
+      break;
+    case Sign::SuspectedLeaving:
+      placement::Suspect(placement, n, aNow);
+      break;
+    case Sign::Live:
+      placement::MarkLive(placement, n, aEvent.mAsOfMs, aNow);
+      break;
   }
-  return aState.mUpstreams[it->second];
 }
 
-void Apply(State& aState, const SetCredits& aEvent, const Now& aNow, Actions& aActions)
+void Apply(State& aState, const UpstreamNote& aEvent, const Now& aNow, Actions&)
 {
-  auto& upstream = UpstreamOf(aState, aEvent.mUpstream);
-  upstream.mCredits = aEvent.mCredits;
-  Fill(aState, upstream.mService, aNow, aActions);
+  const auto it = aState.mPlacement.mByKey.find(aEvent.mUpstream);
+  if (it != aState.mPlacement.mByKey.end() && aEvent.mFailureRate >= kLeastNotedFailureRate) {
+    placement::NotePeerFailure(aState.mPlacement, it->second, aNow);
+  }
 }
 
-void Apply(State& aState, const UpstreamSign& aEvent, const Now& aNow, Actions& aActions)
+void ApplyQuota(Team& aTeam, const Now& aNow)
 {
-  auto& upstream = UpstreamOf(aState, aEvent.mUpstream);
-  upstream.mLeaving = aEvent.mSign != Sign::Live;
-  Fill(aState, upstream.mService, aNow, aActions);
+  admission::SetLimits(aTeam.mQuota,
+                       aTeam.mSettings.mStartsPerSecond * aTeam.mShare,
+                       aTeam.mSettings.mBurstStarts * aTeam.mShare,
+                       aNow.mTime);
 }
 
-void Apply(State& aState, const ConfigurationApplied& aEvent, const Now& aNow, Actions& aActions)
+void Apply(State& aState, const SetQuotaShare& aEvent, const Now& aNow, Actions&)
 {
-  aState.mConfiguration = aEvent.mConfiguration;
-  for (auto& upstream : aState.mUpstreams) {
-    upstream.mConfigured = false;
+  const auto it = aState.mTeamByName.find(aEvent.mTeam);
+  if (it == aState.mTeamByName.end()) {
+    return;
   }
-  for (const auto& [key, entry] : aEvent.mConfiguration->mUpstreams) {
-    const auto worker = aEvent.mConfiguration->mWorkers.find(entry.mWorker);
-    if (worker == aEvent.mConfiguration->mWorkers.end()) {
-      continue;
+  auto& team = aState.mTeams[it->second];
+  team.mShare = std::clamp(aEvent.mShare, 0.0, 1.0);
+  ApplyQuota(team, aNow);
+}
+
+void Apply(State& aState, const ConfigurationApplied& aEvent, const Now& aNow, Actions&)
+{
+  if (aEvent.mConfiguration == nullptr) {
+    return;
+  }
+  const auto& configuration = *aEvent.mConfiguration;
+  // An accepted configuration never reverts.
+  if (aState.mHasConfiguration && configuration.mVersion < aState.mVersion) {
+    return;
+  }
+  aState.mHasConfiguration = true;
+  aState.mVersion = configuration.mVersion;
+  placement::Configure(aState.mPlacement, configuration, aNow);
+  for (auto& team : aState.mTeams) {
+    team.mConfigured = false;
+  }
+  for (const auto& [name, settings] : configuration.mTeams) {
+    const auto [it, isNew] =
+      aState.mTeamByName.try_emplace(name, static_cast<TeamIndex>(aState.mTeams.size()));
+    if (isNew) {
+      aState.mTeams.emplace_back();
+      aState.mTeams.back().mName = name;
+      aState.mTeams.back().mQuota = admission::MakeTokenBucket(0, 0, aNow.mTime);
     }
-    auto& upstream = UpstreamOf(aState, key);
-    upstream.mConfigured = true;
-    upstream.mAddress = worker->second.mAddress + ":" + std::to_string(entry.mPort);
+    auto& team = aState.mTeams[it->second];
+    team.mConfigured = true;
+    team.mSettings = settings;
+    ApplyQuota(team, aNow);
   }
-  for (const auto& [name, service] : aEvent.mConfiguration->mServices) {
-    Fill(aState, name, aNow, aActions);
+  for (ServiceIndex n = 0; n < aState.mPlacement.mPools.size(); ++n) {
+    auto& service = ServiceOf(aState, n);
+    const auto& pool = aState.mPlacement.mPools[n];
+    const auto it = configuration.mServices.find(pool.mName);
+    service.mConfigured = it != configuration.mServices.end();
+    if (service.mConfigured) {
+      service.mSettings = it->second;
+    }
+    for (TeamIndex team = 0; team < aState.mTeams.size(); ++team) {
+      queue::SetWeight(
+        service.mQueue, team, std::max(kLeastWeight, aState.mTeams[team].mSettings.mWeight));
+    }
+    for (auto& group : service.mGroups) {
+      group.mShapes.clear();
+      for (placement::ShapeIndex shape = 0; shape < pool.mShapes.size(); ++shape) {
+        if (placement::Suits(pool.mShapes[shape].mCapacity, group.mNeeds)) {
+          group.mShapes.push_back(shape);
+        }
+      }
+    }
+    MarkChanged(aState, n);
   }
 }
 
@@ -361,101 +999,80 @@
   aState.mAccepting = false;
 }
 
-void Apply(State& aState, const Tick&, const Now& aNow, Actions& aActions)
+void Apply(State& aState, const Tick&, const Now& aNow, Actions&)
 {
-  for (auto it = aState.mJobs.begin(); it != aState.mJobs.end();) {
-    auto& job = it->second;
-    const bool running = job.mState == JobState::Running;
-    if (running && aNow.mTime >= job.mDeadline) {
-      Fail(aState,
-           job,
-           MakeError(ErrorCode::Expired, Verdict::NotRun, "The job's deadline passed."),
-           aNow,
-           aActions);
-    }
-    const bool outstanding = std::any_of(
-      job.mTasks.begin(), job.mTasks.end(), [](const Task& aTask) { return aTask.mOutstanding; });
-    const bool forget =
-      !running && !outstanding && aNow.mTime >= job.mEnded + aState.mOptions.mAnswerRetention;
-    it = forget ? aState.mJobs.erase(it) : std::next(it);
+  placement::Advance(aState.mPlacement, aNow);
+  EndDelays(aState, aNow);
+  ForgetJobs(aState, aNow);
+  SweepAttempts(aState, aNow);
+  const double passed = std::max(0.0, Seconds(aNow.mTime - aState.mTicked));
+  aState.mTicked = aNow.mTime;
+  for (ServiceIndex n = 0; n < aState.mServices.size(); ++n) {
+    auto& service = aState.mServices[n];
+    service.mShortPeak = std::max(static_cast<double>(service.mRunning[0]),
+                                  service.mShortPeak * std::exp(-passed / kShortPeakSeconds));
+    // The long class's share may have grown.
+    MarkChanged(aState, n);
   }
 }
 
 } // namespace
 
+std::size_t LongLimit(const State& aState, ServiceIndex aService)
+{
+  const auto& service = aState.mServices[aService];
+  const double slots = aState.mPlacement.mPools[aService].mHealthyCredits;
+  const double most = std::floor(slots * service.mSettings.mLongShare);
+  const double least = std::floor(most * kLongGuarantee);
+  const double left = std::floor(slots - kShortHeadroom * service.mShortPeak);
+  return static_cast<std::size_t>(std::max(1.0, std::clamp(left, least, most)));
+}
+
 std::unique_ptr<State, void (*)(State*)> MakeState(const Options& aOptions, std::uint64_t aSeed)
 {
-  auto* state = new State;
+  auto state =
+    std::unique_ptr<State, void (*)(State*)>(new State, [](State* aState) { delete aState; });
   state->mOptions = aOptions;
   state->mRandom.seed(aSeed);
-  return { state, [](State* aState) { delete aState; } };
+  state->mPlacement = placement::MakeState(
+    { .mDataCentre = aOptions.mDataCentre, .mSignExpiry = aOptions.mSignExpiry });
+  state->mRetryBudget.mRatio = aOptions.mRetryRatio;
+  state->mRetryBudget.mBurst = aOptions.mRetryBurst;
+  state->mRetryBudget.mTokens = aOptions.mRetryBurst;
+  return state;
 }
 
 void Handle(State& aState, const Event& aEvent, const Now& aNow, Actions& aActions)
 {
+  // What an outcome says is noted before its job expires, so that the answer can say it.
+  if (!std::holds_alternative<TaskEnded>(aEvent)) {
+    ExpireJobs(aState, aNow, aActions);
+  }
   std::visit([&](const auto& aKind) { Apply(aState, aKind, aNow, aActions); }, aEvent);
+  ExpireJobs(aState, aNow, aActions);
+  FillChanged(aState, aNow, aActions);
 }
 
-std::optional<JobAnswer> Find(const State& aState, std::string_view aId)
+std::optional<Withdrawn> Withdraw(State& aState, std::string_view aId, const Now& aNow)
 {
-  const auto it = aState.mJobs.find(aId);
-  return it == aState.mJobs.end() ? std::nullopt : std::optional(AnswerOf(it->second));
-}
-
-std::optional<KnownJob> FindKnown(const State& aState, std::string_view aId)
-{
-  const auto it = aState.mJobs.find(aId);
-  if (it == aState.mJobs.end()) {
+  const auto it = aState.mJobByName.find(aId);
+  if (it == aState.mJobByName.end()) {
     return std::nullopt;
   }
-  return KnownJob{ it->second.mSpec->mTeam, it->second.mSpec->mBodyHash };
-}
-
-UpstreamAddress AddressOf(const State& aState, UpstreamIndex aUpstream)
-{
-  const auto& upstream = aState.mUpstreams.at(aUpstream);
-  return { upstream.mKey, upstream.mAddress };
-}
-
-Load LoadOf(const State& aState)
-{
-  Load load;
-  load.mQueuedTasks = aState.mQueuedTasks;
-  for (const auto& upstream : aState.mUpstreams) {
-    load.mRunningTasks += upstream.mRunning;
-    load.mIdleCredits += upstream.mCredits - std::min(upstream.mCredits, upstream.mRunning);
+  const auto index = it->second;
+  auto& job = aState.mJobs[index];
+  if (job.mState != JobState::Running || job.mEverStarted || aNow.mTime >= job.mDeadline) {
+    return std::nullopt;
   }
-  return load;
-}
-
-std::vector<UpstreamLoad> UpstreamLoads(const State& aState)
-{
-  std::vector<UpstreamLoad> loads;
-  for (const auto& [key, n] : aState.mUpstreamByKey) {
-    const auto& upstream = aState.mUpstreams[n];
-    if (upstream.mCredits != 0 || upstream.mRunning != 0) {
-      loads.push_back({ key, upstream.mCredits, upstream.mRunning, !upstream.mLeaving });
-    }
+  Withdrawn withdrawn{ *job.mSpec, std::move(job.mWaiters) };
+  withdrawn.mJob.mDeadline =
+    std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(job.mDeadline - aNow.mTime));
+  for (const auto request : withdrawn.mRequests) {
+    aState.mJobByRequest.erase(request);
   }
-  return loads;
-}
-
-std::size_t UnservedTasks(const State& aState, std::string_view aService)
-{
-  const auto it = aState.mQueues.find(aService);
-  return it == aState.mQueues.end() ? 0 : it->second.size();
-}
-
-std::vector<std::pair<std::string, std::uint64_t>> Counters(const State& aState)
-{
-  return { { "late_outcomes", aState.mLateOutcomes },
-           { "task_starts", aState.mStarts },
-           { "unknown_outcomes", aState.mUnknownOutcomes } };
-}
-
-std::string Dump(const State& aState, const Now&)
-{
-  return R"({"queued_tasks":)" + std::to_string(aState.mQueuedTasks) + "}";
+  LeaveQueue(aState, job);
+  ForgetJob(aState, index);
+  return withdrawn;
 }
 
 } // namespace pollenwall::dispatch
--- /dev/null
+++ b/src/libdispatch/dispatch_test.cpp
@@ -0,0 +1,125 @@
+#include "dispatch_test.h"
+
+#include <cstdlib>
+
+namespace pollenwall::test {
+
+std::shared_ptr<configuration::Configuration> MakeConfiguration(const Layout& aLayout)
+{
+  auto made = std::make_shared<configuration::Configuration>();
+  made->mVersion = aLayout.mVersion;
+  made->mDataCentres["dc"] = { "dc", "region" };
+  configuration::Service service;
+  service.mName = "s";
+  made->mServices["s"] = service;
+  for (std::uint32_t n = 0; n < aLayout.mWorkers; ++n) {
+    const auto name = "w" + std::to_string(n);
+    configuration::Worker worker;
+    worker.mName = name;
+    worker.mDataCentre = "dc";
+    worker.mRack = "rack" + std::to_string(n / 6);
+    worker.mAddress = "127.0.0.1";
+    worker.mCores = 32;
+    worker.mMemoryBytes = std::uint64_t{ 64 } << 30;
+    worker.mAccelerators = n % 4 == 0 ? aLayout.mAccelerators : 0;
+    made->mWorkers[name] = worker;
+    configuration::Upstream upstream;
+    upstream.mService = "s";
+    upstream.mWorker = name;
+    upstream.mPort = static_cast<std::uint16_t>(9000 + n);
+    upstream.mSlots = aLayout.mSlots;
+    made->mUpstreams["s/" + name] = upstream;
+  }
+  for (std::uint32_t n = 0; n < aLayout.mTeams; ++n) {
+    const auto name = "t" + std::to_string(n);
+    made->mTeams[name] = { name, 1, aLayout.mStartsPerSecond, aLayout.mStartsPerSecond };
+  }
+  return made;
+}
+
+Bench MakeBench(const Layout& aLayout, const dispatch::Options& aOptions)
+{
+  Bench bench{ dispatch::MakeState(aOptions, 1) };
+  Handle(bench, dispatch::ConfigurationApplied{ MakeConfiguration(aLayout) });
+  for (std::uint32_t n = 0; n < aLayout.mWorkers; ++n) {
+    Handle(bench, dispatch::SetCredits{ "s/w" + std::to_string(n), aLayout.mSlots });
+  }
+  return bench;
+}
+
+void Advance(Bench& aBench, Duration aTime)
+{
+  aBench.mNow.mTime += aTime;
+  aBench.mNow.mUnixMs = 1'699'999'000'000 + aBench.mNow.mTime.time_since_epoch().count() / 1000;
+}
+
+void Handle(Bench& aBench, const dispatch::Event& aEvent)
+{
+  aBench.mActions.clear();
+  dispatch::Handle(*aBench.mState, aEvent, aBench.mNow, aBench.mActions);
+}
+
+std::string SubmitJob(Bench& aBench,
+                      std::uint32_t aTasks,
+                      std::chrono::milliseconds aDeclared,
+                      std::string_view aTeam,
+                      std::chrono::milliseconds aDeadline)
+{
+  dispatch::Submit submit;
+  submit.mRequest = ++aBench.mNextJob;
+  submit.mJob.mId = "j" + std::to_string(aBench.mNextJob);
+  submit.mJob.mService = "s";
+  submit.mJob.mTeam = aTeam;
+  submit.mJob.mKind = "k";
+  submit.mJob.mDeadline = aDeadline;
+  submit.mJob.mTasks.resize(aTasks);
+  for (auto& task : submit.mJob.mTasks) {
+    task.mDeclaredRun = aDeclared;
+  }
+  Handle(aBench, submit);
+  return submit.mJob.mId;
+}
+
+dispatch::TaskEnded Ended(const dispatch::StartTask& aStart, TaskOutcome aOutcome)
+{
+  return { aStart.mTask, aStart.mAttempt, aStart.mUpstream, std::move(aOutcome) };
+}
+
+TaskOutcome RanWell(Duration aRunTime)
+{
+  return { Verdict::Ran, std::nullopt, "result", aRunTime };
+}
+
+TaskOutcome Failed(Verdict aVerdict, ErrorCode aCode)
+{
+  return { aVerdict, aCode, "", std::chrono::milliseconds(1) };
+}
+
+std::uint64_t Counter(const Bench& aBench, std::string_view aName)
+{
+  for (const auto& [name, value] : dispatch::Counters(*aBench.mState)) {
+    if (name == aName) {
+      return value;
+    }
+  }
+  std::cerr << "no counter " << aName << "\n";
+  std::abort();
+}
+
+} // namespace pollenwall::test
+
+int main()
+{
+  // The same seed as in ctest when run by hand, and enough cases for rare orders of events.
+  const char* given = std::getenv("RC_PARAMS");
+  std::string parameters = given == nullptr ? "seed=20261204" : given;
+  if (parameters.find("max_success") == std::string::npos) {
+    parameters += " max_success=1000";
+  }
+  setenv("RC_PARAMS", parameters.c_str(), 1);
+  using namespace pollenwall::test;
+  bool passed = QueueTests();
+  passed &= PolicyTests();
+  passed &= InvariantTests();
+  return passed ? 0 : 1;
+}
--- /dev/null
+++ b/src/libdispatch/dispatch_test.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <iostream>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <pollenwall/dispatch.h>
+
+namespace pollenwall::test {
+
+/// Reports a failed expectation and returns whether it held.
+inline bool Expect(bool aHolds, std::string_view aWhat)
+{
+  if (!aHolds) {
+    std::cerr << "failed: " << aWhat << "\n";
+  }
+  return aHolds;
+}
+
+/// Hides what RapidCheck reports of a property that is expected to fail.
+template<typename Check>
+bool Fails(Check aCheck)
+{
+  auto* shown = std::cerr.rdbuf(nullptr);
+  const bool failed = !aCheck();
+  std::cerr.rdbuf(shown);
+  std::cerr.clear();
+  return failed;
+}
+
+/// The size of a test configuration: one service "s", workers w0, w1, ... in racks of six, teams
+/// t0, t1, ...
+struct Layout
+{
+  std::uint32_t mWorkers = 4;
+  std::uint32_t mSlots = 8;
+  std::uint32_t mTeams = 2;
+  std::uint32_t mAccelerators = 0; ///< Of every fourth worker.
+  double mStartsPerSecond = 1e9;
+  configuration::Version mVersion = 1;
+};
+
+std::shared_ptr<configuration::Configuration> MakeConfiguration(const Layout& aLayout);
+
+/// One dispatch state with its clock.
+struct Bench
+{
+  std::unique_ptr<dispatch::State, void (*)(dispatch::State*)> mState;
+  Now mNow{ Time{ std::chrono::seconds(1000) }, 1'700'000'000'000 };
+  dispatch::Actions mActions; ///< Of the last event.
+  std::uint64_t mNextJob = 0;
+};
+
+/// A state with the configuration applied and all slots of all workers as credits.
+Bench MakeBench(const Layout& aLayout, const dispatch::Options& aOptions = { .mDataCentre = "dc" });
+
+void Advance(Bench& aBench, Duration aTime);
+
+/// Applies an event; the actions are in mActions.
+void Handle(Bench& aBench, const dispatch::Event& aEvent);
+
+/// Submits a job of equal tasks; its id is returned, and its request is its number from 1.
+std::string SubmitJob(Bench& aBench,
+                      std::uint32_t aTasks,
+                      std::chrono::milliseconds aDeclared = std::chrono::milliseconds(100),
+                      std::string_view aTeam = "t0",
+                      std::chrono::milliseconds aDeadline = std::chrono::seconds(30));
+
+template<typename Kind>
+std::vector<Kind> Of(const dispatch::Actions& aActions)
+{
+  std::vector<Kind> found;
+  for (const auto& action : aActions) {
+    if (const auto* kind = std::get_if<Kind>(&action)) {
+      found.push_back(*kind);
+    }
+  }
+  return found;
+}
+
+/// Ends a start with the given outcome.
+dispatch::TaskEnded Ended(const dispatch::StartTask& aStart, TaskOutcome aOutcome);
+
+TaskOutcome RanWell(Duration aRunTime = std::chrono::milliseconds(100));
+TaskOutcome Failed(Verdict aVerdict, ErrorCode aCode);
+
+std::uint64_t Counter(const Bench& aBench, std::string_view aName);
+
+/// The tests of each file.
+bool InvariantTests();
+bool PolicyTests();
+bool QueueTests();
+
+} // namespace pollenwall::test
--- /dev/null
+++ b/src/libdispatch/queries.cpp
@@ -0,0 +1,288 @@
+#include <algorithm>
+#include <cmath>
+
+#include <boost/json.hpp>
+
+#include "state.h"
+
+namespace pollenwall::dispatch {
+namespace {
+
+constexpr double kDemandSeconds = 5;
+constexpr double kLeastDemand = 0.1;
+
+std::size_t FreeCredits(const placement::Upstream& aUpstream)
+{
+  return aUpstream.mCredits - std::min(aUpstream.mCredits, aUpstream.mRunning);
+}
+
+std::string_view NameOf(JobState aState)
+{
+  switch (aState) {
+    case JobState::Running:
+      return "running";
+    case JobState::Complete:
+      return "complete";
+    case JobState::Failed:
+      return "failed";
+  }
+  return "failed";
+}
+
+/// Why the queued tasks of a job have not started.
+std::string_view ReasonOf(const State& aState, const Job& aJob)
+{
+  if (aJob.mQueued == 0) {
+    return aJob.mDelayed > 0 ? "retry_delay" : "none";
+  }
+  const auto& service = aState.mServices[aJob.mService];
+  bool idle = false;
+  bool mayStart = false;
+  for (const auto n : aJob.mSlices) {
+    const auto& slice = service.mQueue.mSlices[n];
+    if (slice.mTasks.empty()) {
+      continue;
+    }
+    const bool free = placement::HasIdle(
+      aState.mPlacement, aJob.mService, service.mGroups[slice.mLane / 2].mShapes);
+    idle = idle || free;
+    mayStart =
+      mayStart ||
+      (free && (slice.mLane % 2 == 0 || service.mRunning[1] < LongLimit(aState, aJob.mService)));
+  }
+  if (!idle) {
+    return "no_free_slot";
+  }
+  return mayStart ? "other_jobs_first" : "long_class_share_used";
+}
+
+} // namespace
+
+JobAnswer AnswerOf(const Job& aJob)
+{
+  if (aJob.mState != JobState::Running) {
+    return aJob.mAnswer;
+  }
+  JobAnswer answer;
+  answer.mId = *aJob.mId;
+  for (const auto& task : aJob.mTasks) {
+    answer.mTasks.push_back({ task.mAnswer.mVerdict, task.mAnswer.mCode, "" });
+    answer.mVerdict = Combine(answer.mVerdict, task.mAnswer.mVerdict);
+  }
+  return answer;
+}
+
+std::optional<JobAnswer> Find(const State& aState, std::string_view aId)
+{
+  const auto it = aState.mJobByName.find(aId);
+  return it == aState.mJobByName.end() ? std::nullopt
+                                       : std::optional(AnswerOf(aState.mJobs[it->second]));
+}
+
+std::optional<KnownJob> FindKnown(const State& aState, std::string_view aId)
+{
+  const auto it = aState.mJobByName.find(aId);
+  if (it == aState.mJobByName.end()) {
+    return std::nullopt;
+  }
+  const auto& job = aState.mJobs[it->second];
+  return KnownJob{ aState.mTeams[job.mTeam].mName, job.mBodyHash };
+}
+
+UpstreamAddress AddressOf(const State& aState, UpstreamIndex aUpstream)
+{
+  if (aUpstream >= aState.mPlacement.mUpstreams.size()) {
+    return {};
+  }
+  const auto& upstream = aState.mPlacement.mUpstreams[aUpstream];
+  return { upstream.mKey, upstream.mAddress };
+}
+
+Load LoadOf(const State& aState)
+{
+  Load load;
+  load.mQueuedTasks = aState.mQueuedTasks;
+  load.mRunningTasks = aState.mRunningTasks;
+  for (UpstreamIndex n = 0; n < aState.mPlacement.mUpstreams.size(); ++n) {
+    if (placement::IsUsable(aState.mPlacement, n)) {
+      load.mIdleCredits += FreeCredits(aState.mPlacement.mUpstreams[n]);
+    }
+  }
+  for (ServiceIndex n = 0; n < aState.mServices.size(); ++n) {
+    const auto credits = aState.mPlacement.mPools[n].mHealthyCredits;
+    const auto work = aState.mServices[n].mQueue.mWork;
+    const auto wait = Duration{ credits == 0 ? 0 : work / credits };
+    load.mEstimatedWait =
+      std::max(load.mEstimatedWait, std::chrono::duration_cast<std::chrono::milliseconds>(wait));
+  }
+  return load;
+}
+
+std::vector<UpstreamLoad> UpstreamLoads(const State& aState)
+{
+  std::vector<UpstreamLoad> loads;
+  for (const auto& [key, n] : aState.mPlacement.mByKey) {
+    const auto& upstream = aState.mPlacement.mUpstreams[n];
+    if (upstream.mCredits != 0 || upstream.mRunning != 0) {
+      loads.push_back(
+        { key, upstream.mCredits, upstream.mRunning, placement::IsUsable(aState.mPlacement, n) });
+    }
+  }
+  return loads;
+}
+
+std::size_t UnservedTasks(const State& aState, std::string_view aService)
+{
+  const auto it = aState.mPlacement.mServices.find(aService);
+  if (it == aState.mPlacement.mServices.end() || it->second >= aState.mServices.size()) {
+    return 0;
+  }
+  // A task that a free slot could serve is never left queued at the end of Handle; what is queued
+  // waits for a slot, or for the long class's share, which grows with the number of slots.
+  return aState.mServices[it->second].mQueue.mTasks;
+}
+
+std::vector<std::pair<std::string, double>> TeamDemands(const State& aState, const Now& aNow)
+{
+  std::vector<std::pair<std::string, double>> demands;
+  for (const auto& [name, n] : aState.mTeamByName) {
+    const auto& team = aState.mTeams[n];
+    const auto passed = std::chrono::duration<double>(aNow.mTime - team.mDemandAt).count();
+    const double demand = team.mDemand * std::exp(-std::max(0.0, passed) / kDemandSeconds);
+    if (demand >= kLeastDemand) {
+      demands.emplace_back(name, demand);
+    }
+  }
+  return demands;
+}
+
+std::vector<std::pair<std::string, double>> UnhealthyUpstreams(const State& aState)
+{
+  std::vector<std::pair<std::string, double>> unhealthy;
+  for (const auto& [key, n] : aState.mPlacement.mByKey) {
+    const auto& health = aState.mPlacement.mUpstreams[n].mHealth;
+    if (health.mFailing || health.mSlow) {
+      unhealthy.emplace_back(key, placement::FailureRate(health));
+    }
+  }
+  return unhealthy;
+}
+
+std::vector<std::string> UnstartedJobs(const State& aState, std::size_t aMost)
+{
+  std::vector<std::pair<std::uint64_t, const std::string*>> found;
+  for (const auto& job : aState.mJobs) {
+    if (job.mId != nullptr && job.mState == JobState::Running && !job.mEverStarted) {
+      found.emplace_back(job.mSequence, job.mId);
+    }
+  }
+  std::sort(found.begin(), found.end(), [](const auto& aOne, const auto& aOther) {
+    return aOne.first < aOther.first;
+  });
+  std::vector<std::string> ids;
+  for (std::size_t n = 0; n < std::min(aMost, found.size()); ++n) {
+    ids.push_back(*found[n].second);
+  }
+  return ids;
+}
+
+std::vector<std::pair<std::string, std::uint64_t>> Counters(const State& aState)
+{
+  const auto& counts = aState.mCounts;
+  std::uint64_t moves = 0;
+  for (const auto& service : aState.mServices) {
+    moves += queue::Moves(service.mQueue);
+  }
+  return {
+    { "jobs_accepted_total", counts.mJobsAccepted },
+    { "jobs_cancelled_total", counts.mJobsCancelled },
+    { "jobs_complete_total", counts.mJobsComplete },
+    { "jobs_expired_total", counts.mJobsExpired },
+    { "jobs_failed_total", counts.mJobsFailed },
+    { "jobs_refused_total", counts.mJobsRefused },
+    { "late_outcomes_total", counts.mLateOutcomes },
+    { "leaving_signs_held_total", aState.mPlacement.mHeldSigns },
+    { "probes_total", aState.mPlacement.mProbes },
+    { "queue_moves_total", moves },
+    { "results_dropped_total", counts.mDroppedResults },
+    { "retries_deferred_total", counts.mRetriesDeferred },
+    { "service_faults_total", aState.mPlacement.mServiceFaults },
+    { "task_refusals_total", counts.mTaskRefusals },
+    { "task_retries_total", counts.mTaskRetries },
+    { "task_starts_total", counts.mTaskStarts },
+    { "task_stops_total", counts.mTaskStops },
+    { "tasks_reclassified_total", counts.mReclassified },
+    { "unknown_outcomes_total", counts.mUnknownOutcomes },
+    { "upstreams_excluded_total", aState.mPlacement.mExclusions },
+  };
+}
+
+std::string Dump(const State& aState, const Now& aNow)
+{
+  namespace json = boost::json;
+  const auto milliseconds = [](Duration aDuration) { return aDuration.count() / 1000; };
+  json::array services;
+  for (ServiceIndex n = 0; n < aState.mServices.size(); ++n) {
+    const auto& service = aState.mServices[n];
+    const auto& pool = aState.mPlacement.mPools[n];
+    services.push_back({ { "name", pool.mName },
+                         { "queued", service.mQueue.mTasks },
+                         { "queued_work_ms", service.mQueue.mWork / 1000 },
+                         { "running_short", service.mRunning[0] },
+                         { "running_long", service.mRunning[1] },
+                         { "long_limit", LongLimit(aState, n) },
+                         { "usable_credits", pool.mHealthyCredits },
+                         { "service_fault", pool.mServiceFault } });
+  }
+  json::array upstreams;
+  for (const auto& [key, n] : aState.mPlacement.mByKey) {
+    const auto& upstream = aState.mPlacement.mUpstreams[n];
+    upstreams.push_back({ { "key", key },
+                          { "configured", upstream.mConfigured },
+                          { "credits", upstream.mCredits },
+                          { "running", upstream.mRunning },
+                          { "leaving", upstream.mLeaving },
+                          { "suspected", upstream.mSuspected },
+                          { "treated_as_leaving", upstream.mTreatedAsLeaving },
+                          { "failing", upstream.mHealth.mFailing },
+                          { "slow", upstream.mHealth.mSlow },
+                          { "failure_rate", placement::FailureRate(upstream.mHealth) } });
+  }
+  json::array jobs;
+  for (const auto& job : aState.mJobs) {
+    if (job.mId == nullptr || job.mState != JobState::Running) {
+      continue;
+    }
+    jobs.push_back({ { "id", *job.mId },
+                     { "state", NameOf(job.mState) },
+                     { "team", aState.mTeams[job.mTeam].mName },
+                     { "service", aState.mPlacement.mPools[job.mService].mName },
+                     { "tasks", job.mTasks.size() },
+                     { "queued", job.mQueued },
+                     { "delayed", job.mDelayed },
+                     { "ran", job.mRan },
+                     { "queued_work_ms", job.mQueuedWork / 1000 },
+                     { "age_ms", milliseconds(aNow.mTime - job.mAccepted) },
+                     { "deadline_in_ms", milliseconds(job.mDeadline - aNow.mTime) },
+                     { "waits_for", ReasonOf(aState, job) } });
+  }
+  json::array teams;
+  for (const auto& [name, n] : aState.mTeamByName) {
+    const auto& team = aState.mTeams[n];
+    teams.push_back({ { "name", name },
+                      { "queued", team.mQueued },
+                      { "share", team.mShare },
+                      { "tokens", team.mQuota.mTokens } });
+  }
+  return json::serialize(json::object{ { "configuration_version", aState.mVersion },
+                                       { "accepting", aState.mAccepting },
+                                       { "queued_tasks", aState.mQueuedTasks },
+                                       { "running_tasks", aState.mRunningTasks },
+                                       { "retry_tokens", aState.mRetryBudget.mTokens },
+                                       { "services", std::move(services) },
+                                       { "upstreams", std::move(upstreams) },
+                                       { "teams", std::move(teams) },
+                                       { "jobs", std::move(jobs) } });
+}
+
+} // namespace pollenwall::dispatch
--- /dev/null
+++ b/src/libdispatch/run_times.cpp
@@ -0,0 +1,126 @@
+#include <pollenwall/run_times.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace pollenwall::run_times {
+namespace {
+
+constexpr double kBucketsPerOctave = 4;
+constexpr float kMostCount = 512;
+/// Observations from which a sketch is believed more than a declaration.
+constexpr std::uint32_t kEnough = 10;
+/// Once there are this many, the cached values are computed only for every 16th observation.
+constexpr std::uint32_t kManyObserved = 64;
+constexpr std::uint32_t kUpdateEvery = 16;
+constexpr Duration kMostRunTime = std::chrono::hours(24);
+
+double Milliseconds(Duration aDuration)
+{
+  return std::chrono::duration<double, std::milli>(aDuration).count();
+}
+
+Duration FromMilliseconds(double aMilliseconds)
+{
+  return Duration{ std::llround(aMilliseconds * 1000) };
+}
+
+int BucketOf(Duration aRunTime)
+{
+  const double ms = std::max(1.0, Milliseconds(aRunTime));
+  return std::min(Sketch::kBuckets - 1, static_cast<int>(std::log2(ms) * kBucketsPerOctave));
+}
+
+int DeclaredBucketOf(Duration aDeclared)
+{
+  const double ms = std::max(1.0, Milliseconds(aDeclared));
+  return std::min(Kind::kDeclaredBuckets - 1, static_cast<int>(std::log2(ms) / 2));
+}
+
+Estimate FromSketch(const Sketch& aSketch, Duration aLongAfter)
+{
+  return { aSketch.mMean, aSketch.mMedian, aSketch.mUpperQuartile > aLongAfter, true };
+}
+
+} // namespace
+
+void Observe(Sketch& aSketch, Duration aRunTime)
+{
+  const auto runTime = std::clamp(aRunTime, Duration{ 0 }, kMostRunTime);
+  aSketch.mCounts[BucketOf(runTime)] += 1;
+  aSketch.mTotal += 1;
+  aSketch.mSumSeconds += Milliseconds(runTime) / 1000;
+  ++aSketch.mObserved;
+  if (aSketch.mTotal >= kMostCount) {
+    for (auto& count : aSketch.mCounts) {
+      count /= 2;
+    }
+    aSketch.mTotal /= 2;
+    aSketch.mSumSeconds /= 2;
+  }
+  if (--aSketch.mUntilUpdate > 0) {
+    return;
+  }
+  aSketch.mUntilUpdate = aSketch.mObserved < kManyObserved ? 1 : kUpdateEvery;
+  aSketch.mMean = FromMilliseconds(1000 * aSketch.mSumSeconds / aSketch.mTotal);
+  aSketch.mMedian = Quantile(aSketch, 0.5);
+  aSketch.mUpperQuartile = Quantile(aSketch, 0.75);
+}
+
+Duration Quantile(const Sketch& aSketch, double aQuantile)
+{
+  if (aSketch.mTotal <= 0) {
+    return Duration{ 0 };
+  }
+  const double rank = aQuantile * aSketch.mTotal;
+  double below = 0;
+  int last = 0;
+  for (int n = 0; n < Sketch::kBuckets; ++n) {
+    if (aSketch.mCounts[n] <= 0) {
+      continue;
+    }
+    last = n;
+    below += aSketch.mCounts[n];
+    if (below >= rank) {
+      break;
+    }
+  }
+  return FromMilliseconds(std::exp2((last + 0.5) / kBucketsPerOctave));
+}
+
+Kind& KindOf(Kinds& aKinds, std::string_view aName)
+{
+  if (const auto it = aKinds.mByName.find(aName); it != aKinds.mByName.end()) {
+    return it->second;
+  }
+  if (aKinds.mByName.size() >= Kinds::kMost) {
+    return aKinds.mOther;
+  }
+  return aKinds.mByName[std::string(aName)];
+}
+
+void Observe(Kind& aKind, Duration aDeclared, Duration aRunTime)
+{
+  Observe(aKind.mAll, aRunTime);
+  if (aDeclared.count() > 0) {
+    Observe(aKind.mByDeclared[DeclaredBucketOf(aDeclared)], aRunTime);
+  }
+}
+
+Estimate EstimateOf(const Kind& aKind, Duration aDeclared, Duration aDefault, Duration aLongAfter)
+{
+  if (aDeclared.count() > 0) {
+    const auto& similar = aKind.mByDeclared[DeclaredBucketOf(aDeclared)];
+    if (similar.mObserved >= kEnough) {
+      return FromSketch(similar, aLongAfter);
+    }
+    const auto declared = std::min(aDeclared, kMostRunTime);
+    return { declared, declared, declared > aLongAfter, false };
+  }
+  if (aKind.mAll.mObserved >= kEnough) {
+    return FromSketch(aKind.mAll, aLongAfter);
+  }
+  return { aDefault, aDefault, aDefault > aLongAfter, false };
+}
+
+} // namespace pollenwall::run_times
--- /dev/null
+++ b/src/libdispatch/state.h
@@ -0,0 +1,199 @@
+#pragma once
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <queue>
+#include <tuple>
+#include <unordered_map>
+
+#include <pollenwall/admission.h>
+#include <pollenwall/dispatch.h>
+#include <pollenwall/hash.h>
+#include <pollenwall/placement.h>
+#include <pollenwall/run_times.h>
+#include <pollenwall/task_queue.h>
+
+/// The state behind dispatch.h, shared by the files of this library.
+namespace pollenwall::dispatch {
+
+using placement::kNone;
+using placement::ServiceIndex;
+using queue::JobIndex;
+using queue::TeamIndex;
+
+enum class Phase : std::uint8_t
+{
+  Queued,
+  Delayed, ///< Waits to be queued again.
+  Running,
+  Ended,
+};
+
+struct Task
+{
+  Phase mPhase = Phase::Queued;
+  bool mLong = false;
+  bool mLearned = false;    ///< The estimate comes from outcomes.
+  bool mRetryPaid = false;  ///< The retry budget has been charged for the next start.
+  std::uint32_t mSlice = 0; ///< Position in the job's list of slices.
+  std::uint32_t mAttempt = 0;
+  std::uint32_t mSlot = kNone; ///< Of the attempt without an outcome yet.
+  UpstreamIndex mAvoid = kNone;
+  Time mAvoidUntil{};
+  Duration mMean{ 0 };
+  Duration mMedian{ 0 };
+  TaskAnswer mAnswer;
+};
+
+/// One start request without an outcome yet. It outlives the job's end, because the slot is taken
+/// until the outcome arrives.
+struct Attempt
+{
+  JobIndex mJob = kNone; ///< kNone: the slot of the table is free.
+  std::uint32_t mTask = 0;
+  UpstreamIndex mUpstream = kNone;
+  Time mStarted{};
+  bool mLong = false;
+  bool mStopped = false;
+  bool mOverdue = false; ///< Counted as overdue already.
+};
+
+struct Job
+{
+  std::uint64_t mGeneration = 0;    ///< Rises when the slot of the table is used again.
+  const std::string* mId = nullptr; ///< The key in State::mJobByName; null when free.
+  std::uint64_t mSequence = 0;
+  std::shared_ptr<const JobSpec> mSpec; ///< Null once the job has ended.
+  ServiceIndex mService = kNone;
+  TeamIndex mTeam = kNone;
+  std::uint64_t mBodyHash = 0;
+  run_times::Kind* mKind = nullptr;
+  Time mAccepted{};
+  Time mDeadline{};
+  JobState mState = JobState::Running;
+  std::vector<Task> mTasks; ///< Kept after the end while attempts are outstanding.
+  std::vector<queue::SliceIndex> mSlices;
+  std::vector<std::pair<std::uint32_t, std::uint32_t>> mRacks; ///< Rack, tasks started there.
+  std::vector<RequestId> mWaiters;
+  std::int64_t mQueuedWork = 0; ///< Microseconds.
+  std::uint32_t mQueued = 0;
+  std::uint32_t mDelayed = 0;
+  std::uint32_t mRan = 0;
+  std::uint32_t mOutstanding = 0;
+  bool mEverStarted = false;
+  JobAnswer mAnswer; ///< Once the job has ended.
+  std::size_t mKeptBytes = 0;
+};
+
+/// Tasks with equal rounded needs.
+struct Group
+{
+  Needs mNeeds;
+  std::vector<placement::ShapeIndex> mShapes;
+};
+
+struct Service
+{
+  bool mConfigured = false;
+  configuration::Service mSettings;
+  queue::Queue mQueue; ///< Lane 2 * group is the group's short class, 2 * group + 1 its long one.
+  std::vector<Group> mGroups;
+  run_times::Kinds mKinds;
+  std::array<std::size_t, 2> mRunning{}; ///< Of the short and the long class.
+  double mShortPeak = 0;                 ///< Decaying maximum of slots wanted by the short class.
+};
+
+struct Team
+{
+  std::string mName;
+  bool mConfigured = false;
+  configuration::Team mSettings;
+  double mShare = 1;
+  admission::TokenBucket mQuota;
+  double mDemand = 0; ///< Starts a second, as of mDemandAt.
+  Time mDemandAt{};
+  std::size_t mQueued = 0; ///< Over all services, delayed ones included.
+};
+
+/// A moment that concerns a job. A generation that has passed makes it void.
+struct JobTimer
+{
+  Time mAt{};
+  JobIndex mJob = 0;
+  std::uint64_t mGeneration = 0;
+  std::uint32_t mTask = 0;
+
+  friend bool operator>(const JobTimer& aOne, const JobTimer& aOther)
+  {
+    return std::tie(aOne.mAt, aOne.mJob, aOne.mTask) >
+           std::tie(aOther.mAt, aOther.mJob, aOther.mTask);
+  }
+};
+
+using JobTimers = std::priority_queue<JobTimer, std::vector<JobTimer>, std::greater<>>;
+
+struct IdHash
+{
+  using is_transparent = void; // NOLINT(readability-identifier-naming)
+  std::size_t operator()(std::string_view aId) const { return Hash64(aId); }
+};
+
+struct Counts
+{
+  std::uint64_t mJobsAccepted = 0;
+  std::uint64_t mJobsComplete = 0;
+  std::uint64_t mJobsFailed = 0;
+  std::uint64_t mJobsExpired = 0;
+  std::uint64_t mJobsCancelled = 0;
+  std::uint64_t mJobsRefused = 0;
+  std::uint64_t mTaskStarts = 0;
+  std::uint64_t mTaskStops = 0;
+  std::uint64_t mTaskRefusals = 0;
+  std::uint64_t mTaskRetries = 0;
+  std::uint64_t mRetriesDeferred = 0;
+  std::uint64_t mLateOutcomes = 0;
+  std::uint64_t mUnknownOutcomes = 0;
+  std::uint64_t mReclassified = 0;
+  std::uint64_t mDroppedResults = 0;
+};
+
+struct State
+{
+  Options mOptions;
+  std::mt19937_64 mRandom;
+  configuration::Version mVersion = 0;
+  bool mHasConfiguration = false;
+  bool mAccepting = true;
+  placement::State mPlacement;
+  std::deque<Service> mServices; ///< By placement::ServiceIndex.
+  std::vector<Team> mTeams;
+  std::map<std::string, TeamIndex, std::less<>> mTeamByName;
+  std::deque<Job> mJobs;
+  std::vector<JobIndex> mFreeJobs;
+  std::unordered_map<std::string, JobIndex, IdHash, std::equal_to<>> mJobByName;
+  std::unordered_map<RequestId, JobIndex> mJobByRequest;
+  std::uint64_t mNextSequence = 0;
+  std::vector<Attempt> mAttempts;
+  std::vector<std::uint32_t> mFreeAttempts;
+  std::size_t mAttemptCursor = 0; ///< Where the sweep over attempts goes on.
+  JobTimers mDeadlines;
+  JobTimers mDelays;
+  std::deque<JobTimer> mKept;        ///< Ended jobs, in the order of their end.
+  std::deque<JobTimer> mKeptResults; ///< Those among them that hold results.
+  std::size_t mKeptResultBytes = 0;
+  std::size_t mQueuedTasks = 0; ///< Delayed ones included.
+  std::size_t mRunningTasks = 0;
+  admission::RetryBudget mRetryBudget;
+  Time mTicked{};
+  Counts mCounts;
+};
+
+/// The largest number of running long tasks of a service at this moment.
+std::size_t LongLimit(const State& aState, ServiceIndex aService);
+
+/// The status of a running job or the answer of an ended one.
+JobAnswer AnswerOf(const Job& aJob);
+
+} // namespace pollenwall::dispatch
--- /dev/null
+++ b/src/libdispatch/task_queue.cpp
@@ -0,0 +1,218 @@
+#include <pollenwall/task_queue.h>
+
+#include <algorithm>
+#include <bit>
+
+namespace pollenwall::queue {
+namespace {
+
+auto SlicePosition(Queue& aQueue)
+{
+  return [&aQueue](std::uint32_t aSlice, std::uint32_t aPosition) {
+    aQueue.mSlices[aSlice].mPosition = aPosition;
+  };
+}
+
+auto TeamPosition(Lane& aLane)
+{
+  return [&aLane](std::uint32_t aTeam, std::uint32_t aPosition) {
+    aLane.mTeams[aTeam].mPosition = aPosition;
+  };
+}
+
+void CountTasks(Queue& aQueue, const Slice& aSlice, std::size_t aAdded, std::size_t aRemoved)
+{
+  auto& team = aQueue.mTeams[aSlice.mTeam];
+  const bool wasActive = team.mTasks > 0;
+  team.mTasks += aAdded - aRemoved;
+  aQueue.mTasks += aAdded - aRemoved;
+  aQueue.mLanes[aSlice.mLane].mTasks += aAdded - aRemoved;
+  if (wasActive == (team.mTasks > 0)) {
+    return;
+  }
+  aQueue.mActiveWeight += wasActive ? -team.mWeight : team.mWeight;
+  // A team that was idle has saved up nothing; one that was served ahead of its share still waits.
+  if (!wasActive) {
+    team.mVirtualTime = std::max(team.mVirtualTime, aQueue.mVirtualTime);
+  }
+}
+
+/// Puts a slice with tasks into the heaps.
+void Enter(Queue& aQueue, SliceIndex aSlice, const JobKey& aKey)
+{
+  const auto& slice = aQueue.mSlices[aSlice];
+  auto& lane = aQueue.mLanes[slice.mLane];
+  if (lane.mTeams.size() <= slice.mTeam) {
+    lane.mTeams.resize(aQueue.mTeams.size());
+  }
+  auto& line = lane.mTeams[slice.mTeam];
+  heap::Push(line.mSlices, aKey, aSlice, SlicePosition(aQueue));
+  if (line.mPosition == heap::kNotInHeap) {
+    const TeamKey key{ aQueue.mTeams[slice.mTeam].mVirtualTime, slice.mTeam };
+    heap::Push(lane.mActive, key, slice.mTeam, TeamPosition(lane));
+  }
+}
+
+void Leave(Queue& aQueue, SliceIndex aSlice)
+{
+  const auto& slice = aQueue.mSlices[aSlice];
+  if (slice.mPosition == heap::kNotInHeap) {
+    return;
+  }
+  auto& lane = aQueue.mLanes[slice.mLane];
+  auto& line = lane.mTeams[slice.mTeam];
+  heap::Remove(line.mSlices, slice.mPosition, SlicePosition(aQueue));
+  if (line.mSlices.mItems.empty()) {
+    heap::Remove(lane.mActive, line.mPosition, TeamPosition(lane));
+  }
+}
+
+std::size_t SizeClass(std::int64_t aSize)
+{
+  const auto width = std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(aSize, 0)));
+  return std::min(static_cast<std::size_t>(width), WorkBySize::kClasses - 1);
+}
+
+} // namespace
+
+void SetWeight(Queue& aQueue, TeamIndex aTeam, double aWeight)
+{
+  if (aQueue.mTeams.size() <= aTeam) {
+    aQueue.mTeams.resize(aTeam + 1);
+  }
+  auto& team = aQueue.mTeams[aTeam];
+  if (team.mTasks > 0) {
+    aQueue.mActiveWeight += aWeight - team.mWeight;
+  }
+  team.mWeight = aWeight;
+}
+
+SliceIndex AddSlice(Queue& aQueue,
+                    LaneIndex aLane,
+                    TeamIndex aTeam,
+                    JobIndex aJob,
+                    const JobKey& aKey,
+                    std::vector<std::uint32_t> aTasks)
+{
+  if (aQueue.mLanes.size() <= aLane) {
+    aQueue.mLanes.resize(aLane + 1);
+  }
+  if (aQueue.mFreeSlices.empty()) {
+    aQueue.mFreeSlices.push_back(static_cast<SliceIndex>(aQueue.mSlices.size()));
+    aQueue.mSlices.emplace_back();
+  }
+  const auto n = aQueue.mFreeSlices.back();
+  aQueue.mFreeSlices.pop_back();
+  auto& slice = aQueue.mSlices[n];
+  slice = { aJob, aTeam, aLane, std::move(aTasks), heap::kNotInHeap };
+  CountTasks(aQueue, slice, slice.mTasks.size(), 0);
+  if (!slice.mTasks.empty()) {
+    Enter(aQueue, n, aKey);
+  }
+  return n;
+}
+
+void AddTask(Queue& aQueue, SliceIndex aSlice, const JobKey& aKey, std::uint32_t aTask)
+{
+  auto& slice = aQueue.mSlices[aSlice];
+  slice.mTasks.push_back(aTask);
+  CountTasks(aQueue, slice, 1, 0);
+  if (slice.mPosition == heap::kNotInHeap) {
+    Enter(aQueue, aSlice, aKey);
+  }
+}
+
+std::optional<SliceIndex> Head(const Queue& aQueue, LaneIndex aLane)
+{
+  const auto& lane = aQueue.mLanes[aLane];
+  if (lane.mActive.mItems.empty()) {
+    return std::nullopt;
+  }
+  return lane.mTeams[lane.mActive.mItems.front().mId].mSlices.mItems.front().mId;
+}
+
+double HeadTime(const Queue& aQueue, LaneIndex aLane)
+{
+  return aQueue.mLanes[aLane].mActive.mItems.front().mKey.mVirtualTime;
+}
+
+std::uint32_t TakeTask(Queue& aQueue, SliceIndex aSlice)
+{
+  auto& slice = aQueue.mSlices[aSlice];
+  const auto task = slice.mTasks.back();
+  slice.mTasks.pop_back();
+  if (slice.mTasks.empty()) {
+    Leave(aQueue, aSlice);
+  }
+  CountTasks(aQueue, slice, 0, 1);
+  return task;
+}
+
+void SetKey(Queue& aQueue, SliceIndex aSlice, const JobKey& aKey)
+{
+  const auto& slice = aQueue.mSlices[aSlice];
+  if (slice.mPosition == heap::kNotInHeap) {
+    return;
+  }
+  auto& line = aQueue.mLanes[slice.mLane].mTeams[slice.mTeam];
+  heap::Change(line.mSlices, slice.mPosition, aKey, SlicePosition(aQueue));
+}
+
+void DropSlice(Queue& aQueue, SliceIndex aSlice)
+{
+  auto& slice = aQueue.mSlices[aSlice];
+  Leave(aQueue, aSlice);
+  CountTasks(aQueue, slice, 0, slice.mTasks.size());
+  slice.mTasks = {};
+  aQueue.mFreeSlices.push_back(aSlice);
+}
+
+void Charge(Queue& aQueue, TeamIndex aTeam, double aMicroseconds)
+{
+  auto& team = aQueue.mTeams[aTeam];
+  team.mVirtualTime += aMicroseconds / team.mWeight;
+  for (auto& lane : aQueue.mLanes) {
+    if (aTeam >= lane.mTeams.size() || lane.mTeams[aTeam].mPosition == heap::kNotInHeap) {
+      continue;
+    }
+    heap::Change(lane.mActive,
+                 lane.mTeams[aTeam].mPosition,
+                 TeamKey{ team.mVirtualTime, aTeam },
+                 TeamPosition(lane));
+  }
+}
+
+void Serve(Queue& aQueue, TeamIndex aTeam)
+{
+  aQueue.mVirtualTime = std::max(aQueue.mVirtualTime, aQueue.mTeams[aTeam].mVirtualTime);
+}
+
+void CountWork(Queue& aQueue, TeamIndex aTeam, std::int64_t aSize, int aSign)
+{
+  aQueue.mTeams[aTeam].mWork.mMicroseconds[SizeClass(aSize)] += aSign * aSize;
+  aQueue.mWork += aSign * aSize;
+}
+
+std::int64_t WorkUpTo(const Queue& aQueue, TeamIndex aTeam, std::int64_t aSize)
+{
+  const auto& classes = aQueue.mTeams[aTeam].mWork.mMicroseconds;
+  std::int64_t sum = 0;
+  for (std::size_t n = 0; n <= SizeClass(aSize); ++n) {
+    sum += classes[n];
+  }
+  return sum;
+}
+
+std::uint64_t Moves(const Queue& aQueue)
+{
+  std::uint64_t moves = 0;
+  for (const auto& lane : aQueue.mLanes) {
+    moves += lane.mActive.mMoves;
+    for (const auto& line : lane.mTeams) {
+      moves += line.mSlices.mMoves;
+    }
+  }
+  return moves;
+}
+
+} // namespace pollenwall::queue
