--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t kSweep = 256;
 constexpr double kOverdueRatio = 4;
 constexpr milliseconds kLeastOverdue{ 50 };
+/// Jobs known at once at 3,000 jobs a second and an answer retention of 60 s, rounded up.
+constexpr std::size_t kExpectedJobs = std::size_t{ 1 } << 18;
 constexpr milliseconds kLeastKept{ 1000 };
 /// A failed probe fails its job, so probes are tasks of small jobs as far as there are any.
 constexpr std::size_t kMostTasksToProbe = 4;
@@ -1036,6 +1038,8 @@
   state->mRandom.seed(aSeed);
   state->mPlacement = placement::MakeState(
     { .mDataCentre = aOptions.mDataCentre, .mSignExpiry = aOptions.mSignExpiry });
+  // Rehashing a table of this size takes about 10 ms, in which nothing else would be handled.
+  state->mJobByName.reserve(kExpectedJobs);
   state->mRetryBudget.mRatio = aOptions.mRetryRatio;
   state->mRetryBudget.mBurst = aOptions.mRetryBurst;
   state->mRetryBudget.mTokens = aOptions.mRetryBurst;
--- a/src/libdispatch/queue_test.cpp
+++ b/src/libdispatch/queue_test.cpp
@@ -1,7 +1,233 @@
 #include "dispatch_test.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <optional>
+#include <set>
+
+#include <rapidcheck.h>
+
+#include <pollenwall/run_times.h>
+#include <pollenwall/task_queue.h>
+
+using namespace pollenwall;
+
 namespace pollenwall::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Guards against a heap that loses elements, serves them out of order or forgets where they are.
+/// With aSkip one change of a key is not carried out, which the check has to notice.
+bool HeapMatchesAnOrderedMap(bool aSkip)
+{
+  return rc::check("an indexed heap agrees with an ordered map", [aSkip] {
+    heap::Heap<int> heap;
+    std::map<std::uint32_t, int> keys;
+    std::map<std::uint32_t, std::uint32_t> positions;
+    const auto place = [&](std::uint32_t aId, std::uint32_t aPosition) {
+      positions[aId] = aPosition;
+    };
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, std::uint32_t>>>(
+      rc::gen::pair(rc::gen::inRange(0, 1000), rc::gen::inRange(0U, 30U)));
+    for (const auto& [key, id] : steps) {
+      if (!keys.contains(id)) {
+        heap::Push(heap, key, id, place);
+        keys[id] = key;
+      } else if (key % 3 == 0) {
+        heap::Remove(heap, positions[id], place);
+        RC_ASSERT(positions[id] == heap::kNotInHeap);
+        keys.erase(id);
+      } else {
+        if (!aSkip) {
+          heap::Change(heap, positions[id], key, place);
+        }
+        keys[id] = key;
+      }
+      RC_ASSERT(heap.mItems.size() == keys.size());
+      int least = 1000;
+      for (const auto& [known, value] : keys) {
+        RC_ASSERT(heap.mItems[positions[known]].mId == known);
+        RC_ASSERT(heap.mItems[positions[known]].mKey == value);
+        least = std::min(least, value);
+      }
+      RC_ASSERT(keys.empty() || heap.mItems.front().mKey == least);
+    }
+  });
+}
+
+/// Guards against tasks that get lost or are served twice, and against sums that drift, which would
+/// shut the queue or never bound it.
+bool QueueServesEachTaskOnce()
+{
+  return rc::check("a queue serves each task once and its sums hold", [] {
+    queue::Queue queue;
+    for (queue::TeamIndex n = 0; n < 3; ++n) {
+      queue::SetWeight(queue, n, 1 + n);
+    }
+    std::set<std::pair<std::uint32_t, std::uint32_t>> waiting; // Job and task.
+    std::map<std::uint32_t, queue::SliceIndex> slices;
+    std::uint32_t jobs = 0;
+    const auto steps = *rc::gen::scale(
+      3, rc::gen::container<std::vector<std::uint32_t>>(rc::gen::inRange(0U, 100000U)));
+    for (const auto step : steps) {
+      const auto lane = step / 10 % 4;
+      if (step % 10 < 3) {
+        std::vector<std::uint32_t> tasks;
+        for (std::uint32_t n = 0; n < 1 + step % 7; ++n) {
+          tasks.push_back(n);
+          waiting.emplace(jobs, n);
+        }
+        slices[jobs] = queue::AddSlice(
+          queue, lane, step / 100 % 3, jobs, { true, step, jobs }, std::move(tasks));
+        ++jobs;
+      } else if (step % 10 < 8) {
+        if (lane >= queue.mLanes.size()) {
+          continue;
+        }
+        if (const auto slice = queue::Head(queue, lane)) {
+          const auto job = queue.mSlices[*slice].mJob;
+          queue::Serve(queue, queue.mSlices[*slice].mTeam);
+          const auto task = queue::TakeTask(queue, *slice);
+          RC_ASSERT(waiting.erase({ job, task }) == 1U);
+          queue::Charge(queue, queue.mSlices[*slice].mTeam, 1000);
+        }
+      } else if (!slices.empty()) {
+        const auto it = std::next(slices.begin(), step % std::ssize(slices));
+        queue::DropSlice(queue, it->second);
+        std::erase_if(waiting, [&](const auto& aTask) { return aTask.first == it->first; });
+        slices.erase(it);
+      }
+      std::size_t tasks = 0;
+      double weight = 0;
+      for (const auto& team : queue.mTeams) {
+        tasks += team.mTasks;
+        weight += team.mTasks > 0 ? team.mWeight : 0;
+      }
+      RC_ASSERT(tasks == waiting.size());
+      RC_ASSERT(queue.mTasks == waiting.size());
+      RC_ASSERT(std::abs(queue.mActiveWeight - weight) < 1e-9);
+      for (std::uint32_t n = 0; n < queue.mLanes.size(); ++n) {
+        RC_ASSERT((queue.mLanes[n].mTasks > 0) == queue::Head(queue, n).has_value());
+      }
+    }
+  });
+}
+
+/// Guards against an idle team that saves up service and then shuts out the others.
+bool IdleTeamsSaveNothing()
+{
+  queue::Queue queue;
+  queue::SetWeight(queue, 0, 1);
+  queue::SetWeight(queue, 1, 1);
+  const std::vector<std::uint32_t> many(1000);
+  queue::AddSlice(queue, 0, 0, 0, {}, many);
+  const auto serve = [&] {
+    const auto slice = *queue::Head(queue, 0);
+    const auto team = queue.mSlices[slice].mTeam;
+    queue::Serve(queue, team);
+    queue::TakeTask(queue, slice);
+    queue::Charge(queue, team, 1000);
+    return team;
+  };
+  for (int n = 0; n < 500; ++n) {
+    serve();
+  }
+  queue::AddSlice(queue, 0, 1, 1, {}, many);
+  int second = 0;
+  for (int n = 0; n < 100; ++n) {
+    second += serve() == 1 ? 1 : 0;
+  }
+  return Expect(second >= 49 && second <= 51, "a team that was idle gets its share and no more");
+}
+
+/// Guards against a wait estimate that counts jobs which the new one passes.
+bool WorkIsCountedBySize()
+{
+  queue::Queue queue;
+  queue::SetWeight(queue, 0, 1);
+  queue::CountWork(queue, 0, 1000, 1);
+  queue::CountWork(queue, 0, 1000000, 1);
+  bool passed = Expect(queue::WorkUpTo(queue, 0, 2000) == 1000, "larger jobs do not count");
+  passed &= Expect(queue::WorkUpTo(queue, 0, 1000000) == 1001000, "smaller ones do");
+  queue::CountWork(queue, 0, 1000, -1);
+  queue::CountWork(queue, 0, 1000000, -1);
+  passed &= Expect(queue::WorkUpTo(queue, 0, 1000000) == 0 && queue.mWork == 0, "nothing is left");
+  return passed;
+}
+
+/// Guards against quantiles that are off by more than the sketch's buckets, and estimates that
+/// follow outliers.
+bool SketchIsNearTheExactQuantile()
+{
+  return rc::check("a sketch's quantiles are within a tenth of the exact ones", [] {
+    auto values = *rc::gen::container<std::vector<std::int64_t>>(
+      100, rc::gen::inRange<std::int64_t>(2000, 60000000));
+    run_times::Sketch sketch;
+    for (const auto value : values) {
+      run_times::Observe(sketch, Duration{ value });
+    }
+    std::sort(values.begin(), values.end());
+    for (const double quantile : { 0.1, 0.5, 0.75, 0.9 }) {
+      const auto exact = static_cast<double>(values[std::llround(quantile * 100) - 1]);
+      const auto found = static_cast<double>(run_times::Quantile(sketch, quantile).count());
+      RC_ASSERT(std::abs(found / exact - 1) < 0.1);
+    }
+  });
+}
+
+/// Guards against estimates that stay with a run time of the past.
+bool EstimatesFollowAChange()
+{
+  run_times::Kinds kinds;
+  auto& kind = run_times::KindOf(kinds, "quote");
+  const auto estimate = [&] {
+    return run_times::EstimateOf(kind, milliseconds(100), milliseconds(500), seconds(2));
+  };
+  bool passed = Expect(estimate().mMedian == milliseconds(100) && !estimate().mLearned,
+                       "the declared time is the initial estimate");
+  for (int n = 0; n < 1000; ++n) {
+    run_times::Observe(kind, milliseconds(100), milliseconds(300));
+  }
+  passed &= Expect(estimate().mLearned && estimate().mMedian > milliseconds(270) &&
+                     estimate().mMedian < milliseconds(330),
+                   "outcomes replace it");
+  for (int n = 0; n < 600; ++n) {
+    run_times::Observe(kind, milliseconds(100), seconds(3));
+  }
+  passed &= Expect(estimate().mMedian > milliseconds(2700) && estimate().mLong,
+                   "a lasting change is learned");
+  passed &= Expect(run_times::EstimateOf(kind, seconds(50), milliseconds(500), seconds(2)).mMean ==
+                     seconds(50),
+                   "another declaration is another population");
+  return passed;
+}
+
+/// Guards against memory that callers can grow with invented kinds.
+bool KindsAreBounded()
+{
+  run_times::Kinds kinds;
+  for (int n = 0; n < 1000; ++n) {
+    run_times::KindOf(kinds, "kind" + std::to_string(n));
+  }
+  return Expect(kinds.mByName.size() == run_times::Kinds::kMost, "64 kinds are kept apart");
+}
+
+} // namespace
+
 bool QueueTests()
 {
-  return true;
+  bool passed = HeapMatchesAnOrderedMap(false);
+  passed &= Expect(Fails([] { return HeapMatchesAnOrderedMap(true); }), "a lost change is noticed");
+  passed &= QueueServesEachTaskOnce();
+  passed &= IdleTeamsSaveNothing();
+  passed &= WorkIsCountedBySize();
+  passed &= SketchIsNearTheExactQuantile();
+  passed &= EstimatesFollowAChange();
+  passed &= KindsAreBounded();
+  return passed;
 }
+
 } // namespace pollenwall::test
--- a/src/libplacement/placement.cpp
+++ b/src/libplacement/placement.cpp
@@ -39,6 +39,11 @@
 /// Free upstreams compared for one start.
 constexpr std::size_t kDraws = 6;
 constexpr std::size_t kCompareAll = 8;
+/// Run times up to 1.5 times the pool's are noise; without a tolerance the luckiest upstreams would
+/// get all tasks.
+constexpr double kToleratedLogRatio = 0.4055;
+/// A full upstream against an empty one, in tasks of the job on the same rack.
+constexpr double kLoadCost = 0.5;
 /// Larger than any other cost.
 constexpr double kProbeCost = 1e9;
 
@@ -311,8 +316,10 @@
   double cost = 4 * FailureRate(health);
   if (health.mRatios > 0) {
     const double ratio = health.mLogRatio / health.mLogRatioWeight;
-    cost += std::max(0.0, ratio - aState.mPools[upstream.mService].mLogRatio);
+    const double excess = ratio - aState.mPools[upstream.mService].mLogRatio;
+    cost += std::max(0.0, excess - kToleratedLogRatio);
   }
+  cost += kLoadCost * upstream.mRunning / upstream.mCredits;
   if (upstream.mDataCentre != aState.mHomeDataCentre) {
     cost += 2;
   }
