Add a single-entry deployment to pollenwall-bench

Cause: until slots are divided between entries, several entries overcommit and hide the scheduling core's own figures; the teams scenario refused large jobs because an idle team could not submit one at once.

--- a/src/pollenwall-bench/fake_platform.cpp
+++ b/src/pollenwall-bench/fake_platform.cpp
@@ -113,6 +113,15 @@
   return deployment;
 }
 
+Deployment SingleEntry()
+{
+  Deployment deployment;
+  deployment.mDataCentres = { "single" };
+  deployment.mEntries = { 1 };
+  deployment.mWorkers = { 50 };
+  return deployment;
+}
+
 std::uint32_t TotalEntries(const Deployment& aDeployment)
 {
   return std::accumulate(aDeployment.mEntries.begin(), aDeployment.mEntries.end(), 0U);
--- a/src/pollenwall-bench/fake_platform.h
+++ b/src/pollenwall-bench/fake_platform.h
@@ -49,6 +49,9 @@
 Deployment KiteWinds();
 Deployment IroningBaskets();
 
+/// One entry that owns every slot, to see the scheduling alone.
+Deployment SingleEntry();
+
 std::uint32_t TotalEntries(const Deployment& aDeployment);
 std::uint32_t TotalSlots(const Deployment& aDeployment);
 
--- a/src/pollenwall-bench/node_policy.cpp
+++ b/src/pollenwall-bench/node_policy.cpp
@@ -19,6 +19,7 @@
 constexpr Micros kLogAppend = 5 * kMillisecond;
 constexpr UnixMs kUnixStart = 1'800'000'000'000;
 constexpr std::string_view kService = "bench";
+constexpr double kMostTasksPerJob = 190;
 
 struct LogReader
 {
@@ -139,7 +140,8 @@
     configuration::Team made_team;
     made_team.mName = "team" + std::to_string(team);
     made_team.mStartsPerSecond = aExperiment.mQuotaPerTeam;
-    made_team.mBurstStarts = aExperiment.mQuotaPerTeam;
+    // An idle team may submit two jobs of the largest size at once.
+    made_team.mBurstStarts = std::max(aExperiment.mQuotaPerTeam, 2.0 * kMostTasksPerJob);
     made.mTeams[made_team.mName] = made_team;
   }
   return made;
--- a/src/pollenwall-bench/scenarios.cpp
+++ b/src/pollenwall-bench/scenarios.cpp
@@ -590,6 +590,14 @@
   return scenarios;
 }
 
+Deployment DeploymentNamed(const std::string& aName)
+{
+  if (aName == "ironing_baskets") {
+    return IroningBaskets();
+  }
+  return aName == "single" ? SingleEntry() : KiteWinds();
+}
+
 } // namespace
 
 std::vector<std::string> ScenarioNames()
@@ -603,8 +611,7 @@
 
 bool RunScenario(const std::string& aName, const ScenarioOptions& aOptions, std::ostream& aOut)
 {
-  const auto deployment =
-    aOptions.mDeployment == "ironing_baskets" ? IroningBaskets() : KiteWinds();
+  const auto deployment = DeploymentNamed(aOptions.mDeployment);
   for (const auto& scenario : Scenarios()) {
     if (scenario.mName != aName) {
       continue;
--- a/src/pollenwall-bench/scenarios.h
+++ b/src/pollenwall-bench/scenarios.h
@@ -11,7 +11,7 @@
 
 struct ScenarioOptions
 {
-  std::string mDeployment = "kite_winds"; ///< Or "ironing_baskets".
+  std::string mDeployment = "kite_winds"; ///< Or "ironing_baskets", "single".
   std::vector<std::string> mPolicies{ "pollenwall", "random", "round_robin", "least_loaded" };
   std::uint64_t mSeed = 1;
   double mScale = 1; ///< Of the measured time; `--quick` uses less.
