--- a/src/include/pollenwall/configuration_log.h
+++ b/src/include/pollenwall/configuration_log.h
@@ -97,6 +97,8 @@
   std::map<std::string, std::size_t, std::less<>> mUpstreamsOfService;
   std::map<std::string, std::set<std::string>, std::less<>> mUpstreamsOfWorker; ///< Upstream keys.
   std::map<std::string, std::string, std::less<>> mEndpoints; ///< "IP:PORT" to the upstream's key.
+
+  friend bool operator==(const References&, const References&) = default;
 };
 
 struct ConfigurationLog
@@ -152,10 +154,10 @@
 /// move forward, or stay; a record below it needs no reading.
 Outcome AdoptSnapshot(ConfigurationLog& aLog, std::string_view aText);
 
-/// Whether a snapshot should be appended now. True only for an exact reader of a version above 0,
-/// when the newest snapshot in the log has reached 40% to 60% of the retention time, or after 1,000
-/// records. The share (0 to 1) is drawn by each process when the newest snapshot changes, so that
-/// one process is early and its snapshot keeps the others from writing one too.
+/// Whether a snapshot should be appended now. True only for an exact reader that knows of
+/// a record, when the newest snapshot in the log has reached 40% to 60% of the retention time, or
+/// after 1,000 records. The share (0 to 1) is drawn by each process when the newest snapshot
+/// changes, so that one process is early and its snapshot keeps the others from writing one too.
 bool SnapshotDue(const ConfigurationLog& aLog,
                  UnixMs aNowMs,
                  std::chrono::milliseconds aRetention,
--- a/src/libconfiguration/configuration_log.cpp
+++ b/src/libconfiguration/configuration_log.cpp
@@ -163,8 +163,8 @@
   } else {
     snapshot.mItems = &items->get_object();
   }
-  if (snapshot.mVersion == 0) {
-    AddProblem(aReport, "version", "0", "at least 1");
+  if (snapshot.mVersion == 0 && snapshot.mItems && !snapshot.mItems->empty()) {
+    AddProblem(aReport, "items", "items of version 0", "none");
   }
   return aReport.mProblems.empty() ? std::optional(std::move(snapshot)) : std::nullopt;
 }
@@ -832,7 +832,9 @@
                  std::chrono::milliseconds aRetention,
                  double aShare)
 {
-  if (!aLog.mExact || VersionOf(aLog) == 0) {
+  // A log of refused changes only needs a snapshot of version 0: a new reader can't tell otherwise
+  // that nothing is in force.
+  if (!aLog.mExact || aLog.mSnapshotMs == 0) {
     return false;
   }
   const auto age = static_cast<double>(aNowMs - aLog.mSnapshotMs);
