--- a/src/libconfiguration/configuration_log.cpp
+++ b/src/libconfiguration/configuration_log.cpp
@@ -163,6 +163,12 @@
   } else {
     snapshot.mItems = &items->get_object();
   }
+  if (snapshot.mVersion > snapshot.mThrough) {
+    AddProblem(aReport,
+               "version",
+               std::to_string(snapshot.mVersion),
+               "at most one for each record, " + std::to_string(snapshot.mThrough));
+  }
   if (snapshot.mVersion == 0 && snapshot.mItems && !snapshot.mItems->empty()) {
     AddProblem(aReport, "items", "items of version 0", "none");
   }
--- a/src/libconfiguration/configuration_log_test.cpp
+++ b/src/libconfiguration/configuration_log_test.cpp
@@ -3,6 +3,8 @@
 
 #include <iostream>
 
+#include <rapidcheck.h>
+
 using namespace pollenwall;
 using namespace pollenwall::configuration;
 
@@ -71,11 +73,217 @@
   return passed;
 }
 
+/// Guards against references that are judged before the rest of the same change, so that a valid
+/// change is refused or an invalid one accepted.
+bool ReferencesAreThoseAfterTheChange()
+{
+  struct Case
+  {
+    std::string_view mName;
+    std::map<std::string, std::string, std::less<>> mPuts;
+    std::set<std::string, std::less<>> mDeletes;
+    bool mAccepted;
+  };
+  const std::string second = "{data_centre: north, address: 127.0.0.1}";
+  const Case cases[] = {
+    { "an upstream with its worker",
+      { { "worker/w2", second }, { "upstream/dispatch/w2", "{port: 9001}" } },
+      {},
+      true },
+    { "an upstream of an unknown worker",
+      { { "upstream/dispatch/w2", "{port: 9001}" } },
+      {},
+      false },
+    { "an upstream of an unknown service", { { "upstream/other/w1", "{port: 9001}" } }, {}, false },
+    { "a worker of an unknown data centre",
+      { { "worker/w2", "{data_centre: x, address: 1.1.1.1}" } },
+      {},
+      false },
+    { "a worker moved off a deleted data centre",
+      { { "data_centre/south", "{}" },
+        { "worker/w1", "{data_centre: south, address: 127.0.0.1}" } },
+      { "data_centre/north" },
+      true },
+    { "a data centre in use", {}, { "data_centre/north" }, false },
+    { "a service in use", {}, { "service/dispatch" }, false },
+    { "a service with its upstreams", {}, { "service/dispatch", "upstream/dispatch/w1" }, true },
+    { "an unknown key deleted", {}, { "team/none" }, false },
+    { "a key put and deleted", { { "team/team-1", "{}" } }, { "team/team-1" }, false },
+    { "an endpoint taken",
+      { { "worker/w2", second }, { "upstream/dispatch/w2", "{port: 9000}" } },
+      {},
+      false },
+    { "an endpoint taken over from a deleted upstream",
+      { { "worker/w2", second }, { "upstream/dispatch/w2", "{port: 9000}" } },
+      { "upstream/dispatch/w1" },
+      true },
+    { "two upstreams that exchange nothing but collide",
+      { { "service/s2", "{}" },
+        { "upstream/dispatch/w1", "{port: 1}" },
+        { "upstream/s2/w1", "{port: 1}" } },
+      {},
+      false },
+    { "a malformed key", { { "worker/a/b", second } }, {}, false },
+    { "a value that is no map", { { "team/t", "text" } }, {}, false },
+    { "an unknown field", { { "team/t", "{wait: 1}" } }, {}, false },
+    { "nothing", {}, {}, false },
+  };
+  bool passed = true;
+  for (const auto& it : cases) {
+    ConfigurationLog log;
+    ApplyRecord(log, 0, 1, ChangeRecord(MakeChange(*log.mConfiguration, Small(), "a")));
+    const auto before = log.mConfiguration;
+    const auto outcome = ApplyRecord(log, 1, 2, ChangeRecord({ "b", 1, it.mPuts, it.mDeletes }));
+    const bool accepted = outcome.mKind == OutcomeKind::Accepted;
+    passed &= Expect(accepted == it.mAccepted, it.mName);
+    passed &= Expect(accepted || (log.mConfiguration == before && !outcome.mProblems.empty()),
+                     "an invalid record changes nothing and says why");
+  }
+  return passed;
+}
+
+/// Guards against two workers that get each other's address in one change, and against an address
+/// that an upstream left and that no other can take.
+bool EndpointsFollowAddresses()
+{
+  ConfigurationLog log;
+  auto wanted = Small();
+  PutItem(wanted, Worker{ "w2", "north", "r1", "127.0.0.2" });
+  PutItem(wanted, Upstream{ "dispatch", "w2", 9000 });
+  ApplyRecord(log, 0, 1, ChangeRecord(MakeChange(*log.mConfiguration, wanted, "a")));
+  std::swap(wanted.mWorkers.at("w1").mAddress, wanted.mWorkers.at("w2").mAddress);
+  auto outcome = ApplyRecord(log, 1, 2, ChangeRecord(MakeChange(*log.mConfiguration, wanted, "b")));
+  bool passed = Expect(outcome.mVersion == 2, "addresses exchanged");
+  wanted.mWorkers.at("w1").mAddress = "127.0.0.3";
+  outcome = ApplyRecord(log, 2, 3, ChangeRecord(MakeChange(*log.mConfiguration, wanted, "c")));
+  wanted.mWorkers.at("w2").mAddress = "127.0.0.2";
+  outcome = ApplyRecord(log, 3, 4, ChangeRecord(MakeChange(*log.mConfiguration, wanted, "d")));
+  passed &=
+    Expect(outcome.mKind == OutcomeKind::Accepted && outcome.mVersion == 4, "address reused");
+  wanted.mWorkers.at("w2").mAddress = "127.0.0.3";
+  outcome = ApplyRecord(log, 4, 5, ChangeRecord(MakeChange(*log.mConfiguration, wanted, "e")));
+  return passed & Expect(outcome.mKind == OutcomeKind::Invalid, "an address in use is refused");
+}
+
+/// Guards against a dispatcher whose configuration changes under it.
+bool AHeldConfigurationNeverChanges()
+{
+  ConfigurationLog log;
+  ApplyRecord(log, 0, 1, ChangeRecord(MakeChange(*log.mConfiguration, Small(), "a")));
+  const auto held = log.mConfiguration;
+  ApplyRecord(log, 1, 2, ChangeRecord({ "b", 1, {}, { "team/team-1" } }));
+  return Expect(held->mVersion == 1 && held->mTeams.size() == 1, "the holder's copy is as it was") &
+         Expect(log.mConfiguration->mTeams.empty(), "the new version has the change");
+}
+
+/// Text of a record or document with a few bytes changed.
+std::string Damaged(std::string aText)
+{
+  const auto edits = *rc::gen::inRange(0, 5);
+  for (int n = 0; n < edits && !aText.empty(); ++n) {
+    const auto at = *rc::gen::inRange<std::size_t>(0, aText.size());
+    const auto length = *rc::gen::inRange<std::size_t>(0, 12);
+    const auto piece = *rc::gen::element<std::string>("",
+                                                      "0",
+                                                      "-1",
+                                                      "1e9",
+                                                      "18446744073709551615",
+                                                      "{",
+                                                      "}",
+                                                      "[]",
+                                                      "\"",
+                                                      ":",
+                                                      ",",
+                                                      "\n",
+                                                      "/",
+                                                      "null",
+                                                      "w1",
+                                                      "~",
+                                                      "&a",
+                                                      "*a",
+                                                      "!!x",
+                                                      "\\u0000",
+                                                      "\x80",
+                                                      "- ",
+                                                      "team/",
+                                                      "{}");
+    aText.replace(at, length, piece);
+  }
+  return aText;
+}
+
+/// Guards against a record of the log, or a peer's snapshot, that ends the process or is accepted
+/// although it can't be passed on.
+bool DamagedRecordsAreJudged()
+{
+  ConfigurationLog base;
+  ApplyRecord(base, 0, 1, ChangeRecord(MakeChange(*base.mConfiguration, Small(), "a")));
+  auto other = *base.mConfiguration;
+  other.mTeams.at("team-1").mWeight = 9;
+  PutItem(other, Worker{ "w2", "north", "r2", "127.0.0.2" });
+  const std::string texts[] = { ChangeRecord(MakeChange(*base.mConfiguration, other, "b")),
+                                SnapshotRecord(base),
+                                RestoreRecord(other, "c", 1),
+                                "{}" };
+  return rc::check("damaged records are judged", [&] {
+    auto log = base;
+    if (*rc::gen::inRange(0, 2) == 0) {
+      log = {};
+      NoteFirst(log, 1);
+    }
+    const auto before = VersionOf(log);
+    const auto text = Damaged(texts[*rc::gen::inRange<std::size_t>(0, 4)]);
+    const auto outcome =
+      *rc::gen::inRange(0, 4) == 0 ? AdoptSnapshot(log, text) : ApplyRecord(log, 1, 2, text);
+    RC_CLASSIFY(outcome.mKind == OutcomeKind::Invalid, "invalid");
+    RC_CLASSIFY(VersionOf(log) > before, "in force");
+    RC_ASSERT(VersionOf(log) >= before);
+    RC_ASSERT((outcome.mKind == OutcomeKind::Invalid) == !outcome.mProblems.empty());
+    if (VersionOf(log) == before) {
+      RC_ASSERT(log.mConfiguration->mTeams ==
+                (before == 0 ? decltype(other.mTeams){} : base.mConfiguration->mTeams));
+      return;
+    }
+    ConfigurationLog fresh;
+    AdoptSnapshot(fresh, SnapshotRecord(log));
+    RC_ASSERT(*fresh.mConfiguration == *log.mConfiguration);
+    RC_ASSERT(fresh.mReferences == log.mReferences);
+  });
+}
+
+/// Guards against a document that ends the tool, and against one that is accepted but not kept by
+/// its own text form.
+bool DamagedDocumentsAreReported()
+{
+  const auto text = PrintDocument(Small());
+  return rc::check("damaged documents are read or reported", [&text] {
+    yaml::Report report{ "fuzz.yaml", {} };
+    const auto parsed = ParseDocument(report, Damaged(text));
+    RC_CLASSIFY(report.mProblems.empty(), "accepted");
+    if (!report.mProblems.empty()) {
+      return;
+    }
+    yaml::Report again{ "again.yaml", {} };
+    RC_ASSERT(ParseDocument(again, PrintDocument(parsed)) == parsed);
+    RC_ASSERT(again.mProblems.empty());
+    ConfigurationLog log;
+    const auto change = MakeChange(*log.mConfiguration, parsed, "a");
+    if (!change.mPuts.empty()) {
+      RC_ASSERT(ApplyRecord(log, 0, 1, ChangeRecord(change)).mKind == OutcomeKind::Accepted);
+    }
+  });
+}
+
 } // namespace
 
 int main()
 {
   bool passed = TextFormsKeepEveryField();
   passed &= OutcomesOfAChange();
+  passed &= ReferencesAreThoseAfterTheChange();
+  passed &= EndpointsFollowAddresses();
+  passed &= AHeldConfigurationNeverChanges();
+  passed &= DamagedRecordsAreJudged();
+  passed &= DamagedDocumentsAreReported();
   return passed ? 0 : 1;
 }
