--- a/src/standin-worker/main.cpp
+++ b/src/standin-worker/main.cpp
@@ -9,12 +9,14 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
+#include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 
 #include <pollenwall/log.h>
 
 ABSL_FLAG(std::string, address, "127.0.0.1", "IP number to listen on");
+ABSL_FLAG(bool, address_per_port, false, "each further port is on the next IP number");
 ABSL_FLAG(std::string, ports, "9100-9100", "FIRST-LAST; each port is one upstream");
 ABSL_FLAG(std::uint16_t, control_port, 0, "port whose requests no fault affects; 0 is none");
 ABSL_FLAG(std::uint32_t, slots, 8, "tasks that one upstream runs at once");
@@ -47,7 +49,8 @@
 {
   boost::asio::io_context mContext{ 1 };
   std::map<std::uint16_t, Upstream> mUpstreams;
-  StartCounts mCounts;
+  StartCounts mCounts; ///< By the dispatcher's task id.
+  StartCounts mKeys;   ///< By the caller's key in the payload, for tasks that have one.
 };
 
 void EndRun(Upstream& aUpstream, const std::string& aTask, const std::shared_ptr<Run>& aRun)
@@ -96,6 +99,9 @@
     return;
   }
   BeginRun(port, aWorker.mCounts, task, now);
+  if (!payload->mKey.empty()) {
+    CountStart(aWorker.mKeys, payload->mKey);
+  }
   if (aRequest.mFault == FaultKind::Fail) {
     --port.mBusy;
     ++port.mFailed;
@@ -172,29 +178,38 @@
                                          { "last_start_ms", port.mLastStartMs } });
   }
   boost::json::array duplicates;
-  for (const auto& id : aWorker.mCounts.mDuplicateIds) {
-    duplicates.emplace_back(id);
+  for (const auto* counts : { &aWorker.mCounts, &aWorker.mKeys }) {
+    for (const auto& id : counts->mDuplicateIds) {
+      duplicates.emplace_back(id);
+    }
   }
-  return boost::json::serialize(boost::json::object{ { "starts", aWorker.mCounts.mStarts },
-                                                     { "duplicates", aWorker.mCounts.mDuplicates },
-                                                     { "forgotten", aWorker.mCounts.mForgotten },
-                                                     { "duplicate_ids", duplicates },
-                                                     { "ports", ports } });
+  return boost::json::serialize(
+    boost::json::object{ { "starts", aWorker.mCounts.mStarts },
+                         { "duplicates", aWorker.mCounts.mDuplicates },
+                         { "duplicate_keys", aWorker.mKeys.mDuplicates },
+                         { "forgotten", aWorker.mCounts.mForgotten },
+                         { "duplicate_ids", duplicates },
+                         { "ports", ports } });
 }
 
-/// Answers the starts of each task id of a JSON list, in its order.
+/// Answers the starts of each task id, or of each key, of {"tasks": [...]} or {"keys": [...]}, in
+/// its order.
 Response CountsOfTasks(const Worker& aWorker, const std::string& aBody)
 {
   boost::system::error_code ec;
   const auto value = boost::json::parse(aBody, ec);
-  if (ec || !value.is_array()) {
+  const auto* tasks = !ec && value.is_object() ? value.get_object().if_contains("tasks") : nullptr;
+  const auto* keys = !ec && value.is_object() ? value.get_object().if_contains("keys") : nullptr;
+  const auto* names = keys != nullptr ? keys : tasks;
+  if (names == nullptr || !names->is_array()) {
     return ErrorResponse(
-      400, Verdict::NotRun, ErrorCode::BadRequest, "the body is not a JSON list of task ids");
+      400, Verdict::NotRun, ErrorCode::BadRequest, "tasks or keys: allowed is a list of names");
   }
+  const auto& counts = keys != nullptr ? aWorker.mKeys : aWorker.mCounts;
   boost::json::array starts;
-  for (const auto& task : value.get_array()) {
-    starts.emplace_back(
-      task.is_string() ? StartsOf(aWorker.mCounts, std::string_view(task.get_string())) : 0);
+  for (const auto& name : names->get_array()) {
+    starts.emplace_back(name.is_string() ? StartsOf(counts, std::string_view(name.get_string()))
+                                         : 0);
   }
   return { 200, boost::json::serialize(boost::json::object{ { "starts", starts } }), "" };
 }
@@ -248,6 +263,14 @@
   }
 }
 
+/// The IPv4 number that many after the first; the first itself when it is none.
+std::string AddressAt(const std::string& aFirst, std::uint32_t aOffset)
+{
+  boost::system::error_code ec;
+  const auto first = boost::asio::ip::make_address_v4(aFirst, ec);
+  return ec ? aFirst : boost::asio::ip::make_address_v4(first.to_uint() + aOffset).to_string();
+}
+
 bool IsExempt(const Request& aRequest)
 {
   return aRequest.mPath == "/v1/counts" || aRequest.mPath == "/v1/leaving";
@@ -277,13 +300,16 @@
   }
   const auto address = absl::GetFlag(FLAGS_address);
   Worker worker;
-  worker.mCounts.mCapacity =
-    std::max<std::size_t>(1, static_cast<std::size_t>(absl::GetFlag(FLAGS_remembered_tasks)));
+  worker.mCounts.mCapacity = std::max<std::size_t>(1, absl::GetFlag(FLAGS_remembered_tasks));
+  worker.mKeys.mCapacity = worker.mCounts.mCapacity;
   std::vector<Listen> listens;
   for (int port = first; port <= last; ++port) {
     const auto number = static_cast<std::uint16_t>(port);
     worker.mUpstreams[number].mPort.mSlots = absl::GetFlag(FLAGS_slots);
-    listens.push_back({ address, number, absl::GetFlag(FLAGS_connections), false });
+    const auto own = absl::GetFlag(FLAGS_address_per_port)
+                       ? AddressAt(address, static_cast<std::uint32_t>(port - first))
+                       : address;
+    listens.push_back({ own, number, absl::GetFlag(FLAGS_connections), false });
   }
   if (const auto control = absl::GetFlag(FLAGS_control_port); control != 0) {
     listens.push_back({ address, control, 0, true });
