--- a/scripts/harness/bench.py
+++ b/scripts/harness/bench.py
@@ -40,8 +40,10 @@
 
 
 def emit(result, bounds):
+    """Prints a result; returns the bounds that it misses."""
     result["missed_bounds"] = missed(result, bounds)
     print(json.dumps(result), flush=True)
+    return result["missed_bounds"]
 
 
 def percentile(values, ratio):
@@ -75,7 +77,10 @@
         if unclean:
             note(f"exit codes of entries: {unclean}")
         if kind is None:
-            shutil.rmtree(self.cluster.directory)
+            if not self.cluster.keep_logs:
+                shutil.rmtree(self.cluster.directory)
+            else:
+                note(f"logs are in {self.cluster.directory}")
         else:
             note(f"logs are in {self.cluster.directory}")
 
@@ -245,6 +250,7 @@
             result[f"served_ratio_{dc}"] = round(own_complete / own, 5) if own else None
             result[f"unserved_{dc}"] = own_reasons
         recovered = run.served(names, end + 1.5, end + 100)
+        result["unserved_after"] = recovered[2]
         result["served_ratio_after"] = round(recovered[1] / recovered[0], 5) if recovered[0] else None
         bounds = dict(FAULT_BOUNDS)
         if name == "log_down_and_kill":
@@ -252,7 +258,8 @@
             bounds["served_ratio_min"] = 1 - 0.5 * 0.5 / len(names)
         elif name != "pause":
             bounds["served_ratio_min"] = 1.0
-        emit(result, bounds)
+        # The logs of a fault that showed something wrong are needed to explain it.
+        cluster.keep_logs = bool(emit(result, bounds))
 
 
 # control
--- a/scripts/harness/cluster.py
+++ b/scripts/harness/cluster.py
@@ -127,6 +127,7 @@
         self.use_network = network
         self.network = None
         self.processes = []
+        self.keep_logs = False
         self.log_port = self.base
         self.vm_port = self.base + 1
         self.entries = []
