--- a/scripts/harness/bench.py
+++ b/scripts/harness/bench.py
@@ -93,11 +93,11 @@
     result = {"scenario": "path", "policy": "pollenwall"}
     with Trial([("north", 1, 50)]) as cluster:
         entry = cluster.entries[0]
-        latency_file = os.path.join(cluster.directory, "latency.jobs")
-        flags = {"job_size": 1, "run_ms": 5, "rates": "0:100", "seconds": seconds, "seed": 3}
+        flags = {"job_size": 1, "run_ms": 5, "rates": "0:100", "seconds": seconds, "seed": 3,
+                 "slots": cluster.total_slots()}
         direct = cluster.load([f"{ip}:{port}" for _, ip, port in cluster.workers["north"]],
                               direct=True, **flags)
-        through = cluster.load(cluster.entries, **flags, jobs_file=latency_file)
+        through = cluster.load(cluster.entries, **flags)
         result["tasks"] = through["tasks"]
         result["load"] = through.get("load", 0)
         for name in ("slowdown_p50", "slowdown_p99", "goodput_ratio", "late_answers",
@@ -147,7 +147,7 @@
                 cluster.entries_of(name), rates="0:100", seconds=seconds, seed=11 + n,
                 run=run + n, caller_ids=0.5, homes=name, resubmit_after_ms=1500,
                 ready_poll_ms=200, deadline_ms=10000, answer_timeout_ms=20000, settle_ms=2000,
-                jobs_file=self.jobs_path(name), scenario="faults")
+                slots=cluster.total_slots(), jobs_file=self.jobs_path(name), scenario="faults")
             self.children[name] = start_load(argv)
             self.started[name] = time.monotonic()
 
@@ -229,19 +229,19 @@
         jobs, complete, reasons = run.served(names, begin + grace, end)
         result = {
             "scenario": f"faults.{name}", "policy": "pollenwall", "tasks": run.sum("tasks"),
-            "load": round(sum(it["tasks"] for it in run.results.values()) * 0.27 /
-                          (cluster.total_slots() * run.seconds), 3),
+            "load": round(run.sum("load"), 4),
             "slowdown_p50": max(it["slowdown_p50"] for it in run.results.values()),
             "slowdown_p99": max(it["slowdown_p99"] for it in run.results.values()),
             "short_slowdown_p99": max(it["short_slowdown_p99"] for it in run.results.values()),
             "goodput_ratio": min(it["goodput_ratio"] for it in run.results.values()),
             "late_answers": run.sum("late_answers"),
-            # Each tool's count of all starts covers the others' time too; the largest is the total.
+            # The workers' counts, which each tool reads, cover the load of all tools; the largest
+            # difference is the total.
             "duplicate_starts": max(it["duplicate_starts"] for it in run.results.values()),
             "wrong_verdicts": run.sum("wrong_verdicts"), "lost_answers": lost,
             "wrong_answers": run.sum("wrong_answers"),
-            "wasted_messages_per_task": max(it["wasted_messages_per_task"]
-                                            for it in run.results.values()),
+            "wasted_messages_per_task": round(max(it["refusals"] for it in run.results.values()) /
+                                              run.sum("tasks"), 5),
             "fault_seconds": fault_seconds, "jobs_in_fault": jobs,
             "served_ratio": round(complete / jobs, 5) if jobs else None, "unserved": reasons,
             "resubmissions": run.sum("resubmissions")}
--- a/scripts/harness/quickstart.py
+++ b/scripts/harness/quickstart.py
@@ -3,6 +3,7 @@
 import shutil
 import signal
 import sys
+import time
 
 from harness.cluster import Cluster, Failure, note
 
@@ -30,10 +31,17 @@
         print(f"starts          {name}: {' '.join(str(n) for n in own)}")
 
 
+def make_cluster():
+    return Cluster([("north", 2, 6), ("south", 2, 6)], teams=["pickups", "quotes", "routing"])
+
+
 def main():
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
-    cluster = Cluster([("north", 2, 6), ("south", 2, 6)],
-                      teams=["pickups", "quotes", "routing"])
+    stay = sys.argv[1:] == ["--stay"]
+    if sys.argv[1:] and not stay:
+        note("Usage: scripts/quickstart [--stay]")
+        return 2
+    cluster = make_cluster()
     passed = False
     try:
         note(f"starting the stand-ins and 4 entries on ports from {cluster.base}")
@@ -50,6 +58,13 @@
         passed = result["jobs"] > 0 and result["complete"] == result["jobs"] and not any(
             result[it] for it in ("lost_answers", "wrong_answers", "duplicate_starts",
                                   "wrong_verdicts"))
+        if stay:
+            note("callers' ports: " + " ".join(f"{it.name} {it.callers}" for it in cluster.entries))
+            note("press Ctrl-C to stop everything")
+            while True:
+                time.sleep(1)
+    except KeyboardInterrupt:
+        note("stopping")
     except Failure as failure:
         note(f"quickstart: {failure}")
     finally:
--- a/src/pollenwall-load/report.cpp
+++ b/src/pollenwall-load/report.cpp
@@ -113,6 +113,7 @@
   line.Add("codes", Counts(report.mCodes));
   if (report.mCounted) {
     line.Add("starts", report.mStarts);
+    line.Add("refusals", report.mRefusals);
     line.Add("wasted_messages_per_task",
              Ratio(static_cast<double>(report.mRefusals), static_cast<double>(report.mTasks)));
     line.Add("duplicate_starts", report.mDuplicateStarts);
