--- a/scripts/harness/bench.py
+++ b/scripts/harness/bench.py
@@ -40,8 +40,10 @@
 
 
 def emit(result, bounds):
+    """Prints a result; returns the bounds that it misses."""
     result["missed_bounds"] = missed(result, bounds)
     print(json.dumps(result), flush=True)
+    return result["missed_bounds"]
 
 
 def percentile(values, ratio):
@@ -75,7 +77,10 @@
         if unclean:
             note(f"exit codes of entries: {unclean}")
         if kind is None:
-            shutil.rmtree(self.cluster.directory)
+            if not self.cluster.keep_logs:
+                shutil.rmtree(self.cluster.directory)
+            else:
+                note(f"logs are in {self.cluster.directory}")
         else:
             note(f"logs are in {self.cluster.directory}")
 
@@ -88,11 +93,11 @@
     result = {"scenario": "path", "policy": "pollenwall"}
     with Trial([("north", 1, 50)]) as cluster:
         entry = cluster.entries[0]
-        latency_file = os.path.join(cluster.directory, "latency.jobs")
-        flags = {"job_size": 1, "run_ms": 5, "rates": "0:100", "seconds": seconds, "seed": 3}
+        flags = {"job_size": 1, "run_ms": 5, "rates": "0:100", "seconds": seconds, "seed": 3,
+                 "slots": cluster.total_slots()}
         direct = cluster.load([f"{ip}:{port}" for _, ip, port in cluster.workers["north"]],
                               direct=True, **flags)
-        through = cluster.load(cluster.entries, **flags, jobs_file=latency_file)
+        through = cluster.load(cluster.entries, **flags)
         result["tasks"] = through["tasks"]
         result["load"] = through.get("load", 0)
         for name in ("slowdown_p50", "slowdown_p99", "goodput_ratio", "late_answers",
@@ -142,7 +147,7 @@
                 cluster.entries_of(name), rates="0:100", seconds=seconds, seed=11 + n,
                 run=run + n, caller_ids=0.5, homes=name, resubmit_after_ms=1500,
                 ready_poll_ms=200, deadline_ms=10000, answer_timeout_ms=20000, settle_ms=2000,
-                jobs_file=self.jobs_path(name), scenario="faults")
+                slots=cluster.total_slots(), jobs_file=self.jobs_path(name), scenario="faults")
             self.children[name] = start_load(argv)
             self.started[name] = time.monotonic()
 
@@ -224,19 +229,19 @@
         jobs, complete, reasons = run.served(names, begin + grace, end)
         result = {
             "scenario": f"faults.{name}", "policy": "pollenwall", "tasks": run.sum("tasks"),
-            "load": round(sum(it["tasks"] for it in run.results.values()) * 0.27 /
-                          (cluster.total_slots() * run.seconds), 3),
+            "load": round(run.sum("load"), 4),
             "slowdown_p50": max(it["slowdown_p50"] for it in run.results.values()),
             "slowdown_p99": max(it["slowdown_p99"] for it in run.results.values()),
             "short_slowdown_p99": max(it["short_slowdown_p99"] for it in run.results.values()),
             "goodput_ratio": min(it["goodput_ratio"] for it in run.results.values()),
             "late_answers": run.sum("late_answers"),
-            # Each tool's count of all starts covers the others' time too; the largest is the total.
+            # The workers' counts, which each tool reads, cover the load of all tools; the largest
+            # difference is the total.
             "duplicate_starts": max(it["duplicate_starts"] for it in run.results.values()),
             "wrong_verdicts": run.sum("wrong_verdicts"), "lost_answers": lost,
             "wrong_answers": run.sum("wrong_answers"),
-            "wasted_messages_per_task": max(it["wasted_messages_per_task"]
-                                            for it in run.results.values()),
+            "wasted_messages_per_task": round(max(it["refusals"] for it in run.results.values()) /
+                                              run.sum("tasks"), 5),
             "fault_seconds": fault_seconds, "jobs_in_fault": jobs,
             "served_ratio": round(complete / jobs, 5) if jobs else None, "unserved": reasons,
             "resubmissions": run.sum("resubmissions")}
@@ -245,6 +250,7 @@
             result[f"served_ratio_{dc}"] = round(own_complete / own, 5) if own else None
             result[f"unserved_{dc}"] = own_reasons
         recovered = run.served(names, end + 1.5, end + 100)
+        result["unserved_after"] = recovered[2]
         result["served_ratio_after"] = round(recovered[1] / recovered[0], 5) if recovered[0] else None
         bounds = dict(FAULT_BOUNDS)
         if name == "log_down_and_kill":
@@ -252,7 +258,8 @@
             bounds["served_ratio_min"] = 1 - 0.5 * 0.5 / len(names)
         elif name != "pause":
             bounds["served_ratio_min"] = 1.0
-        emit(result, bounds)
+        # The logs of a fault that showed something wrong are needed to explain it.
+        cluster.keep_logs = bool(emit(result, bounds))
 
 
 # control
