Test the HTTP server, TLS, upstream pool, peers and callers on loopback

The tests drive the real server code: malformed, oversize, cut and slow input, half-closed and reset callers, connection limits, a planned stop, certificates on both sides and their reload, verdicts of every upstream answer, kept connections, bad and fuzzed frames, and answers that come back out of order.

--- /dev/null
+++ b/src/libnet/http_server_test.cpp
@@ -0,0 +1,322 @@
+#include "net_test.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+
+#include <pollenwall/net/fiber.h>
+#include <pollenwall/net/http_client.h>
+
+namespace pollenwall::test {
+namespace {
+
+namespace http = boost::beast::http;
+
+struct Fixture
+{
+  explicit Fixture(boost::asio::io_context& aContext)
+    : mContext(aContext)
+  {
+    mOptions.mName = "test";
+    mOptions.mListen = *net::ParseEndpoint("127.0.0.1:0");
+    mOptions.mMaxBodyBytes = 1000;
+    mOptions.mMaxHeaderBytes = 2000;
+  }
+
+  /// Echoes bodies; GET /wait answers when mRelease is set.
+  bool Start()
+  {
+    auto server = ValueOf([this] {
+      return net::StartHttpServer(
+        mContext,
+        mOptions,
+        [this](net::HttpRequest& aRequest, net::HttpConnection& aConnection) {
+          ++mRequests;
+          if (aRequest.target() == "/wait") {
+            mWaiting.Set(true);
+            net::GoneWatch watch(aConnection, [this] {
+              ++mGone;
+              mRelease.Set("gone");
+            });
+            return net::JsonResponse(http::status::ok, mRelease.Wait());
+          }
+          if (aRequest.target() == "/throw") {
+            throw std::runtime_error("expected by the test");
+          }
+          return net::JsonResponse(http::status::ok, aRequest.body());
+        },
+        mMetrics);
+    });
+    if (server) {
+      mServer = *server;
+    }
+    return server.has_value();
+  }
+
+  Client Connect() { return { mContext, net::LocalEndpoint(*mServer) }; }
+
+  /// Sends the bytes on a new connection and returns the one answer.
+  std::optional<net::HttpResponse> Ask(const std::string& aBytes)
+  {
+    auto client = Connect();
+    client.Write(aBytes);
+    client.EndSending();
+    return client.ReadResponse();
+  }
+
+  bool Works()
+  {
+    const auto answer = Ask("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nok");
+    return answer && answer->result_int() == 200 && answer->body() == "ok";
+  }
+
+  boost::asio::io_context& mContext;
+  net::HttpServerOptions mOptions;
+  metrics::Registry mMetrics;
+  std::shared_ptr<net::HttpServer> mServer;
+  int mRequests = 0;
+  int mGone = 0;
+  net::OneShot<bool> mWaiting;
+  net::OneShot<std::string> mRelease;
+};
+
+bool IsRefusal(const std::optional<net::HttpResponse>& aAnswer, unsigned aStatus, const char* aCode)
+{
+  if (!aAnswer || aAnswer->result_int() != aStatus ||
+      (*aAnswer)["Pollenwall-Verdict"] != "not_run") {
+    std::fprintf(stderr, "answer: %d\n", aAnswer ? static_cast<int>(aAnswer->result_int()) : 0);
+    return false;
+  }
+  const auto body = boost::json::parse(aAnswer->body());
+  return body.at("code").as_string() == aCode && !body.at("message").as_string().empty();
+}
+
+/// Guards against malformed input that hangs a connection, gets no clear error, or harms others.
+bool BadRequestsGetAClearError(boost::asio::io_context& aContext)
+{
+  Fixture fixture(aContext);
+  if (!Expect(fixture.Start(), "the server starts")) {
+    return false;
+  }
+  struct Case
+  {
+    const char* mWhat;
+    std::string mBytes;
+    unsigned mStatus;
+    const char* mCode;
+  };
+  const std::vector<Case> cases{
+    { "no HTTP at all", "\x16\x03\x01 hello\r\n\r\n", 400, "bad_request" },
+    { "wrong version", "GET / HTTP/9.9\r\n\r\n", 400, "bad_request" },
+    { "bad header line", "GET / HTTP/1.1\r\nno colon\r\n\r\n", 400, "bad_request" },
+    { "bad length", "POST / HTTP/1.1\r\nContent-Length: 2x\r\n\r\nab", 400, "bad_request" },
+    { "two lengths",
+      "POST / HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+      400,
+      "bad_request" },
+    { "bad chunk",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+      400,
+      "bad_request" },
+    { "declared body too large",
+      "POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n",
+      413,
+      "too_large" },
+    { "chunked body too large",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n800\r\n" + std::string(0x800, 'x') +
+        "\r\n0\r\n\r\n",
+      413,
+      "too_large" },
+    { "header too large",
+      "GET / HTTP/1.1\r\nX: " + std::string(5000, 'x') + "\r\n\r\n",
+      413,
+      "too_large" },
+    { "cut in the header", "GET / HTTP/1.1\r\nHost: a", 400, "bad_request" },
+    { "cut in the body", "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc", 400, "bad_request" },
+  };
+  bool passed = true;
+  for (const auto& it : cases) {
+    passed &= Expect(IsRefusal(fixture.Ask(it.mBytes), it.mStatus, it.mCode), it.mWhat);
+  }
+  passed &= Expect(fixture.mRequests == 0, "no bad request reached the handler");
+  passed &= Expect(fixture.Works(), "others are served");
+  passed &=
+    Expect(fixture.mMetrics.mCounters["http_bad_requests_total{listener=\"test\"}"] == cases.size(),
+           "all are counted");
+  return passed;
+}
+
+/// Guards against a sender that holds a connection for ever with half a request, and against an
+/// idle connection that is taken for one.
+bool SlowSendersAreEnded(boost::asio::io_context& aContext)
+{
+  Fixture fixture(aContext);
+  fixture.mOptions.mRequestTimeout = std::chrono::milliseconds(50);
+  if (!Expect(fixture.Start(), "the server starts")) {
+    return false;
+  }
+  auto idle = fixture.Connect();
+  auto slow = fixture.Connect();
+  slow.Write("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+  bool passed = Expect(IsRefusal(slow.ReadResponse(), 408, "bad_request"), "a slow sender");
+  idle.Write("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nok");
+  const auto answer = idle.ReadResponse();
+  passed &= Expect(answer && answer->body() == "ok", "the idle connection is still served");
+  return passed;
+}
+
+/// Guards against answers lost or swapped when a caller sends several requests at once, byte by
+/// byte, or closes its sending side before the answer.
+bool SeveralRequestsOnOneConnection(boost::asio::io_context& aContext)
+{
+  Fixture fixture(aContext);
+  if (!Expect(fixture.Start(), "the server starts")) {
+    return false;
+  }
+  auto client = fixture.Connect();
+  std::string bytes;
+  for (int n = 0; n < 5; ++n) {
+    bytes += "POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\n" + std::to_string(n);
+  }
+  client.Write(bytes);
+  bool passed = true;
+  for (int n = 0; n < 5; ++n) {
+    const auto answer = client.ReadResponse();
+    passed &= Expect(answer && answer->body() == std::to_string(n), "answers in order");
+  }
+  for (const char byte : std::string("POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\n5")) {
+    client.Write(std::string(1, byte));
+  }
+  const auto answer = client.ReadResponse();
+  passed &= Expect(answer && answer->body() == "5", "a request sent byte by byte");
+  client.Write("GET /throw HTTP/1.1\r\n\r\n");
+  const auto failed = client.ReadResponse();
+  passed &= Expect(failed && failed->result_int() == 500 &&
+                     (*failed)["Pollenwall-Verdict"] == "may_have_run",
+                   "a failing handler says that the request may have run");
+  client.Write("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+  const auto go = client.ReadResponse();
+  passed &= Expect(go && go->result_int() == 100, "asked to go on");
+  client.Write("ok");
+  const auto last = client.ReadResponse();
+  passed &= Expect(last && last->body() == "ok", "answered after going on");
+  return passed;
+}
+
+/// Guards against an answer that is dropped because the caller has closed its sending side, and
+/// against a reset caller that is waited for.
+bool HalfClosedAndGoneCallers(boost::asio::io_context& aContext)
+{
+  bool passed = true;
+  {
+    Fixture fixture(aContext);
+    passed &= Expect(fixture.Start(), "the server starts");
+    auto client = fixture.Connect();
+    client.Write("GET /wait HTTP/1.1\r\n\r\n");
+    client.EndSending();
+    fixture.mWaiting.Wait();
+    passed &= Expect(fixture.Works(), "others are served meanwhile");
+    fixture.mRelease.Set("late");
+    const auto answer = client.ReadResponse();
+    passed &= Expect(answer && answer->body() == "late", "a half-closed caller gets its answer");
+    passed &= Expect(fixture.mGone == 0, "a half-closed caller is not gone");
+  }
+  {
+    Fixture fixture(aContext);
+    passed &= Expect(fixture.Start(), "the server starts");
+    auto client = fixture.Connect();
+    client.Write("GET /wait HTTP/1.1\r\n\r\n");
+    fixture.mWaiting.Wait();
+    client.Reset();
+    passed &= Expect(fixture.mRelease.Wait() == "gone", "a reset caller is noticed");
+    passed &= Expect(fixture.mGone == 1, "once");
+    passed &= Expect(fixture.Works(), "others are served");
+  }
+  return passed;
+}
+
+/// Guards against a flood of connections that takes the descriptors of those being served.
+bool ConnectionsAreLimited(boost::asio::io_context& aContext)
+{
+  Fixture fixture(aContext);
+  fixture.mOptions.mMaxConnections = 2;
+  if (!Expect(fixture.Start(), "the server starts")) {
+    return false;
+  }
+  const auto ask = [](Client& aClient) {
+    aClient.Write("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nok");
+    const auto answer = aClient.ReadResponse();
+    return answer && answer->result_int() == 200;
+  };
+  auto first = fixture.Connect();
+  auto second = fixture.Connect();
+  bool passed = Expect(ask(first) && ask(second), "connections within the limit");
+  auto third = fixture.Connect();
+  passed &= Expect(IsRefusal(third.ReadResponse(), 503, "overloaded"), "one too many is refused");
+  passed &= Expect(ask(first) && ask(second), "the others are still served");
+  return passed;
+}
+
+/// Guards against a planned stop that cuts off a request, or that waits for idle connections.
+bool StopAnswersWhatHasBegun(boost::asio::io_context& aContext)
+{
+  Fixture fixture(aContext);
+  if (!Expect(fixture.Start(), "the server starts")) {
+    return false;
+  }
+  auto idle = fixture.Connect();
+  auto busy = fixture.Connect();
+  busy.Write("GET /wait HTTP/1.1\r\n\r\n");
+  fixture.mWaiting.Wait();
+  net::OneShot<std::size_t> stopped;
+  net::Spawn([&] { stopped.Set(net::StopHttpServer(*fixture.mServer, std::chrono::seconds(60))); });
+  bool passed = Expect(idle.ReadAll().empty(), "the idle connection is closed");
+  fixture.mRelease.Set("late");
+  const auto answer = busy.ReadResponse();
+  passed &= Expect(answer && answer->body() == "late", "the request is answered");
+  passed &= Expect(answer && !answer->keep_alive(), "the answer says that the connection closes");
+  busy.EndSending();
+  passed &= Expect(stopped.Wait() == 0, "no connection is cut off");
+  return passed;
+}
+
+/// Guards against a kept connection that the server has closed meanwhile, and against a server that
+/// never answers.
+bool ClientReconnectsAndTimesOut(boost::asio::io_context& aContext)
+{
+  Fixture fixture(aContext);
+  if (!Expect(fixture.Start(), "the server starts")) {
+    return false;
+  }
+  const auto endpoint = net::LocalEndpoint(*fixture.mServer);
+  net::HttpClient client(aContext, endpoint);
+  const auto fetch = [&client](const char* aTarget, std::chrono::milliseconds aTimeout) {
+    return net::Fetch(client, http::verb::post, aTarget, "\"x\"", aTimeout, 1000);
+  };
+  bool passed = Expect(fetch("/", std::chrono::seconds(60)).mStatus == 200, "answered");
+  net::StopHttpServer(*fixture.mServer, std::chrono::seconds(60));
+  passed &= Expect(fetch("/", std::chrono::seconds(60)).mStatus == 0, "refused");
+  fixture.mOptions.mListen = endpoint;
+  passed &= Expect(fixture.Start(), "the server starts again");
+  passed &= Expect(fetch("/", std::chrono::seconds(60)).mStatus == 200, "answered again");
+  passed &= Expect(fetch("/wait", std::chrono::milliseconds(20)).mStatus == 0, "timed out");
+  passed &= Expect(fetch("/", std::chrono::seconds(60)).mBody == "\"x\"",
+                   "the late answer is not taken for the next one");
+  return passed;
+}
+
+} // namespace
+
+bool HttpServerTests(boost::asio::io_context& aContext)
+{
+  bool passed = BadRequestsGetAClearError(aContext);
+  passed &= SlowSendersAreEnded(aContext);
+  passed &= SeveralRequestsOnOneConnection(aContext);
+  passed &= HalfClosedAndGoneCallers(aContext);
+  passed &= ConnectionsAreLimited(aContext);
+  passed &= StopAnswersWhatHasBegun(aContext);
+  passed &= ClientReconnectsAndTimesOut(aContext);
+  return passed;
+}
+
+} // namespace pollenwall::test
--- /dev/null
+++ b/src/libnet/net_test.cpp
@@ -0,0 +1,144 @@
+#include "net_test.h"
+
+#include <cstdlib>
+
+#include <boost/asio/post.hpp>
+#include <rapidcheck.h>
+
+#include <unistd.h>
+
+#include <pollenwall/net/fiber.h>
+#include <pollenwall/net/frame.h>
+
+using namespace pollenwall;
+
+namespace {
+
+/// Guards against frames that are lost, cut or joined when TCP splits them anywhere.
+bool FramesSurviveAnySplit()
+{
+  return rc::check("frames are found in any split of the stream", [] {
+    const auto payloads = *rc::gen::container<std::vector<std::string>>(
+      rc::gen::nonEmpty(rc::gen::arbitrary<std::string>()));
+    std::string stream;
+    for (const auto& payload : payloads) {
+      net::AppendFrame(stream, payload);
+    }
+    std::vector<std::string> found;
+    std::string input;
+    std::size_t at = 0;
+    while (at < stream.size()) {
+      const auto n = *rc::gen::inRange<std::size_t>(1, 64);
+      input += stream.substr(at, n);
+      at += n;
+      std::string_view payload;
+      while (net::TakeFrame(input, 1 << 20, payload) == net::FrameStatus::Complete) {
+        found.emplace_back(payload);
+        input.erase(0, net::kFrameHeaderBytes + payload.size());
+      }
+    }
+    RC_ASSERT(found == payloads);
+    RC_ASSERT(input.empty());
+  });
+}
+
+/// Guards against a length field that makes the reader reserve gigabytes, or wait for ever on an
+/// empty frame.
+bool BadLengthsAreRefusedFromTheHeaderAlone()
+{
+  std::string_view payload;
+  bool passed =
+    test::Expect(net::TakeFrame(std::string_view("\xFF\xFF\xFF\xFF", 4), 100, payload) ==
+                   net::FrameStatus::TooLarge,
+                 "a length over the limit");
+  passed &= test::Expect(net::TakeFrame(std::string_view("\0\0\0\0", 4), 100, payload) ==
+                           net::FrameStatus::TooLarge,
+                         "an empty frame");
+  passed &= test::Expect(net::TakeFrame(std::string_view("\0\0\0\x65", 4), 100, payload) ==
+                           net::FrameStatus::TooLarge,
+                         "one byte over the limit");
+  passed &= test::Expect(net::TakeFrame(std::string_view("\0\0\0\x64", 4), 100, payload) ==
+                           net::FrameStatus::Incomplete,
+                         "exactly the limit");
+  return passed;
+}
+
+/// Guards against a fiber that is never woken, or woken with another one's value.
+bool FibersWakeWithTheirOwnValue(boost::asio::io_context& aContext)
+{
+  constexpr int kFibers = 2000;
+  std::vector<net::OneShot<int>> shots(kFibers);
+  net::OneShot<bool> done;
+  int left = kFibers;
+  bool passed = true;
+  for (int n = 0; n < kFibers; ++n) {
+    net::Spawn([&, n] {
+      passed &= shots[static_cast<std::size_t>(n)].Wait() == n;
+      if (--left == 0) {
+        done.Set(true);
+      }
+    });
+  }
+  for (int n = kFibers - 1; n >= 0; --n) {
+    // Half are woken by handlers of the event loop, half by this fiber.
+    if (n % 2 == 0) {
+      boost::asio::post(aContext, [&shots, n] { shots[static_cast<std::size_t>(n)].Set(n); });
+    } else {
+      shots[static_cast<std::size_t>(n)].Set(n);
+    }
+  }
+  done.Wait();
+  return test::Expect(passed, "each fiber got its own value");
+}
+
+/// Guards against handlers that starve while fibers are always ready: sockets would not be read
+/// under load.
+bool HandlersRunWhileFibersAreReady(boost::asio::io_context& aContext)
+{
+  bool stop = false;
+  int running = 2;
+  net::OneShot<bool> done;
+  for (int n = 0; n < 2; ++n) {
+    net::Spawn([&] {
+      while (!stop) {
+        boost::fibers::context::active()->yield();
+      }
+      if (--running == 0) {
+        done.Set(true);
+      }
+    });
+  }
+  boost::asio::post(aContext, [&stop] { stop = true; });
+  done.Wait();
+  return true;
+}
+
+/// Guards against an exception in one connection's fiber that ends the whole process.
+bool AnExceptionEndsOnlyItsFiber()
+{
+  net::OneShot<bool> done;
+  net::Spawn([] { throw std::runtime_error("expected by the test"); });
+  net::Spawn([&done] { done.Set(true); });
+  done.Wait();
+  return true;
+}
+
+} // namespace
+
+int main()
+{
+  // A test that hangs is a failure.
+  ::alarm(120);
+  boost::asio::io_context context(1);
+  net::UseScheduler(context);
+  bool passed = FramesSurviveAnySplit();
+  passed &= BadLengthsAreRefusedFromTheHeaderAlone();
+  passed &= FibersWakeWithTheirOwnValue(context);
+  passed &= HandlersRunWhileFibersAreReady(context);
+  passed &= AnExceptionEndsOnlyItsFiber();
+  passed &= test::HttpServerTests(context);
+  passed &= test::TlsTests(context);
+  std::fflush(nullptr);
+  // Fibers that wait for sockets would keep the scheduler's destructor waiting for ever.
+  ::_exit(passed ? 0 : 1);
+}
--- /dev/null
+++ b/src/libnet/tls_test.cpp
@@ -0,0 +1,192 @@
+#include "net_test.h"
+
+#include <filesystem>
+
+#include <boost/beast/http/verb.hpp>
+#include <openssl/evp.h>
+#include <openssl/pem.h>
+#include <openssl/x509.h>
+#include <openssl/x509v3.h>
+
+#include <unistd.h>
+
+#include <pollenwall/net/fiber.h>
+#include <pollenwall/net/http_client.h>
+
+namespace pollenwall::test {
+namespace {
+
+namespace http = boost::beast::http;
+
+/// A key and its certificate, made for the test.
+struct Pair
+{
+  EVP_PKEY* mKey = nullptr;
+  X509* mCertificate = nullptr;
+};
+
+Pair MakePair(const char* aName, const Pair* aIssuer)
+{
+  Pair pair;
+  pair.mKey = EVP_EC_gen("P-256");
+  pair.mCertificate = X509_new();
+  X509_set_version(pair.mCertificate, 2);
+  ASN1_INTEGER_set(X509_get_serialNumber(pair.mCertificate), 1);
+  X509_gmtime_adj(X509_getm_notBefore(pair.mCertificate), -3600);
+  X509_gmtime_adj(X509_getm_notAfter(pair.mCertificate), 3600);
+  X509_set_pubkey(pair.mCertificate, pair.mKey);
+  auto* name = X509_get_subject_name(pair.mCertificate);
+  X509_NAME_add_entry_by_txt(
+    name, "CN", MBSTRING_ASC, reinterpret_cast<const unsigned char*>(aName), -1, -1, 0);
+  const auto& issuer = aIssuer == nullptr ? pair : *aIssuer;
+  X509_set_issuer_name(pair.mCertificate, X509_get_subject_name(issuer.mCertificate));
+  if (aIssuer == nullptr) {
+    auto* extension = X509V3_EXT_conf_nid(nullptr, nullptr, NID_basic_constraints, "CA:TRUE");
+    X509_add_ext(pair.mCertificate, extension, -1);
+    X509_EXTENSION_free(extension);
+  }
+  X509_sign(pair.mCertificate, issuer.mKey, EVP_sha256());
+  return pair;
+}
+
+void Free(Pair& aPair)
+{
+  EVP_PKEY_free(aPair.mKey);
+  X509_free(aPair.mCertificate);
+}
+
+/// PEM files of one process, in a folder of their own.
+struct Files
+{
+  explicit Files(const char* aName)
+  {
+    mFolder = std::filesystem::temp_directory_path() /
+              ("pollenwall-tls-test-" + std::to_string(::getpid()) + "-" + aName);
+    std::filesystem::create_directories(mFolder);
+    mFiles = { (mFolder / "certificate.pem").string(),
+               (mFolder / "key.pem").string(),
+               (mFolder / "authority.pem").string() };
+  }
+  ~Files() { std::filesystem::remove_all(mFolder); }
+  Files(const Files&) = delete;
+  Files& operator=(const Files&) = delete;
+
+  void Write(const Pair& aPair, const Pair& aAuthority) const
+  {
+    auto* file = std::fopen(mFiles.mCertificate.c_str(), "w");
+    PEM_write_X509(file, aPair.mCertificate);
+    std::fclose(file);
+    file = std::fopen(mFiles.mKey.c_str(), "w");
+    PEM_write_PrivateKey(file, aPair.mKey, nullptr, nullptr, 0, nullptr, nullptr);
+    std::fclose(file);
+    file = std::fopen(mFiles.mAuthority.c_str(), "w");
+    PEM_write_X509(file, aAuthority.mCertificate);
+    std::fclose(file);
+  }
+
+  std::filesystem::path mFolder;
+  net::TlsFiles mFiles;
+};
+
+unsigned Ask(boost::asio::io_context& aContext,
+             const net::Tcp::endpoint& aServer,
+             std::shared_ptr<net::TlsKeys> aKeys)
+{
+  net::HttpClient client(aContext, aServer);
+  client.mTls = std::move(aKeys);
+  return net::Fetch(client, http::verb::get, "/", "", std::chrono::seconds(60), 1000).mStatus;
+}
+
+bool Reload(net::TlsKeys& aKeys)
+{
+  return boost::leaf::try_handle_all(
+    [&aKeys]() -> Result<bool> {
+      BOOST_LEAF_CHECK(net::ReloadTls(aKeys));
+      return true;
+    },
+    [](const Error&) { return false; },
+    [] { return false; });
+}
+
+/// Guards against a listener that serves a client without a certificate or with one of another
+/// authority, against a client that accepts such a server, and against keys that change only by a
+/// restart.
+bool BothSidesNeedACertificate(boost::asio::io_context& aContext)
+{
+  auto authority = MakePair("authority", nullptr);
+  auto other = MakePair("other authority", nullptr);
+  auto serverPair = MakePair("server", &authority);
+  auto clientPair = MakePair("client", &authority);
+  auto strangerPair = MakePair("stranger", &other);
+  const Files serverFiles("server");
+  const Files clientFiles("client");
+  const Files strangerFiles("stranger");
+  serverFiles.Write(serverPair, authority);
+  clientFiles.Write(clientPair, authority);
+  // The stranger trusts our server, but its own certificate is from elsewhere.
+  strangerFiles.Write(strangerPair, authority);
+  const auto serverKeys = ValueOf([&] { return net::LoadTls(serverFiles.mFiles); });
+  const auto clientKeys = ValueOf([&] { return net::LoadTls(clientFiles.mFiles); });
+  const auto strangerKeys = ValueOf([&] { return net::LoadTls(strangerFiles.mFiles); });
+  if (!Expect(serverKeys && clientKeys && strangerKeys, "keys load")) {
+    return false;
+  }
+  net::HttpServerOptions options;
+  options.mName = "tls";
+  options.mListen = *net::ParseEndpoint("127.0.0.1:0");
+  options.mTls = *serverKeys;
+  metrics::Registry metrics;
+  const auto server = ValueOf([&] {
+    return net::StartHttpServer(
+      aContext,
+      options,
+      [](net::HttpRequest&, net::HttpConnection&) {
+        return net::JsonResponse(http::status::ok, "{}");
+      },
+      metrics);
+  });
+  if (!Expect(server.has_value(), "the server starts")) {
+    return false;
+  }
+  const auto endpoint = net::LocalEndpoint(**server);
+  bool passed = Expect(Ask(aContext, endpoint, *clientKeys) == 200, "a known client");
+  passed &= Expect(Ask(aContext, endpoint, *strangerKeys) == 0, "another authority's client");
+  passed &= Expect(Ask(aContext, endpoint, nullptr) == 0, "a client without TLS");
+
+  // The server moves to the other authority without a restart.
+  net::HttpClient kept(aContext, endpoint);
+  kept.mTls = *clientKeys;
+  const auto fetch = [&kept] {
+    return net::Fetch(kept, http::verb::get, "/", "", std::chrono::seconds(60), 1000).mStatus;
+  };
+  passed &= Expect(fetch() == 200, "a connection from before the reload");
+  auto renewed = MakePair("renewed server", &other);
+  serverFiles.Write(renewed, other);
+  passed &= Expect(Reload(**serverKeys), "the new files load");
+  passed &= Expect(fetch() == 200, "the connection from before goes on");
+  passed &= Expect(Ask(aContext, endpoint, *clientKeys) == 0, "the old authority is refused");
+  strangerFiles.Write(strangerPair, other);
+  passed &= Expect(Reload(**strangerKeys), "the client's files load");
+  passed &= Expect(Ask(aContext, endpoint, *strangerKeys) == 200, "the new authority is accepted");
+
+  // A key that does not belong to the certificate leaves the keys in use.
+  const Files broken("broken");
+  broken.Write({ authority.mKey, renewed.mCertificate }, other);
+  std::filesystem::copy_file(
+    broken.mFiles.mKey, serverFiles.mFiles.mKey, std::filesystem::copy_options::overwrite_existing);
+  passed &= Expect(!Reload(**serverKeys), "mismatched files are refused");
+  passed &= Expect(Ask(aContext, endpoint, *strangerKeys) == 200, "the keys in use stay");
+  for (auto* pair : { &authority, &other, &serverPair, &clientPair, &strangerPair, &renewed }) {
+    Free(*pair);
+  }
+  return passed;
+}
+
+} // namespace
+
+bool TlsTests(boost::asio::io_context& aContext)
+{
+  return BothSidesNeedACertificate(aContext);
+}
+
+} // namespace pollenwall::test
--- a/src/pollenwalld/callers.cpp
+++ b/src/pollenwalld/callers.cpp
@@ -214,7 +214,17 @@
   return response;
 }
 
-Result<void> Start(Callers& aCallers)
+void Stop(Callers& aCallers)
+{
+  const auto left = net::StopHttpServer(*aCallers.mServer, kStopLimit);
+  if (left > 0) {
+    log::Warning("connections_cut_off", { { "count", static_cast<std::int64_t>(left) } });
+  }
+}
+
+} // namespace
+
+Result<void> StartCallers(Callers& aCallers)
 {
   aCallers.mLoop.mTable.mAnswerCaller = [&aCallers](node::AnswerCaller& aAction) {
     const auto it = aCallers.mWaiting.find(aAction.mRequest);
@@ -248,16 +258,6 @@
   return {};
 }
 
-void Stop(Callers& aCallers)
-{
-  const auto left = net::StopHttpServer(*aCallers.mServer, kStopLimit);
-  if (left > 0) {
-    log::Warning("connections_cut_off", { { "count", static_cast<std::int64_t>(left) } });
-  }
-}
-
-} // namespace
-
 net::HttpResponse HandleCaller(Callers& aCallers,
                                net::HttpRequest& aRequest,
                                net::HttpConnection& aConnection)
@@ -278,7 +278,7 @@
   kernel::Register(aShell.mKernel,
                    { "callers",
                      { "node", "upstreams", "peers", "log", "vm_list" },
-                     [callers] { return Start(*callers); },
+                     [callers] { return StartCallers(*callers); },
                      [callers] { Stop(*callers); },
                      callers.get() });
 }
--- a/src/pollenwalld/callers.h
+++ b/src/pollenwalld/callers.h
@@ -32,6 +32,9 @@
                                net::HttpRequest& aRequest,
                                net::HttpConnection& aConnection);
 
+/// Listens and takes over the answers to callers.
+Result<void> StartCallers(Callers& aCallers);
+
 void RegisterCallers(Shell& aShell);
 
 } // namespace pollenwall::daemon
--- /dev/null
+++ b/src/pollenwalld/daemon_test.cpp
@@ -0,0 +1,26 @@
+#include "daemon_test.h"
+
+#include <csignal>
+
+#include <unistd.h>
+
+#include <pollenwall/net/fiber.h>
+
+using namespace pollenwall;
+
+int main()
+{
+  // A test that hangs is a failure.
+  ::alarm(120);
+  std::signal(SIGPIPE, SIG_IGN);
+  boost::asio::io_context context(1);
+  net::UseScheduler(context);
+  bool passed = test::CallerJsonTests();
+  passed &= test::LogProtocolTests();
+  passed &= test::UpstreamPoolTests(context);
+  passed &= test::PeersTests(context);
+  passed &= test::CallersTests(context);
+  std::fflush(nullptr);
+  // Fibers that wait for sockets would keep the scheduler's destructor waiting for ever.
+  ::_exit(passed ? 0 : 1);
+}
--- a/src/pollenwalld/main.cpp
+++ b/src/pollenwalld/main.cpp
@@ -135,7 +135,8 @@
   RaiseDescriptorLimit();
   // A write to a connection that the other side has closed is an error code, not a signal.
   std::signal(SIGPIPE, SIG_IGN);
-  Shell shell;
+  boost::asio::io_context context(1);
+  Shell shell(context);
   shell.mSettings = std::move(aSettings);
   net::UseScheduler(shell.mContext);
   const auto options = MakeNodeOptions(shell.mSettings);
--- a/src/pollenwalld/peers.cpp
+++ b/src/pollenwalld/peers.cpp
@@ -223,7 +223,9 @@
   return {};
 }
 
-Result<void> Start(Peers& aPeers)
+} // namespace
+
+Result<void> StartPeers(Peers& aPeers)
 {
   BOOST_LEAF_CHECK(Listen(aPeers));
   auto& table = aPeers.mLoop.mTable;
@@ -258,7 +260,7 @@
   return {};
 }
 
-void Stop(Peers& aPeers)
+void StopPeers(Peers& aPeers)
 {
   aPeers.mStopped = true;
   boost::system::error_code ec;
@@ -268,8 +270,6 @@
   }
 }
 
-} // namespace
-
 Peers::Peers(Shell& aShell, NodeLoop& aLoop, const node::Options& aOptions)
   : mShell(aShell)
   , mLoop(aLoop)
@@ -288,8 +288,8 @@
   kernel::Register(aShell.mKernel,
                    { "peers",
                      { "node" },
-                     [peers] { return Start(*peers); },
-                     [peers] { Stop(*peers); },
+                     [peers] { return StartPeers(*peers); },
+                     [peers] { StopPeers(*peers); },
                      peers.get() });
 }
 
--- a/src/pollenwalld/peers.h
+++ b/src/pollenwalld/peers.h
@@ -32,6 +32,12 @@
   bool mStopped = false;
 };
 
+/// Begins to accept peers and takes over the actions for them.
+Result<void> StartPeers(Peers& aPeers);
+
+/// Closes connections once what was queued has been written. Does not suspend.
+void StopPeers(Peers& aPeers);
+
 void RegisterPeers(Shell& aShell,
                    const node::Options& aOptions,
                    std::shared_ptr<net::TlsKeys> aTls);
--- /dev/null
+++ b/src/pollenwalld/peers_test.cpp
@@ -0,0 +1,268 @@
+#include "peers.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <rapidcheck.h>
+
+#include <pollenwall/net/frame.h>
+
+#include "daemon_test.h"
+
+namespace pollenwall::test {
+namespace {
+
+using namespace daemon;
+
+/// An entry's peer service whose events are kept instead of handled.
+struct Entry
+{
+  Entry(boost::asio::io_context& aContext, std::uint64_t aIncarnation, std::uint16_t aPort = 0)
+    : mShell(aContext)
+    , mOptions(MakeOptions(aIncarnation))
+    , mLoop(mShell, mOptions)
+  {
+    mShell.mSettings.mPeers = { "127.0.0.1", aPort };
+    mShell.mSettings.mMaxFrameBytes = 1000;
+    mPeers = std::make_unique<Peers>(mShell, mLoop, mOptions);
+    mStarted = boost::leaf::try_handle_all(
+      [this]() -> Result<bool> {
+        BOOST_LEAF_CHECK(StartPeers(*mPeers));
+        return true;
+      },
+      [](const Error&) { return false; },
+      [] { return false; });
+    mPeers->mOwnHello.mPeerAddress = net::ToString(mPeers->mAcceptor.local_endpoint());
+  }
+
+  static node::Options MakeOptions(std::uint64_t aIncarnation)
+  {
+    node::Options options;
+    options.mName = "entry-" + std::to_string(aIncarnation);
+    options.mDataCentre = "north";
+    options.mIncarnation = { aIncarnation };
+    options.mSeed = aIncarnation;
+    return options;
+  }
+
+  std::string Address() const { return mPeers->mOwnHello.mPeerAddress; }
+
+  void Connect(const std::string& aAddress)
+  {
+    node::Connect action{ aAddress };
+    mLoop.mTable.mConnect(action);
+  }
+
+  void Send(std::uint64_t aTo, std::uint64_t aNumber)
+  {
+    node::SendPeer action{ { aTo }, message::ConfigFetch{ aNumber } };
+    mLoop.mTable.mSendPeer(action);
+  }
+
+  /// Takes the next event of the kind out of the queue; others before it stay.
+  template<typename Kind>
+  Kind Take()
+  {
+    for (;;) {
+      for (auto it = mLoop.mEvents.begin(); it != mLoop.mEvents.end(); ++it) {
+        if (std::holds_alternative<Kind>(*it)) {
+          auto event = std::get<Kind>(std::move(*it));
+          mLoop.mEvents.erase(it);
+          return event;
+        }
+      }
+      mLoop.mWakeup.Wait();
+    }
+  }
+
+  std::uint64_t TakeNumber()
+  {
+    return std::get<message::ConfigFetch>(Take<node::PeerMessage>().mMessage).mHave;
+  }
+
+  template<typename Kind>
+  std::size_t Pending() const
+  {
+    std::size_t n = 0;
+    for (const auto& event : mLoop.mEvents) {
+      n += std::holds_alternative<Kind>(event) ? 1 : 0;
+    }
+    return n;
+  }
+
+  std::uint64_t Counter(const char* aName) { return mShell.mMetrics.mCounters[aName]; }
+
+  Shell mShell;
+  node::Options mOptions;
+  NodeLoop mLoop;
+  std::unique_ptr<Peers> mPeers;
+  bool mStarted = false;
+};
+
+/// Entries are used by fibers that outlive a test, so they live until the process ends.
+Entry& MakeEntry(boost::asio::io_context& aContext,
+                 std::uint64_t aIncarnation,
+                 std::uint16_t aPort = 0)
+{
+  static std::vector<std::unique_ptr<Entry>> entries;
+  entries.push_back(std::make_unique<Entry>(aContext, aIncarnation, aPort));
+  return *entries.back();
+}
+
+std::string Frame(const message::Message& aMessage)
+{
+  std::string frame;
+  net::AppendFrame(frame, message::Encode(aMessage));
+  return frame;
+}
+
+message::Message HelloOf(std::uint64_t aIncarnation)
+{
+  return message::Hello{ { aIncarnation }, "raw", "south", "127.0.0.1:1" };
+}
+
+/// Guards against two entries that dial each other at once and then lose messages, count a peer
+/// twice, or report it as down.
+bool BothSidesDialAndKeepOne(boost::asio::io_context& aContext)
+{
+  auto& one = MakeEntry(aContext, 1);
+  auto& two = MakeEntry(aContext, 2);
+  if (!Expect(one.mStarted && two.mStarted, "entries listen")) {
+    return false;
+  }
+  one.Connect(two.Address());
+  two.Connect(one.Address());
+  bool passed = Expect(one.Take<node::PeerUp>().mHello.mIncarnation.mValue == 2, "two is up");
+  passed &= Expect(two.Take<node::PeerUp>().mHello.mName == "entry-1", "one is up");
+  // Some of these are sent while the second connection replaces the first.
+  std::set<std::uint64_t> atOne;
+  std::set<std::uint64_t> atTwo;
+  for (std::uint64_t n = 0; n < 100; ++n) {
+    one.Send(2, n);
+    two.Send(1, n);
+    atTwo.insert(two.TakeNumber());
+    atOne.insert(one.TakeNumber());
+  }
+  passed &= Expect(atOne.size() == 100 && atTwo.size() == 100, "every message arrives once");
+  passed &= Expect(one.Pending<node::PeerUp>() == 0 && one.Pending<node::PeerDown>() == 0 &&
+                     two.Pending<node::PeerUp>() == 0 && two.Pending<node::PeerDown>() == 0,
+                   "a peer comes up once");
+  passed &= Expect(one.mPeers->mUp.size() == 1 && two.mPeers->mUp.size() == 1, "one in use");
+  StopPeers(*one.mPeers);
+  StopPeers(*two.mPeers);
+  return passed;
+}
+
+/// Guards against a peer that stays unreachable after its process was replaced.
+bool ReconnectsToANewIncarnation(boost::asio::io_context& aContext)
+{
+  auto& one = MakeEntry(aContext, 11);
+  auto& two = MakeEntry(aContext, 12);
+  const auto address = two.Address();
+  const auto port = two.mPeers->mAcceptor.local_endpoint().port();
+  one.Connect(address);
+  bool passed = Expect(one.Take<node::PeerUp>().mHello.mIncarnation.mValue == 12, "up");
+  StopPeers(*two.mPeers);
+  passed &= Expect(one.Take<node::PeerDown>().mPeer.mValue == 12, "down");
+  auto& next = MakeEntry(aContext, 13, port);
+  passed &= Expect(next.mStarted, "the address can be used again at once");
+  passed &= Expect(one.Take<node::PeerUp>().mHello.mIncarnation.mValue == 13, "up again");
+  one.Send(13, 7);
+  passed &= Expect(next.TakeNumber() == 7, "messages reach the new one");
+  StopPeers(*one.mPeers);
+  StopPeers(*next.mPeers);
+  return passed;
+}
+
+/// Guards against input of a broken or hostile peer that crashes the entry, is passed on, or harms
+/// the connections of others.
+bool BadFramesCloseOnlyTheirConnection(boost::asio::io_context& aContext)
+{
+  auto& entry = MakeEntry(aContext, 21);
+  auto& good = MakeEntry(aContext, 22);
+  good.Connect(entry.Address());
+  entry.Take<node::PeerUp>();
+  good.Take<node::PeerUp>();
+  const auto hello = Frame(HelloOf(99));
+  const auto heartbeat = Frame(message::Heartbeat{});
+  std::string oversize("\0\0\x03\xE9", 4); // 1001: one more than allowed.
+  std::string garbage;
+  net::AppendFrame(garbage, "this is no msgpack");
+  const std::vector<std::pair<const char*, std::string>> cases{
+    { "a frame over the limit", hello + oversize },
+    { "an empty frame", hello + std::string(4, '\0') },
+    { "no msgpack", hello + garbage },
+    { "a cut message", hello + Frame(message::Heartbeat{}).replace(0, 4, "\0\0\0\x05", 4) },
+    { "no Hello first", heartbeat },
+    { "a second Hello", hello + hello },
+  };
+  bool passed = true;
+  std::uint64_t bad = 0;
+  for (const auto& [what, bytes] : cases) {
+    Client client(aContext, entry.mPeers->mAcceptor.local_endpoint());
+    client.Write(bytes);
+    client.ReadAll();
+    passed &= Expect(entry.Counter("peer_bad_frames_total") == ++bad, what);
+  }
+  const auto ups = entry.Pending<node::PeerUp>();
+  passed &= Expect(ups == 5 && entry.Pending<node::PeerDown>() == ups, "each is reported as down");
+  good.Send(21, 5);
+  passed &= Expect(entry.TakeNumber() == 5, "the other peer is still connected");
+  {
+    Client client(aContext, entry.mPeers->mAcceptor.local_endpoint());
+    client.Write(Frame(HelloOf(21)));
+    client.ReadAll();
+    passed &= Expect(entry.Pending<node::PeerUp>() == ups, "no connection to itself");
+  }
+  StopPeers(*entry.mPeers);
+  StopPeers(*good.mPeers);
+  return passed;
+}
+
+/// Guards against damaged frames that crash the entry. The seed is RapidCheck's.
+bool FuzzedFramesDoNoHarm(boost::asio::io_context& aContext)
+{
+  auto& entry = MakeEntry(aContext, 31);
+  auto& good = MakeEntry(aContext, 32);
+  good.Connect(entry.Address());
+  entry.Take<node::PeerUp>();
+  std::uint64_t sent = 0;
+  const bool passed = rc::check("damaged frames do no harm to other peers", [&] {
+    message::Heartbeat heartbeat;
+    heartbeat.mViews = { { "north", 3, 2 } };
+    heartbeat.mOccupied = { "dispatch/w1" };
+    auto bytes =
+      Frame(HelloOf(99)) + Frame(heartbeat) + Frame(message::Grant{ 1, { { "a", 1 } }, {} });
+    const int changes = *rc::gen::inRange(1, 6);
+    for (int n = 0; n < changes; ++n) {
+      bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
+    }
+    Client client(aContext, entry.mPeers->mAcceptor.local_endpoint());
+    client.Write(bytes);
+    client.EndSending();
+    client.ReadAll();
+    entry.mLoop.mEvents.clear();
+    good.Send(31, ++sent);
+    for (;;) {
+      const auto event = entry.Take<node::PeerMessage>();
+      if (event.mFrom.mValue == 32) {
+        RC_ASSERT(std::get<message::ConfigFetch>(event.mMessage).mHave == sent);
+        break;
+      }
+    }
+  });
+  StopPeers(*entry.mPeers);
+  StopPeers(*good.mPeers);
+  return passed;
+}
+
+} // namespace
+
+bool PeersTests(boost::asio::io_context& aContext)
+{
+  bool passed = BothSidesDialAndKeepOne(aContext);
+  passed &= ReconnectsToANewIncarnation(aContext);
+  passed &= BadFramesCloseOnlyTheirConnection(aContext);
+  passed &= FuzzedFramesDoNoHarm(aContext);
+  return passed;
+}
+
+} // namespace pollenwall::test
--- a/src/pollenwalld/shell.h
+++ b/src/pollenwalld/shell.h
@@ -12,7 +12,12 @@
 /// What all services of the process share. Lives in main for the whole run.
 struct Shell
 {
-  boost::asio::io_context mContext{ 1 };
+  explicit Shell(boost::asio::io_context& aContext)
+    : mContext(aContext)
+  {
+  }
+
+  boost::asio::io_context& mContext;
   metrics::Registry mMetrics;
   settings::Settings mSettings;
   kernel::Kernel mKernel;
