--- a/src/include/pollenwall/messages.h
+++ b/src/include/pollenwall/messages.h
@@ -92,12 +92,17 @@
   friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
 };
 
+/// Entries that a message may pass on its way to the owner: one of its home data centre, the owner,
+/// and an earlier owner. A higher count means that views differ and is not sent on.
+inline constexpr std::uint32_t kMaxHops = 3;
+
 /// Hands a caller's submission to the id's owner. The reply is a SubmitReply with the same number.
 struct Submit
 {
   std::uint64_t mNumber = 0;
   bool mWait = true;
   JobSpec mJob;
+  std::uint32_t mHops = 1; ///< Times that it has been sent, this one included.
 
   friend bool operator==(const Submit&, const Submit&) = default;
 };
@@ -109,6 +114,7 @@
   std::string mId;
   std::string mTeam;
   bool mWait = false;
+  std::uint32_t mHops = 1;
 
   friend bool operator==(const Status&, const Status&) = default;
 };
@@ -118,6 +124,7 @@
   std::uint64_t mNumber = 0;
   std::string mId;
   std::string mTeam;
+  std::uint32_t mHops = 1;
 
   friend bool operator==(const Cancel&, const Cancel&) = default;
 };
--- a/src/include/pollenwall/node.h
+++ b/src/include/pollenwall/node.h
@@ -255,6 +255,9 @@
 /// Applies one event and appends what has to be done, in order.
 void Handle(State& aState, const Event& aEvent, const Now& aNow, Actions& aActions);
 
+/// The same without a copy of the event's payloads; the event is left in a valid state.
+void Handle(State& aState, Event&& aEvent, const Now& aNow, Actions& aActions);
+
 /// Whether the balancer should send callers here.
 bool IsReady(const State& aState);
 
--- /dev/null
+++ b/src/libmembership/membership.cpp
@@ -0,0 +1,174 @@
+#include <pollenwall/membership.h>
+
+#include <algorithm>
+
+namespace pollenwall::membership {
+namespace {
+
+/// The start time in an incarnation's upper bits.
+UnixMs StartOf(Incarnation aIncarnation)
+{
+  constexpr int kRandomBits = 20;
+  return static_cast<UnixMs>(aIncarnation.mValue >> kRandomBits);
+}
+
+Listed ListedOf(const Members& aMembers, std::string_view aAddress)
+{
+  const auto it = aMembers.mVms.find(aAddress);
+  return it == aMembers.mVms.end() ? Listed::Unknown : it->second.mListed;
+}
+
+MemberState StateOf(const Members& aMembers, const Peer& aPeer, const Now& aNow)
+{
+  if (HasEnded(aMembers, aPeer.mIncarnation, aPeer.mAddress, aNow)) {
+    return MemberState::Gone;
+  }
+  // Entries of other data centres send heartbeats to two entries only, so their silence says
+  // nothing; the link does.
+  const bool expected = aPeer.mDataCentre == aMembers.mDataCentre || !aPeer.mLinkUp;
+  const auto heard = std::max(aPeer.mHeard.value_or(aPeer.mLinkChanged), aPeer.mLinkChanged);
+  const auto alive = aPeer.mLinkUp ? heard : aPeer.mLinkChanged;
+  if (expected && aNow.mTime >= alive + aMembers.mOptions.mSuspectAfter) {
+    return MemberState::Suspect;
+  }
+  if (aPeer.mReported == MemberState::Leaving ||
+      ListedOf(aMembers, aPeer.mAddress) == Listed::Leaving) {
+    return MemberState::Leaving;
+  }
+  return aPeer.mReported;
+}
+
+} // namespace
+
+Peer& NoteLinkUp(Members& aMembers, const message::Hello& aHello, const Now& aNow)
+{
+  auto& peer = aMembers.mPeers[aHello.mIncarnation];
+  peer.mIncarnation = aHello.mIncarnation;
+  peer.mName = aHello.mName;
+  peer.mDataCentre = aHello.mDataCentre;
+  peer.mAddress = aHello.mPeerAddress;
+  if (!peer.mLinkUp) {
+    peer.mLinkUp = true;
+    peer.mLinkChanged = aNow.mTime;
+  }
+  auto& latest = aMembers.mLatest[aHello.mPeerAddress];
+  latest = std::max(latest, aHello.mIncarnation);
+  for (auto& [incarnation, other] : aMembers.mPeers) {
+    if (other.mAddress == aHello.mPeerAddress && incarnation < latest) {
+      other.mReplaced = true;
+    }
+  }
+  return peer;
+}
+
+void NoteLinkDown(Members& aMembers, Incarnation aPeer, const Now& aNow)
+{
+  const auto it = aMembers.mPeers.find(aPeer);
+  if (it == aMembers.mPeers.end() || !it->second.mLinkUp) {
+    return;
+  }
+  it->second.mLinkUp = false;
+  it->second.mLinkChanged = aNow.mTime;
+}
+
+bool NoteHeartbeat(Members& aMembers,
+                   Incarnation aPeer,
+                   const message::Heartbeat& aHeartbeat,
+                   const Now& aNow)
+{
+  const auto it = aMembers.mPeers.find(aPeer);
+  if (it == aMembers.mPeers.end()) {
+    return false;
+  }
+  auto& peer = it->second;
+  if (peer.mHeard && aHeartbeat.mSequence <= peer.mSequence) {
+    return false;
+  }
+  peer.mHeard = aNow.mTime;
+  peer.mSequence = aHeartbeat.mSequence;
+  peer.mReported = aHeartbeat.mState;
+  peer.mConfigurationVersion = aHeartbeat.mConfigurationVersion;
+  peer.mQueuedTasks = aHeartbeat.mQueuedTasks;
+  peer.mIdleCredits = aHeartbeat.mIdleCredits;
+  peer.mOccupied.clear();
+  peer.mOccupied.insert(aHeartbeat.mOccupied.begin(), aHeartbeat.mOccupied.end());
+  return true;
+}
+
+void NoteVmList(Members& aMembers, UnixMs aAsOfMs, const std::vector<EntryVm>& aEntries)
+{
+  if (aAsOfMs < aMembers.mListAsOfMs) {
+    return;
+  }
+  aMembers.mListAsOfMs = aAsOfMs;
+  for (auto& [address, vm] : aMembers.mVms) {
+    vm.mListed = Listed::Removed;
+  }
+  for (const auto& it : aEntries) {
+    aMembers.mVms[it.mAddress] = { it.mDataCentre, it.mLeaving ? Listed::Leaving : Listed::Live };
+  }
+}
+
+std::vector<Transition> Advance(Members& aMembers, const Now& aNow)
+{
+  std::vector<Transition> transitions;
+  for (auto it = aMembers.mPeers.begin(); it != aMembers.mPeers.end();) {
+    auto& peer = it->second;
+    const auto state = StateOf(aMembers, peer, aNow);
+    if (state != peer.mState) {
+      transitions.push_back({ peer.mIncarnation, peer.mState, state });
+      peer.mState = state;
+      peer.mGoneSince =
+        state == MemberState::Gone ? std::optional(aNow.mTime) : std::optional<Time>();
+    }
+    const bool forget = peer.mGoneSince && !peer.mLinkUp &&
+                        aNow.mTime >= *peer.mGoneSince + aMembers.mOptions.mForgetAfter;
+    it = forget ? aMembers.mPeers.erase(it) : std::next(it);
+  }
+  return transitions;
+}
+
+bool HasEnded(const Members& aMembers,
+              Incarnation aPeer,
+              std::string_view aAddress,
+              const Now& aNow)
+{
+  const auto latest = aMembers.mLatest.find(aAddress);
+  if (latest != aMembers.mLatest.end() && aPeer < latest->second) {
+    return true;
+  }
+  const auto listed = ListedOf(aMembers, aAddress);
+  const bool overdue =
+    aMembers.mListAsOfMs > StartOf(aPeer) + aMembers.mOptions.mListedWithin.count();
+  if (listed != Listed::Removed && !(listed == Listed::Unknown && overdue)) {
+    return false;
+  }
+  const auto* peer = FindPeer(aMembers, aPeer);
+  return peer == nullptr || !peer->mLinkUp || !peer->mHeard ||
+         aNow.mTime >= *peer->mHeard + aMembers.mOptions.mSuspectAfter;
+}
+
+const Peer* FindPeer(const Members& aMembers, Incarnation aPeer)
+{
+  const auto it = aMembers.mPeers.find(aPeer);
+  return it == aMembers.mPeers.end() ? nullptr : &it->second;
+}
+
+std::string_view ToString(MemberState aState)
+{
+  switch (aState) {
+    case MemberState::Joining:
+      return "joining";
+    case MemberState::Ready:
+      return "ready";
+    case MemberState::Leaving:
+      return "leaving";
+    case MemberState::Suspect:
+      return "suspect";
+    case MemberState::Gone:
+      break;
+  }
+  return "gone";
+}
+
+} // namespace pollenwall::membership
--- /dev/null
+++ b/src/libnode/control.cpp
@@ -0,0 +1,760 @@
+#include <algorithm>
+#include <limits>
+
+#include <pollenwall/hash.h>
+
+#include "state.h"
+
+// Peers, heartbeats, views, leases and the configuration.
+
+namespace pollenwall::node {
+namespace {
+
+using membership::MemberState;
+
+/// The view's long poll also bounds how old a lease by reading can be when it is granted, so it is
+/// shorter than the lease. Other streams wait longer.
+constexpr std::chrono::milliseconds kViewPoll{ 400 };
+constexpr std::chrono::milliseconds kLongPoll{ 5000 };
+constexpr std::chrono::milliseconds kFirstBackoff{ 100 };
+constexpr int kMaxBackoffDoublings = 5;
+
+/// A tick is due every 10 to 50 ms.
+constexpr std::chrono::milliseconds kTickPeriod{ 50 };
+/// The pace of control work that is not bound to the heartbeat.
+constexpr std::chrono::milliseconds kControlPeriod{ 50 };
+
+/// Delays before proposing a view when another entry should do so, and when all members that this
+/// entry's view names are silent to it, which may be its own fault.
+constexpr std::chrono::milliseconds kFallbackDelay{ 1000 };
+constexpr std::chrono::milliseconds kOutsiderDelay{ 3000 };
+constexpr std::chrono::milliseconds kViewAppendInterval{ 500 };
+
+/// Heartbeats go to this many entries of each other data centre.
+constexpr std::size_t kPeersOfOtherDataCentre = 2;
+
+/// An entry that asked for a vote gets heartbeats for this long.
+constexpr std::chrono::milliseconds kVoterMemory{ 3000 };
+
+constexpr std::chrono::milliseconds kFetchInterval{ 1000 };
+/// The log usually brings a new version to all entries within milliseconds; a fetched one is whole,
+/// so it is asked for only when a peer has been ahead for longer.
+constexpr std::chrono::milliseconds kFetchAfter{ 1500 };
+constexpr std::size_t kMaxNotes = 32;
+/// 150 teams in 5 s, at 14 peers and about 25 bytes each 10 KB/s.
+constexpr std::size_t kDemandsPerHeartbeat = 6;
+
+std::string JournalStream(const State& aState)
+{
+  return "journal." + aState.mOptions.mDataCentre;
+}
+
+std::string OwnViewStream(const State& aState)
+{
+  return ownership::ViewStream(aState.mOptions.mDataCentre);
+}
+
+std::uint64_t& PromisedOf(State& aState, std::string_view aDataCentre)
+{
+  const auto it = aState.mPromised.find(aDataCentre);
+  return it != aState.mPromised.end() ? it->second : aState.mPromised[std::string(aDataCentre)];
+}
+
+void Read(State& aState, const std::string& aStream, const Now& aNow, Actions& aActions)
+{
+  auto& stream = aState.mStreams[aStream];
+  if (stream.mReading || aNow.mTime < stream.mRetryAt) {
+    return;
+  }
+  stream.mReading = true;
+  auto wait = kLongPoll;
+  if (aStream == OwnViewStream(aState)) {
+    // Without a lease the end is read at once, and again after a heartbeat.
+    const bool holds = ownership::HoldsLease(aState.mLease, aNow);
+    wait = holds && stream.mReachedEnd ? kViewPoll : std::chrono::milliseconds(0);
+    if (!holds) {
+      stream.mRetryAt = aNow.mTime + aState.mOptions.mHeartbeat;
+    }
+  }
+  aActions.emplace_back(ReadLog{ aStream, stream.mNext, wait });
+}
+
+void ReadAll(State& aState, const Now& aNow, Actions& aActions)
+{
+  Read(aState, std::string(configuration::kStream), aNow, aActions);
+  Read(aState, OwnViewStream(aState), aNow, aActions);
+  Read(aState, JournalStream(aState), aNow, aActions);
+}
+
+void ApplyConfiguration(State& aState, const Now& aNow, Actions& aActions)
+{
+  const auto current = aState.mConfiguration.mConfiguration;
+  if (current->mVersion == aState.mAppliedVersion) {
+    return;
+  }
+  aState.mAppliedVersion = current->mVersion;
+  Dispatch(aState, dispatch::ConfigurationApplied{ current }, aNow, aActions);
+  FollowConfiguration(aState, aNow, aActions);
+  aActions.emplace_back(
+    Report{ false, "configuration_applied", { { "version", std::to_string(current->mVersion) } } });
+}
+
+bool IsAbleToServe(const State& aState)
+{
+  const auto view = aState.mStreams.find(OwnViewStream(aState));
+  return aState.mAppliedVersion != 0 && !aState.mDrainStarted && view != aState.mStreams.end() &&
+         view->second.mReachedEnd;
+}
+
+MemberState OwnState(const State& aState)
+{
+  if (aState.mDrainStarted) {
+    return MemberState::Leaving;
+  }
+  return IsAbleToServe(aState) ? MemberState::Ready : MemberState::Joining;
+}
+
+// Views.
+
+/// Ready entries of this data centre, this one included, sorted.
+std::vector<ownership::Member> DesiredMembers(const State& aState)
+{
+  std::vector<ownership::Member> members;
+  if (IsAbleToServe(aState)) {
+    members.push_back({ aState.mOptions.mIncarnation, aState.mOptions.mPeerAddress });
+  }
+  for (const auto& [incarnation, peer] : aState.mMembers.mPeers) {
+    if (peer.mDataCentre == aState.mOptions.mDataCentre && peer.mState == MemberState::Ready) {
+      members.push_back({ incarnation, peer.mAddress });
+    }
+  }
+  std::sort(members.begin(), members.end());
+  return members;
+}
+
+/// The outside witness: the present one while it lives, so that views do not change for its sake.
+std::optional<ownership::Member> OutsideWitness(const State& aState, const ownership::View* aView)
+{
+  std::optional<ownership::Member> best;
+  for (const auto& [incarnation, peer] : aState.mMembers.mPeers) {
+    if (peer.mDataCentre == aState.mOptions.mDataCentre || !peer.mLinkUp ||
+        peer.mState == MemberState::Gone || peer.mState == MemberState::Suspect ||
+        peer.mState == MemberState::Leaving) {
+      continue;
+    }
+    const ownership::Member candidate{ incarnation, peer.mAddress };
+    if (aView != nullptr && ownership::Contains(aView->mWitnesses, incarnation)) {
+      return candidate;
+    }
+    if (!best) {
+      best = candidate;
+    }
+  }
+  return best;
+}
+
+/// The view that should follow the one in force; nothing when that may stay.
+std::optional<ownership::View> NextView(const State& aState)
+{
+  const auto* current = ownership::CurrentView(aState.mViews);
+  ownership::View next;
+  next.mMembers = DesiredMembers(aState);
+  if (next.mMembers.empty()) {
+    return std::nullopt;
+  }
+  next.mWitnesses = ownership::MakeWitnesses(next.mMembers, OutsideWitness(aState, current));
+  next.mBase = aState.mViews.mVersion;
+  if (current == nullptr) {
+    // Peers may remember a version that the log no longer holds.
+    const auto it = aState.mPromised.find(aState.mOptions.mDataCentre);
+    next.mBase = it == aState.mPromised.end() ? 0 : it->second;
+  } else if (current->mMembers == next.mMembers) {
+    // Only a missing outside witness is worth a new view, not the loss of one.
+    const bool better =
+      next.mWitnesses.size() > next.mMembers.size() && next.mWitnesses != current->mWitnesses;
+    const auto& read = aState.mViews.mViews.at(aState.mViews.mVersion);
+    const bool old =
+      aState.mLastEvent->mTime >= read.mFirstRead + aState.mOptions.mLogRetention / 2;
+    if (!better && !old) {
+      return std::nullopt;
+    }
+  }
+  next.mVersion = next.mBase + 1;
+  next.mSealed = aState.mViews.mSealed;
+  return next;
+}
+
+/// How long this entry leaves the proposal to others.
+std::chrono::milliseconds ProposalDelay(State& aState, const Now& aNow)
+{
+  const auto* current = ownership::CurrentView(aState.mViews);
+  const auto self = aState.mOptions.mIncarnation;
+  if (current == nullptr) {
+    return Jitter(aState, std::chrono::milliseconds(0), aState.mOptions.mHeartbeat);
+  }
+  bool allEnded = true;
+  Incarnation first;
+  for (const auto& it : current->mMembers) {
+    const auto* peer = membership::FindPeer(aState.mMembers, it.mIncarnation);
+    const bool ready = it.mIncarnation == self
+                         ? IsAbleToServe(aState)
+                         : peer != nullptr && peer->mState == MemberState::Ready;
+    if (ready && first.mValue == 0) {
+      first = it.mIncarnation;
+    }
+    allEnded = allEnded && it.mIncarnation != self &&
+               membership::HasEnded(aState.mMembers, it.mIncarnation, it.mAddress, aNow);
+  }
+  if (first == self) {
+    return std::chrono::milliseconds(0);
+  }
+  if (allEnded) {
+    return Jitter(aState, std::chrono::milliseconds(0), kFallbackDelay);
+  }
+  const bool outsider = first.mValue == 0 && !ownership::Contains(current->mMembers, self);
+  const auto delay = outsider ? kOutsiderDelay : kFallbackDelay;
+  return Jitter(aState, delay, delay * 2);
+}
+
+void ProposeView(State& aState, const Now& aNow, Actions& aActions)
+{
+  if (!IsAbleToServe(aState) || !MayAppend(aState.mViewAppend, aNow)) {
+    return;
+  }
+  auto next = NextView(aState);
+  if (!next) {
+    aState.mProposalDue.reset();
+    return;
+  }
+  if (!aState.mProposalDue) {
+    aState.mProposalDue = aNow.mTime + ProposalDelay(aState, aNow);
+  }
+  if (aNow.mTime < *aState.mProposalDue) {
+    return;
+  }
+  aState.mProposalDue.reset();
+  aState.mViewAppend.mNextAt = aNow.mTime + kViewAppendInterval;
+  ++aState.mCounters.mViewsProposed;
+  aActions.emplace_back(Report{ false,
+                                "view_proposed",
+                                { { "version", std::to_string(next->mVersion) },
+                                  { "members", std::to_string(next->mMembers.size()) } } });
+  StartAppend(
+    aState, aState.mViewAppend, OwnViewStream(aState), ownership::ViewRecord(*next), aActions);
+}
+
+void AdvanceViews(State& aState, const Now& aNow, Actions& aActions)
+{
+  auto& known = aState.mAcknowledged;
+  known.mGone.clear();
+  for (const auto& [version, read] : aState.mViews.mViews) {
+    if (version <= aState.mViews.mSealed) {
+      continue;
+    }
+    for (const auto& it : read.mView.mWitnesses) {
+      if (membership::HasEnded(aState.mMembers, it.mIncarnation, it.mAddress, aNow)) {
+        known.mGone.insert(it.mIncarnation);
+      }
+    }
+  }
+  const auto before = aState.mViews.mSealed;
+  ownership::Advance(aState.mViews, known, aNow);
+  if (aState.mViews.mSealed != before) {
+    aActions.emplace_back(
+      Report{ false, "views_sealed", { { "version", std::to_string(aState.mViews.mSealed) } } });
+  }
+}
+
+void ApplyViewRecords(State& aState, const LogRead& aEvent, const Now& aNow, Actions& aActions)
+{
+  for (const auto& record : aEvent.mRecords) {
+    std::optional<ownership::View> old;
+    if (const auto* current = ownership::CurrentView(aState.mViews)) {
+      old = *current;
+    }
+    if (!ownership::ApplyRecord(aState.mViews, aEvent.mFirst, record.mOffset, record.mData, aNow)) {
+      continue;
+    }
+    const auto version = aState.mViews.mVersion;
+    aState.mAcknowledged.mVersions[aState.mOptions.mIncarnation] = version;
+    auto& promised = PromisedOf(aState, aState.mOptions.mDataCentre);
+    promised = std::max(promised, version);
+    aState.mProposalDue.reset();
+    FollowView(aState, old ? &*old : nullptr, aNow, aActions);
+    aState.mHeartbeatAt = aNow.mTime; // Others wait for the acknowledgement.
+    aActions.emplace_back(
+      Report{ false, "view_in_force", { { "version", std::to_string(version) } } });
+  }
+}
+
+// Heartbeats.
+
+bool IsOutsideWitness(const State& aState, Incarnation aPeer)
+{
+  const auto* view = ownership::CurrentView(aState.mViews);
+  return view != nullptr && ownership::Contains(view->mWitnesses, aPeer);
+}
+
+/// Outside witnesses of views that are not sealed have to learn of later ones.
+bool IsUnsealedWitness(const State& aState, Incarnation aPeer)
+{
+  const auto& views = aState.mViews;
+  for (auto it = views.mViews.upper_bound(views.mSealed); it != views.mViews.end(); ++it) {
+    if (ownership::Contains(it->second.mView.mWitnesses, aPeer)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool HasLoanWith(const State& aState, Incarnation aPeer)
+{
+  const auto isWith = [aPeer](const auto& aIt) { return aIt.second.mPeer == aPeer; };
+  return std::any_of(aState.mLent.begin(), aState.mLent.end(), isWith) ||
+         std::any_of(aState.mBorrowed.begin(), aState.mBorrowed.end(), isWith);
+}
+
+/// All entries of this data centre, two of each other one, and those outside that vote for this
+/// entry, ask for its vote or hold a loan.
+std::vector<Incarnation> HeartbeatTargets(const State& aState, const Now& aNow)
+{
+  std::vector<Incarnation> targets;
+  std::map<std::string_view, std::vector<std::pair<std::uint64_t, Incarnation>>> others;
+  for (const auto& [incarnation, peer] : aState.mMembers.mPeers) {
+    if (!peer.mLinkUp) {
+      continue;
+    }
+    const auto notes = aState.mPeers.find(incarnation);
+    const bool asked = notes != aState.mPeers.end() && notes->second.mAskedForVote &&
+                       aNow.mTime < *notes->second.mAskedForVote + kVoterMemory;
+    if (peer.mDataCentre == aState.mOptions.mDataCentre || asked ||
+        IsOutsideWitness(aState, incarnation) || IsUnsealedWitness(aState, incarnation) ||
+        HasLoanWith(aState, incarnation)) {
+      targets.push_back(incarnation);
+      continue;
+    }
+    others[peer.mDataCentre].emplace_back(
+      RendezvousWeight(ToString(aState.mOptions.mIncarnation), incarnation.mValue), incarnation);
+  }
+  for (auto& [dataCentre, peers] : others) {
+    std::sort(peers.rbegin(), peers.rend());
+    peers.resize(std::min(peers.size(), kPeersOfOtherDataCentre));
+    for (const auto& [weight, incarnation] : peers) {
+      targets.push_back(incarnation);
+    }
+  }
+  return targets;
+}
+
+message::Heartbeat MakeHeartbeat(State& aState)
+{
+  message::Heartbeat beat;
+  beat.mSequence = ++aState.mHeartbeatSequence;
+  beat.mState = OwnState(aState);
+  beat.mConfigurationVersion = aState.mConfiguration.mConfiguration->mVersion;
+  const auto load = dispatch::LoadOf(*aState.mDispatch);
+  beat.mQueuedTasks = load.mQueuedTasks;
+  beat.mIdleCredits = load.mIdleCredits;
+  beat.mViews.push_back(
+    { aState.mOptions.mDataCentre, aState.mViews.mVersion, aState.mViews.mSealed });
+  for (const auto& [dataCentre, version] : aState.mPromised) {
+    if (dataCentre != aState.mOptions.mDataCentre) {
+      beat.mViews.push_back({ dataCentre, version, 0 });
+    }
+  }
+  beat.mOccupied = OccupiedUpstreams(aState);
+  for (const auto& [upstream, since] : aState.mLeavingNotes) {
+    if (beat.mNotes.size() == kMaxNotes) {
+      break;
+    }
+    beat.mNotes.push_back({ upstream, true, 0 });
+  }
+  return beat;
+}
+
+/// Adds demands that the peer has not been told, some in each heartbeat, teams in turn.
+void AddDemands(const State& aState, PeerNotes& aNotes, message::Heartbeat& aBeat)
+{
+  const auto& demands = aState.mDemandSent;
+  auto it = demands.upper_bound(aNotes.mLastDemand);
+  for (std::size_t n = 0; n < demands.size() && aBeat.mDemands.size() < kDemandsPerHeartbeat; ++n) {
+    if (it == demands.end()) {
+      it = demands.begin();
+    }
+    const auto& [team, demand] = *it++;
+    const auto [sent, isNew] = aNotes.mDemandsSent.try_emplace(team, demand);
+    if (isNew || sent->second != demand) {
+      sent->second = demand;
+      aBeat.mDemands.push_back({ team, demand });
+      aNotes.mLastDemand = team;
+    }
+  }
+}
+
+void SendHeartbeats(State& aState, const Now& aNow, Actions& aActions)
+{
+  const auto* view = ownership::CurrentView(aState.mViews);
+  const auto self = aState.mOptions.mIncarnation;
+  std::optional<message::Vote> request;
+  if (view != nullptr && ownership::Contains(view->mMembers, self)) {
+    const bool ownVote = ownership::Contains(view->mWitnesses, self) &&
+                         PromisedOf(aState, aState.mOptions.mDataCentre) <= view->mVersion;
+    const auto round =
+      ownership::BeginRound(aState.mLease, *view, self, ownVote, aNow, aState.mViews.mOptions);
+    request = message::Vote{ aState.mOptions.mDataCentre, view->mVersion, round };
+  }
+  const auto targets = HeartbeatTargets(aState, aNow);
+  if (targets.empty()) {
+    return;
+  }
+  const auto common = MakeHeartbeat(aState);
+  for (const auto target : targets) {
+    auto beat = common;
+    if (request && ownership::Contains(view->mWitnesses, target)) {
+      beat.mVoteRequests.push_back(*request);
+    }
+    auto& notes = aState.mPeers[target];
+    for (auto& [dataCentre, vote] : notes.mVotes) {
+      // The promise may have risen since the request came.
+      if (vote.mVersion >= PromisedOf(aState, dataCentre)) {
+        beat.mVotes.push_back(vote);
+      }
+    }
+    notes.mVotes.clear();
+    AddDemands(aState, notes, beat);
+    ++aState.mCounters.mHeartbeatsSent;
+    Send(aState, target, std::move(beat), aActions);
+  }
+}
+
+/// Fetches a newer configuration from a peer that holds one for longer than the log takes.
+void FetchConfiguration(State& aState, const Now& aNow, Actions& aActions)
+{
+  if (aNow.mTime < aState.mConfigFetchAt) {
+    return;
+  }
+  const auto own = aState.mConfiguration.mConfiguration->mVersion;
+  const membership::Peer* best = nullptr;
+  for (const auto& [incarnation, peer] : aState.mMembers.mPeers) {
+    if (peer.mLinkUp && peer.mConfigurationVersion > own &&
+        (best == nullptr || peer.mConfigurationVersion > best->mConfigurationVersion)) {
+      best = &peer;
+    }
+  }
+  if (best == nullptr || aState.mBehindWith != own) {
+    aState.mBehindWith = own;
+    aState.mBehindSince = aNow.mTime;
+  }
+  if (best != nullptr && (own == 0 || aNow.mTime >= aState.mBehindSince + kFetchAfter)) {
+    aState.mConfigFetchAt = aNow.mTime + kFetchInterval;
+    Send(aState, best->mIncarnation, message::ConfigFetch{ own }, aActions);
+  }
+}
+
+void RepublishSnapshot(State& aState, const Now& aNow, Actions& aActions)
+{
+  auto& log = aState.mConfiguration;
+  if (log.mSnapshotMs != aState.mSnapshotMs) {
+    aState.mSnapshotMs = log.mSnapshotMs;
+    aState.mSnapshotShare = std::uniform_real_distribution<double>(0, 1)(aState.mRandom);
+  }
+  if (MayAppend(aState.mConfigurationAppend, aNow) &&
+      configuration::SnapshotDue(
+        log, aNow.mUnixMs, aState.mOptions.mLogRetention, aState.mSnapshotShare)) {
+    aState.mConfigurationAppend.mNextAt = aNow.mTime + aState.mOptions.mSuspectAfter;
+    StartAppend(aState,
+                aState.mConfigurationAppend,
+                std::string(configuration::kStream),
+                configuration::SnapshotRecord(log),
+                aActions);
+  }
+}
+
+void ConnectTo(State& aState, const std::string& aAddress, Actions& aActions)
+{
+  if (!aAddress.empty() && aAddress != aState.mOptions.mPeerAddress &&
+      aState.mConnected.insert(aAddress).second) {
+    aActions.emplace_back(Connect{ aAddress });
+  }
+}
+
+} // namespace
+
+bool MayAppend(const Append& aAppend, const Now& aNow)
+{
+  return aAppend.mToken == 0 && aNow.mTime >= aAppend.mNextAt;
+}
+
+void StartAppend(State& aState,
+                 Append& aAppend,
+                 std::string aStream,
+                 std::string aData,
+                 Actions& aActions)
+{
+  aAppend.mToken = ++aState.mNextToken;
+  aActions.emplace_back(AppendLog{ std::move(aStream), aAppend.mToken, std::move(aData) });
+}
+
+void OnPeerUp(State& aState, const PeerUp& aEvent, const Now& aNow, Actions& aActions)
+{
+  if (aEvent.mHello.mIncarnation == aState.mOptions.mIncarnation) {
+    return;
+  }
+  membership::NoteLinkUp(aState.mMembers, aEvent.mHello, aNow);
+  aState.mPeers[aEvent.mHello.mIncarnation].mDemandsSent.clear();
+  aActions.emplace_back(Report{ false,
+                                "peer_up",
+                                { { "peer", ToString(aEvent.mHello.mIncarnation) },
+                                  { "address", aEvent.mHello.mPeerAddress } } });
+}
+
+void OnPeerDown(State& aState, const PeerDown& aEvent, const Now& aNow, Actions& aActions)
+{
+  membership::NoteLinkDown(aState.mMembers, aEvent.mPeer, aNow);
+  FailForwards(aState, aEvent.mPeer, aActions);
+  FailHandovers(aState, aEvent.mPeer, aNow, aActions);
+  aActions.emplace_back(Report{ true, "peer_down", { { "peer", ToString(aEvent.mPeer) } } });
+}
+
+void OnHeartbeat(State& aState,
+                 Incarnation aFrom,
+                 const message::Heartbeat& aMessage,
+                 const Now& aNow,
+                 Actions& aActions)
+{
+  // An older heartbeat is dropped whole: what it says of slots no longer holds.
+  if (!membership::NoteHeartbeat(aState.mMembers, aFrom, aMessage, aNow)) {
+    return;
+  }
+  const auto& own = aState.mOptions.mDataCentre;
+  for (const auto& ack : aMessage.mViews) {
+    auto& promised = PromisedOf(aState, ack.mDataCentre);
+    if (ack.mDataCentre == own) {
+      auto& version = aState.mAcknowledged.mVersions[aFrom];
+      version = std::max(version, ack.mAcknowledged);
+      ownership::NoteSealed(aState.mViews, ack.mSealed, aNow);
+    }
+    // A version that a peer has read exists, so no vote for an earlier one is given from now on.
+    promised = std::max(promised, ack.mAcknowledged);
+  }
+  auto& notes = aState.mPeers[aFrom];
+  for (const auto& request : aMessage.mVoteRequests) {
+    auto& promised = PromisedOf(aState, request.mDataCentre);
+    if (request.mVersion < promised) {
+      continue;
+    }
+    promised = request.mVersion;
+    notes.mVotes[request.mDataCentre] = request;
+    notes.mAskedForVote = aNow.mTime;
+  }
+  const auto* view = ownership::CurrentView(aState.mViews);
+  for (const auto& vote : aMessage.mVotes) {
+    if (view != nullptr && vote.mDataCentre == own) {
+      ownership::AddVote(
+        aState.mLease, *view, aFrom, vote.mVersion, vote.mRound, aState.mViews.mOptions);
+    }
+  }
+  for (const auto& it : aMessage.mDemands) {
+    notes.mDemands[it.mTeam] = it.mStartsPerSecond;
+  }
+  const auto* peer = membership::FindPeer(aState.mMembers, aFrom);
+  if (peer->mDataCentre != own) {
+    return;
+  }
+  for (const auto& it : aMessage.mNotes) {
+    if (it.mLeaving && aState.mSlots.contains(it.mUpstream)) {
+      Dispatch(aState,
+               dispatch::UpstreamSign{ it.mUpstream, dispatch::Sign::SuspectedLeaving },
+               aNow,
+               aActions);
+    }
+  }
+}
+
+void OnVmList(State& aState, const VmList& aEvent, const Now& aNow, Actions& aActions)
+{
+  if (!aEvent.mOk || aEvent.mAsOfMs < aState.mMembers.mListAsOfMs) {
+    return;
+  }
+  std::vector<membership::EntryVm> entries;
+  std::map<std::string, bool, std::less<>> workers; // Whether it is leaving, by address.
+  for (const auto& vm : aEvent.mVms) {
+    if (!vm.mEntry) {
+      workers[vm.mAddress] = vm.mLeaving;
+      continue;
+    }
+    entries.push_back({ vm.mAddress, vm.mDataCentre, vm.mLeaving });
+    ConnectTo(aState, vm.mAddress, aActions);
+  }
+  membership::NoteVmList(aState.mMembers, aEvent.mAsOfMs, entries);
+  for (auto it = aState.mConnected.begin(); it != aState.mConnected.end();) {
+    const auto vm = aState.mMembers.mVms.find(*it);
+    const bool removed =
+      vm != aState.mMembers.mVms.end() && vm->second.mListed == membership::Listed::Removed;
+    if (!removed) {
+      ++it;
+      continue;
+    }
+    aActions.emplace_back(Disconnect{ *it });
+    it = aState.mConnected.erase(it);
+  }
+  for (const auto& [key, slots] : aState.mSlots) {
+    const auto worker = workers.find(slots.mWorkerAddress);
+    const bool listed = worker != workers.end();
+    const bool wasListed = aState.mListedWorkers.contains(slots.mWorkerAddress);
+    if (!listed && !wasListed) {
+      continue; // A new worker that the list does not name yet.
+    }
+    const bool leaving = !listed || worker->second;
+    const auto sign = leaving ? dispatch::Sign::Leaving : dispatch::Sign::Live;
+    Dispatch(aState, dispatch::UpstreamSign{ key, sign, aEvent.mAsOfMs }, aNow, aActions);
+  }
+  for (const auto& [address, leaving] : workers) {
+    aState.mListedWorkers.insert(address);
+  }
+}
+
+void OnLogRead(State& aState, const LogRead& aEvent, const Now& aNow, Actions& aActions)
+{
+  auto& stream = aState.mStreams[aEvent.mStream];
+  stream.mReading = false;
+  if (!aEvent.mOk) {
+    const auto doublings = std::min(stream.mFailures++, kMaxBackoffDoublings);
+    const std::chrono::milliseconds most(kFirstBackoff.count() << doublings);
+    stream.mRetryAt = aNow.mTime + Jitter(aState, most / 2, most);
+    return;
+  }
+  stream.mFailures = 0;
+  if (aEvent.mStream == configuration::kStream) {
+    configuration::NoteFirst(aState.mConfiguration, aEvent.mFirst);
+    for (const auto& record : aEvent.mRecords) {
+      const auto outcome = configuration::ApplyRecord(
+        aState.mConfiguration, record.mOffset, record.mAtMs, record.mData);
+      if (outcome.mKind == configuration::OutcomeKind::Invalid) {
+        aActions.emplace_back(
+          Report{ true, "configuration_record_invalid", { { "id", outcome.mId } } });
+      }
+    }
+    stream.mNext = std::max(aEvent.mNext, aState.mConfiguration.mNext);
+    ApplyConfiguration(aState, aNow, aActions);
+  } else if (aEvent.mStream == OwnViewStream(aState)) {
+    ApplyViewRecords(aState, aEvent, aNow, aActions);
+    stream.mNext = std::max(stream.mNext, aEvent.mNext);
+    const auto* view = ownership::CurrentView(aState.mViews);
+    if (aEvent.mAtEnd && view != nullptr &&
+        ownership::Contains(view->mMembers, aState.mOptions.mIncarnation) &&
+        aEvent.mStarted >= aState.mLeasesFrom) {
+      ownership::NoteEndRead(aState.mLease, *view, aEvent.mStarted, aState.mViews.mOptions);
+    }
+  } else {
+    for (const auto& record : aEvent.mRecords) {
+      ApplyJournalRecord(aState, record.mData);
+    }
+    stream.mNext = std::max(stream.mNext, aEvent.mNext);
+  }
+  stream.mReachedEnd = stream.mReachedEnd || aEvent.mAtEnd;
+  Read(aState, aEvent.mStream, aNow, aActions);
+}
+
+void OnLogAppended(State& aState, const LogAppended& aEvent, const Now& aNow, Actions& aActions)
+{
+  for (auto* append :
+       { &aState.mViewAppend, &aState.mConfigurationAppend, &aState.mJournalAppend }) {
+    if (append->mToken == 0 || append->mToken != aEvent.mToken) {
+      continue;
+    }
+    append->mToken = 0;
+    if (append == &aState.mJournalAppend) {
+      OnJournalAppended(aState, aEvent.mOk, aNow);
+    }
+    if (aEvent.mOk) {
+      append->mFailures = 0;
+      return;
+    }
+    const auto doublings = std::min(append->mFailures++, kMaxBackoffDoublings);
+    const std::chrono::milliseconds most(kFirstBackoff.count() << doublings);
+    append->mNextAt = std::max(append->mNextAt, aNow.mTime + Jitter(aState, most / 2, most));
+    aActions.emplace_back(Report{ true, "append_failed", { { "stream", aEvent.mStream } } });
+    return;
+  }
+}
+
+void OnConfigFetch(State& aState,
+                   Incarnation aFrom,
+                   const message::ConfigFetch& aMessage,
+                   Actions& aActions)
+{
+  const auto own = aState.mConfiguration.mConfiguration->mVersion;
+  if (own > aMessage.mHave) {
+    Send(aState,
+         aFrom,
+         message::ConfigItems{ own, configuration::SnapshotRecord(aState.mConfiguration) },
+         aActions);
+  }
+}
+
+void OnConfigItems(State& aState,
+                   const message::ConfigItems& aMessage,
+                   const Now& aNow,
+                   Actions& aActions)
+{
+  if (aMessage.mVersion <= aState.mConfiguration.mConfiguration->mVersion) {
+    return;
+  }
+  configuration::AdoptSnapshot(aState.mConfiguration, aMessage.mSnapshot);
+  auto& stream = aState.mStreams[std::string(configuration::kStream)];
+  stream.mNext = std::max(stream.mNext, aState.mConfiguration.mNext);
+  ApplyConfiguration(aState, aNow, aActions);
+}
+
+void NotePause(State& aState, const Now& aNow, Actions& aActions)
+{
+  if (aState.mLastEvent) {
+    const auto gap = aNow.mTime - aState.mLastEvent->mTime;
+    // A suspended machine's monotonic clock may stand still; the wall clock then jumps.
+    const std::chrono::milliseconds wallGap(aNow.mUnixMs - aState.mLastEvent->mUnixMs);
+    const auto most = kTickPeriod + aState.mOptions.mDriftMargin;
+    if (gap > most || wallGap > most) {
+      ownership::DropLease(aState.mLease);
+      aState.mLeasesFrom = aNow.mTime;
+      ++aState.mCounters.mPauses;
+      aActions.emplace_back(
+        Report{ true,
+                "paused",
+                { { "ms",
+                    std::to_string(
+                      std::chrono::duration_cast<std::chrono::milliseconds>(gap).count()) } } });
+    }
+  }
+  aState.mLastEvent = aNow;
+}
+
+void TickControl(State& aState, const Now& aNow, Actions& aActions)
+{
+  if (aState.mConnected.empty()) {
+    for (const auto& seed : aState.mOptions.mSeeds) {
+      ConnectTo(aState, seed, aActions);
+    }
+  }
+  ReadAll(aState, aNow, aActions);
+  if (aNow.mTime >= aState.mControlAt) {
+    aState.mControlAt = aNow.mTime + kControlPeriod;
+    for (const auto& it : membership::Advance(aState.mMembers, aNow)) {
+      aActions.emplace_back(Report{ it.mTo == MemberState::Suspect || it.mTo == MemberState::Gone,
+                                    "peer_state",
+                                    { { "peer", ToString(it.mPeer) },
+                                      { "from", std::string(membership::ToString(it.mFrom)) },
+                                      { "to", std::string(membership::ToString(it.mTo)) } } });
+    }
+    AdvanceViews(aState, aNow, aActions);
+    ProposeView(aState, aNow, aActions);
+    FetchConfiguration(aState, aNow, aActions);
+    RepublishSnapshot(aState, aNow, aActions);
+  }
+  if (aNow.mTime >= aState.mHeartbeatAt) {
+    aState.mHeartbeatAt = aNow.mTime + aState.mOptions.mHeartbeat;
+    SendHeartbeats(aState, aNow, aActions);
+  }
+}
+
+} // namespace pollenwall::node
--- a/src/libnode/messages.cpp
+++ b/src/libnode/messages.cpp
@@ -412,15 +412,18 @@
     a("number", v.mNumber);
     a("wait", v.mWait);
     a("job", v.mJob);
+    a("hops", v.mHops);
   } else if constexpr (Is<T, Status>) {
     a("number", v.mNumber);
     a("id", v.mId);
     a("team", v.mTeam);
     a("wait", v.mWait);
+    a("hops", v.mHops);
   } else if constexpr (Is<T, Cancel>) {
     a("number", v.mNumber);
     a("id", v.mId);
     a("team", v.mTeam);
+    a("hops", v.mHops);
   } else if constexpr (Is<T, Reply>) {
     a("number", v.mNumber);
     a("answer", v.mAnswer);
--- a/src/libnode/messages_test.cpp
+++ b/src/libnode/messages_test.cpp
@@ -126,11 +126,11 @@
     case 1:
       return AnyHeartbeat();
     case 2:
-      return Submit{ AnyNumber(), AnyBool(), AnyJob() };
+      return Submit{ AnyNumber(), AnyBool(), AnyJob(), AnyCount() };
     case 3:
-      return Status{ AnyNumber(), AnyText(), AnyText(), AnyBool() };
+      return Status{ AnyNumber(), AnyText(), AnyText(), AnyBool(), AnyCount() };
     case 4:
-      return Cancel{ AnyNumber(), AnyText(), AnyText() };
+      return Cancel{ AnyNumber(), AnyText(), AnyText(), AnyCount() };
     case 5: {
       Reply reply{ AnyNumber(), std::nullopt, std::nullopt };
       if (AnyBool()) {
--- a/src/libnode/node.cpp
+++ b/src/libnode/node.cpp
@@ -9,267 +9,437 @@
 namespace pollenwall::node {
 namespace {
 
-constexpr std::chrono::milliseconds kLongPoll{ 2000 };
-constexpr std::chrono::milliseconds kFirstBackoff{ 100 };
-constexpr int kMaxBackoffDoublings = 5;
+/// Whether a message is new from its peer. Submissions, requests for credits and handovers change
+/// the state each time, so a duplicate is dropped.
+bool IsNew(NumberWindow& aWindow, std::uint64_t aNumber)
+{
+  constexpr auto kSize = NumberWindow::kSize;
+  if (aNumber + kSize <= aWindow.mTop) {
+    return false;
+  }
+  if (aNumber > aWindow.mTop) {
+    if (aNumber - aWindow.mTop >= kSize) {
+      std::fill(aWindow.mSeen.begin(), aWindow.mSeen.end(), false);
+    } else {
+      for (auto n = aWindow.mTop + 1; n <= aNumber; ++n) {
+        aWindow.mSeen[n % kSize] = false;
+      }
+    }
+    aWindow.mTop = aNumber;
+  }
+  if (aWindow.mSeen[aNumber % kSize]) {
+    return false;
+  }
+  aWindow.mSeen[aNumber % kSize] = true;
+  return true;
+}
 
-Error MakeError(ErrorCode aCode, Verdict aVerdict, std::string aMessage)
+bool IsNewFrom(State& aState, Incarnation aFrom, std::uint64_t aNumber)
 {
-  return Error{ aCode, aVerdict, std::move(aMessage), std::nullopt };
+  const bool isNew = IsNew(aState.mPeers[aFrom].mNumbers, aNumber);
+  aState.mCounters.mDuplicateMessages += isNew ? 0 : 1;
+  return isNew;
 }
 
-void AnswerOrigin(const Origin& aOrigin, JobAnswer aAnswer, Actions& aActions)
+void Carry(State& aState, dispatch::Accepted& aAction, const Now& aNow, Actions& aActions)
 {
-  aActions.emplace_back(AnswerCaller{ aOrigin.mCaller, std::move(aAnswer), std::nullopt });
+  NoteAccepted(aState, aAction.mId, aNow);
+  CarryAccepted(aState, aAction, aActions);
 }
 
-void AnswerOrigin(const Origin& aOrigin, Error aError, Actions& aActions)
+void Carry(State& aState, dispatch::Answer& aAction, const Now& /*aNow*/, Actions& aActions)
 {
-  aActions.emplace_back(AnswerCaller{ aOrigin.mCaller, std::nullopt, std::move(aError) });
+  CarryAnswer(aState, aAction, aActions);
 }
 
-/// Removes the waiter of a request to dispatch.
-std::optional<Waiter> TakeWaiter(State& aState, RequestId aRequest)
+void Carry(State& aState, dispatch::Refuse& aAction, const Now& aNow, Actions& aActions)
 {
-  const auto it = aState.mWaiters.find(aRequest);
-  if (it == aState.mWaiters.end()) {
-    return std::nullopt;
-  }
-  const auto waiter = it->second;
-  aState.mWaiters.erase(it);
-  aState.mCallers.erase(waiter.mOrigin.mCaller);
-  return waiter;
+  CarryRefusal(aState, aAction, aNow, aActions);
 }
 
-RequestId AddWaiter(State& aState, const Waiter& aWaiter)
+void Carry(State& /*aState*/, dispatch::StartTask& aAction, const Now& /*aNow*/, Actions& aActions)
 {
-  const auto request = ++aState.mNextRequest;
-  aState.mWaiters.emplace(request, aWaiter);
-  if (aWaiter.mOrigin.mCaller != 0) {
-    aState.mCallers[aWaiter.mOrigin.mCaller] = request;
-  }
-  return request;
+  aActions.emplace_back(std::move(aAction));
 }
 
-void Carry(State& aState, dispatch::Accepted& aAction, Actions& aActions)
+void Carry(State& /*aState*/, dispatch::StopTask& aAction, const Now& /*aNow*/, Actions& aActions)
 {
-  const auto it = aState.mWaiters.find(aAction.mRequest);
-  if (it == aState.mWaiters.end() || !it->second.mUntilAccepted) {
-    return;
-  }
-  const auto waiter = TakeWaiter(aState, aAction.mRequest);
-  JobAnswer answer;
-  answer.mId = std::move(aAction.mId);
-  AnswerOrigin(waiter->mOrigin, std::move(answer), aActions);
+  aActions.emplace_back(std::move(aAction));
 }
 
-void Carry(State& aState, dispatch::Answer& aAction, Actions& aActions)
+void Carry(State& aState, dispatch::Finished& aAction, const Now& aNow, Actions& /*aActions*/)
 {
-  if (const auto waiter = TakeWaiter(aState, aAction.mRequest)) {
-    AnswerOrigin(waiter->mOrigin, std::move(aAction.mAnswer), aActions);
-  }
+  NoteFinished(aState, aAction, aNow);
+}
+
+// Peer messages.
+
+void Receive(State& /*aState*/,
+             Incarnation /*aFrom*/,
+             const message::Hello& /*aMessage*/,
+             const Now& /*aNow*/,
+             Actions& /*aActions*/)
+{
+  // The shell exchanges it and reports PeerUp.
+}
+
+void Receive(State& aState,
+             Incarnation aFrom,
+             const message::Heartbeat& aMessage,
+             const Now& aNow,
+             Actions& aActions)
+{
+  OnHeartbeat(aState, aFrom, aMessage, aNow, aActions);
 }
 
-void Carry(State& aState, dispatch::Refuse& aAction, Actions& aActions)
+void Receive(State& aState,
+             Incarnation aFrom,
+             message::Submit& aMessage,
+             const Now& aNow,
+             Actions& aActions)
 {
-  if (const auto waiter = TakeWaiter(aState, aAction.mRequest)) {
-    AnswerOrigin(waiter->mOrigin, std::move(aAction.mError), aActions);
+  if (IsNewFrom(aState, aFrom, aMessage.mNumber)) {
+    OnSubmit(aState, aFrom, aMessage, aNow, aActions);
   }
 }
 
-void Carry(State&, dispatch::StartTask& aAction, Actions& aActions)
+void Receive(State& aState,
+             Incarnation aFrom,
+             const message::Status& aMessage,
+             const Now& aNow,
+             Actions& aActions)
 {
-  aActions.emplace_back(std::move(aAction));
+  OnStatus(aState, aFrom, aMessage, aNow, aActions);
 }
 
-void Carry(State&, dispatch::StopTask& aAction, Actions& aActions)
+void Receive(State& aState,
+             Incarnation aFrom,
+             const message::Cancel& aMessage,
+             const Now& aNow,
+             Actions& aActions)
 {
-  aActions.emplace_back(std::move(aAction));
+  OnCancel(aState, aFrom, aMessage, aNow, aActions);
 }
 
-void Carry(State&, dispatch::Finished&, Actions&) {}
+void Receive(State& aState,
+             Incarnation aFrom,
+             const message::Reply& aMessage,
+             const Now& /*aNow*/,
+             Actions& aActions)
+{
+  OnReply(aState, aFrom, aMessage, aActions);
+}
 
-/// Hands an event to dispatch and carries out what it asks for.
-void Dispatch(State& aState, const dispatch::Event& aEvent, const Now& aNow, Actions& aActions)
+void Receive(State& aState,
+             Incarnation aFrom,
+             const message::Borrow& aMessage,
+             const Now& aNow,
+             Actions& aActions)
 {
-  auto actions = std::move(aState.mDispatchActions);
-  actions.clear();
-  dispatch::Handle(*aState.mDispatch, aEvent, aNow, actions);
-  for (auto& it : actions) {
-    std::visit([&](auto& aAction) { Carry(aState, aAction, aActions); }, it);
+  if (IsNewFrom(aState, aFrom, aMessage.mNumber)) {
+    OnBorrow(aState, aFrom, aMessage, aNow, aActions);
   }
-  aState.mDispatchActions = std::move(actions);
 }
 
-void Read(State& aState, const std::string& aStream, const Now& aNow, Actions& aActions)
+void Receive(State& aState,
+             Incarnation aFrom,
+             const message::Grant& aMessage,
+             const Now& aNow,
+             Actions& aActions)
 {
-  auto& stream = aState.mStreams[aStream];
-  if (stream.mReading || aNow.mTime < stream.mRetryAt) {
-    return;
-  }
-  stream.mReading = true;
-  aActions.emplace_back(ReadLog{ aStream, stream.mNext, kLongPoll });
+  OnGrant(aState, aFrom, aMessage, aNow, aActions);
 }
 
-/// Hands the configuration in force to dispatch, with all slots of this data centre's upstreams.
-void ApplyConfiguration(State& aState, const Now& aNow, Actions& aActions)
+void Receive(State& aState,
+             Incarnation aFrom,
+             const message::ReturnCredits& aMessage,
+             const Now& aNow,
+             Actions& aActions)
 {
-  const auto current = aState.mConfiguration.mConfiguration;
-  if (current->mVersion == aState.mAppliedVersion) {
-    return;
-  }
-  aState.mAppliedVersion = current->mVersion;
-  Dispatch(aState, dispatch::ConfigurationApplied{ current }, aNow, aActions);
-  for (const auto& [key, upstream] : current->mUpstreams) {
-    const auto worker = current->mWorkers.find(upstream.mWorker);
-    const bool here = worker != current->mWorkers.end() &&
-                      worker->second.mDataCentre == aState.mOptions.mDataCentre;
-    Dispatch(aState, dispatch::SetCredits{ key, here ? upstream.mSlots : 0 }, aNow, aActions);
-  }
-  aActions.emplace_back(
-    Report{ false, "configuration_applied", { { "version", std::to_string(current->mVersion) } } });
+  OnReturnCredits(aState, aFrom, aMessage, aNow, aActions);
 }
 
-void Apply(State& aState, const CallerSubmit& aEvent, const Now& aNow, Actions& aActions)
+void Receive(State& aState,
+             Incarnation aFrom,
+             const message::Handover& aMessage,
+             const Now& aNow,
+             Actions& aActions)
 {
-  const Origin origin{ aEvent.mRequest };
-  if (!IsReady(aState)) {
-    const auto code = aState.mDraining ? ErrorCode::Stopping : ErrorCode::NotReady;
-    return AnswerOrigin(
-      origin, MakeError(code, Verdict::NotRun, "This entry takes no jobs now."), aActions);
+  if (IsNewFrom(aState, aFrom, aMessage.mNumber)) {
+    OnHandover(aState, aFrom, aMessage, aNow, aActions);
   }
-  dispatch::Submit submit{ 0, aEvent.mJob };
-  if (submit.mJob.mId.empty()) {
-    submit.mJob.mId = ToString(MintedId{
-      aState.mOptions.mDataCentre, aState.mOptions.mIncarnation, ++aState.mNextSequence });
-  }
-  submit.mRequest = AddWaiter(aState, { origin, !aEvent.mWait });
-  Dispatch(aState, submit, aNow, aActions);
 }
 
-bool IsKnownTo(const State& aState, std::string_view aId, std::string_view aTeam)
+void Receive(State& aState,
+             Incarnation aFrom,
+             const message::HandoverReply& aMessage,
+             const Now& aNow,
+             Actions& aActions)
+{
+  OnHandoverReply(aState, aFrom, aMessage, aNow, aActions);
+}
+
+void Receive(State& aState,
+             Incarnation aFrom,
+             const message::ConfigFetch& aMessage,
+             const Now& /*aNow*/,
+             Actions& aActions)
 {
-  const auto known = dispatch::FindKnown(*aState.mDispatch, aId);
-  return known && known->mTeam == aTeam;
+  OnConfigFetch(aState, aFrom, aMessage, aActions);
 }
 
-Error UnknownJob()
+void Receive(State& aState,
+             Incarnation /*aFrom*/,
+             const message::ConfigItems& aMessage,
+             const Now& aNow,
+             Actions& aActions)
 {
-  return MakeError(ErrorCode::UnknownJob, Verdict::MayHaveRun, "The job is not known.");
+  OnConfigItems(aState, aMessage, aNow, aActions);
+}
+
+// Events.
+
+void Apply(State& aState, CallerSubmit& aEvent, const Now& aNow, Actions& aActions)
+{
+  OnCallerSubmit(aState, aEvent, aNow, aActions);
 }
 
 void Apply(State& aState, const CallerStatus& aEvent, const Now& aNow, Actions& aActions)
 {
-  const Origin origin{ aEvent.mRequest };
-  if (!IsKnownTo(aState, aEvent.mId, aEvent.mTeam)) {
-    return AnswerOrigin(origin, UnknownJob(), aActions);
-  }
-  if (aEvent.mWait.count() == 0) {
-    return AnswerOrigin(origin, *dispatch::Find(*aState.mDispatch, aEvent.mId), aActions);
-  }
-  const auto request = AddWaiter(aState, { origin });
-  Dispatch(aState, dispatch::Wait{ request, aEvent.mId }, aNow, aActions);
+  OnCallerStatus(aState, aEvent, aNow, aActions);
 }
 
 void Apply(State& aState, const CallerCancel& aEvent, const Now& aNow, Actions& aActions)
 {
-  const Origin origin{ aEvent.mRequest };
-  if (!IsKnownTo(aState, aEvent.mId, aEvent.mTeam)) {
-    return AnswerOrigin(origin, UnknownJob(), aActions);
-  }
-  Dispatch(aState, dispatch::Cancel{ aEvent.mId }, aNow, aActions);
-  AnswerOrigin(origin, *dispatch::Find(*aState.mDispatch, aEvent.mId), aActions);
+  OnCallerCancel(aState, aEvent, aNow, aActions);
 }
 
 void Apply(State& aState, const CallerGone& aEvent, const Now& aNow, Actions& aActions)
 {
-  const auto it = aState.mCallers.find(aEvent.mRequest);
-  if (it == aState.mCallers.end()) {
-    return;
-  }
-  const auto request = it->second;
-  TakeWaiter(aState, request);
-  Dispatch(aState, dispatch::Unwait{ request }, aNow, aActions);
+  OnCallerGone(aState, aEvent, aNow, aActions);
 }
 
 void Apply(State& aState, const UpstreamAnswered& aEvent, const Now& aNow, Actions& aActions)
 {
+  NoteRefusal(aState, aEvent, aNow);
   Dispatch(aState,
            dispatch::TaskEnded{ aEvent.mTask, aEvent.mAttempt, aEvent.mUpstream, aEvent.mOutcome },
            aNow,
            aActions);
 }
 
-void Apply(State&, const SlotsAnswered&, const Now&, Actions&) {}
-void Apply(State&, const PeerUp&, const Now&, Actions&) {}
-void Apply(State&, const PeerDown&, const Now&, Actions&) {}
-void Apply(State&, const PeerMessage&, const Now&, Actions&) {}
+void Apply(State& aState, const SlotsAnswered& aEvent, const Now& aNow, Actions& aActions)
+{
+  OnSlotsAnswered(aState, aEvent, aNow, aActions);
+}
+
+void Apply(State& aState, const PeerUp& aEvent, const Now& aNow, Actions& aActions)
+{
+  OnPeerUp(aState, aEvent, aNow, aActions);
+}
+
+void Apply(State& aState, const PeerDown& aEvent, const Now& aNow, Actions& aActions)
+{
+  OnPeerDown(aState, aEvent, aNow, aActions);
+}
+
+void Apply(State& aState, PeerMessage& aEvent, const Now& aNow, Actions& aActions)
+{
+  std::visit([&](auto& aMessage) { Receive(aState, aEvent.mFrom, aMessage, aNow, aActions); },
+             aEvent.mMessage);
+}
 
 void Apply(State& aState, const LogRead& aEvent, const Now& aNow, Actions& aActions)
 {
-  auto& stream = aState.mStreams[aEvent.mStream];
-  stream.mReading = false;
-  if (!aEvent.mOk) {
-    const auto doublings = std::min(stream.mFailures++, kMaxBackoffDoublings);
-    const auto most = kFirstBackoff.count() << doublings;
-    std::uniform_int_distribution<std::int64_t> jitter(most / 2, most);
-    stream.mRetryAt = aNow.mTime + std::chrono::milliseconds(jitter(aState.mRandom));
-    return;
+  OnLogRead(aState, aEvent, aNow, aActions);
+}
+
+void Apply(State& aState, const LogAppended& aEvent, const Now& aNow, Actions& aActions)
+{
+  OnLogAppended(aState, aEvent, aNow, aActions);
+}
+
+void Apply(State& aState, const VmList& aEvent, const Now& aNow, Actions& aActions)
+{
+  OnVmList(aState, aEvent, aNow, aActions);
+}
+
+void Apply(State& aState, const Drain& /*aEvent*/, const Now& aNow, Actions& aActions)
+{
+  OnDrain(aState, aNow, aActions);
+}
+
+void Apply(State& aState, const Tick& /*aEvent*/, const Now& aNow, Actions& aActions)
+{
+  TickControl(aState, aNow, aActions);
+  TickSlots(aState, aNow, aActions);
+  TickQuota(aState, aNow, aActions);
+  Dispatch(aState, dispatch::Tick{}, aNow, aActions);
+  RunTimers(aState, aNow, aActions);
+  TickJournal(aState, aNow, aActions);
+  TickHandover(aState, aNow, aActions);
+}
+
+bool IsMember(const State& aState)
+{
+  const auto* view = ownership::CurrentView(aState.mViews);
+  return view != nullptr && ownership::Contains(view->mMembers, aState.mOptions.mIncarnation);
+}
+
+bool IsLogDown(const State& aState)
+{
+  return std::any_of(aState.mStreams.begin(), aState.mStreams.end(), [](const auto& aStream) {
+    return aStream.second.mFailures > 1;
+  });
+}
+
+/// Data centres of which no entry can be reached.
+boost::json::array CutOff(const State& aState)
+{
+  std::set<std::string_view> reached{ aState.mOptions.mDataCentre };
+  for (const auto& [incarnation, peer] : aState.mMembers.mPeers) {
+    if (peer.mLinkUp) {
+      reached.insert(peer.mDataCentre);
+    }
   }
-  stream.mFailures = 0;
-  configuration::NoteFirst(aState.mConfiguration, aEvent.mFirst);
-  for (const auto& record : aEvent.mRecords) {
-    const auto outcome =
-      configuration::ApplyRecord(aState.mConfiguration, record.mOffset, record.mAtMs, record.mData);
-    if (outcome.mKind == configuration::OutcomeKind::Invalid) {
-      aActions.emplace_back(
-        Report{ true, "configuration_record_invalid", { { "id", outcome.mId } } });
+  boost::json::array names;
+  for (const auto& [name, dataCentre] : aState.mConfiguration.mConfiguration->mDataCentres) {
+    if (!reached.contains(name)) {
+      names.emplace_back(name);
     }
   }
-  stream.mNext = std::max(aEvent.mNext, aState.mConfiguration.mNext);
-  ApplyConfiguration(aState, aNow, aActions);
-  Read(aState, aEvent.mStream, aNow, aActions);
+  return names;
 }
 
-void Apply(State&, const LogAppended&, const Now&, Actions&) {}
-void Apply(State&, const VmList&, const Now&, Actions&) {}
-
-void Apply(State& aState, const Drain&, const Now& aNow, Actions& aActions)
+std::int64_t MillisecondsUntil(Time aTime, const Now& aNow)
 {
-  aState.mDraining = true;
-  Dispatch(aState, dispatch::StopAccepting{}, aNow, aActions);
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime - aNow.mTime).count();
 }
 
-void Apply(State& aState, const Tick&, const Now& aNow, Actions& aActions)
+boost::json::object StatusObject(const State& aState, const Now& aNow)
 {
-  Read(aState, std::string(configuration::kStream), aNow, aActions);
-  Dispatch(aState, dispatch::Tick{}, aNow, aActions);
-  const auto load = dispatch::LoadOf(*aState.mDispatch);
-  if (aState.mDraining && load.mQueuedTasks == 0 && load.mRunningTasks == 0) {
-    aActions.emplace_back(Stopped{});
+  boost::json::array peers;
+  for (const auto& [incarnation, peer] : aState.mMembers.mPeers) {
+    boost::json::object it{ { "incarnation", ToString(incarnation) },
+                            { "name", peer.mName },
+                            { "data_centre", peer.mDataCentre },
+                            { "address", peer.mAddress },
+                            { "state", membership::ToString(peer.mState) },
+                            { "link", peer.mLinkUp },
+                            { "configuration_version", peer.mConfigurationVersion } };
+    if (peer.mHeard) {
+      it["heard_ms_ago"] = -MillisecondsUntil(*peer.mHeard, aNow);
+    }
+    peers.push_back(std::move(it));
   }
+  boost::json::object view{ { "version", aState.mViews.mVersion },
+                            { "sealed", aState.mViews.mSealed },
+                            { "member", IsMember(aState) } };
+  if (const auto* current = ownership::CurrentView(aState.mViews)) {
+    boost::json::array members;
+    for (const auto& it : current->mMembers) {
+      members.emplace_back(ToString(it.mIncarnation));
+    }
+    view["members"] = std::move(members);
+    view["witnesses"] = current->mWitnesses.size();
+    const auto& read = aState.mViews.mViews.at(aState.mViews.mVersion);
+    view["settled"] = read.mSettled.has_value();
+  }
+  const bool holds = ownership::HoldsLease(aState.mLease, aNow);
+  boost::json::object lease{ { "held", holds }, { "version", aState.mLease.mVersion } };
+  if (holds) {
+    lease["expires_in_ms"] = MillisecondsUntil(aState.mLease.mExpires, aNow);
+  }
+  return { { "name", aState.mOptions.mName },
+           { "incarnation", ToString(aState.mOptions.mIncarnation) },
+           { "data_centre", aState.mOptions.mDataCentre },
+           { "ready", IsReady(aState) },
+           { "stopping", aState.mDrainStarted.has_value() },
+           { "configuration_version", aState.mAppliedVersion },
+           { "log_reachable", !IsLogDown(aState) },
+           { "cut_off_from", CutOff(aState) },
+           { "view", std::move(view) },
+           { "lease", std::move(lease) },
+           { "peers", std::move(peers) } };
 }
 
 } // namespace
 
-std::unique_ptr<State, void (*)(State*)> MakeState(const Options& aOptions, const Now& /*aNow*/)
+Error MakeError(ErrorCode aCode, Verdict aVerdict, std::string aMessage)
+{
+  return Error{ aCode, aVerdict, std::move(aMessage), std::nullopt };
+}
+
+void Dispatch(State& aState, const dispatch::Event& aEvent, const Now& aNow, Actions& aActions)
+{
+  auto actions = std::move(aState.mDispatchActions);
+  actions.clear();
+  dispatch::Handle(*aState.mDispatch, aEvent, aNow, actions);
+  for (auto& it : actions) {
+    std::visit([&](auto& aAction) { Carry(aState, aAction, aNow, aActions); }, it);
+  }
+  aState.mDispatchActions = std::move(actions);
+}
+
+bool IsLinkUp(const State& aState, Incarnation aPeer)
+{
+  const auto* peer = membership::FindPeer(aState.mMembers, aPeer);
+  return peer != nullptr && peer->mLinkUp;
+}
+
+bool Send(State& aState, Incarnation aTo, message::Message aMessage, Actions& aActions)
+{
+  if (!IsLinkUp(aState, aTo)) {
+    return false;
+  }
+  aActions.emplace_back(SendPeer{ aTo, std::move(aMessage) });
+  return true;
+}
+
+std::chrono::milliseconds Jitter(State& aState,
+                                 std::chrono::milliseconds aLeast,
+                                 std::chrono::milliseconds aMost)
+{
+  std::uniform_int_distribution<std::int64_t> distribution(aLeast.count(), aMost.count());
+  return std::chrono::milliseconds(distribution(aState.mRandom));
+}
+
+std::unique_ptr<State, void (*)(State*)> MakeState(const Options& aOptions, const Now& aNow)
 {
   auto options = aOptions.mDispatch;
   options.mDataCentre = aOptions.mDataCentre;
   auto* state = new State{ .mOptions = aOptions,
                            .mRandom = std::mt19937_64(aOptions.mSeed),
-                           .mDispatch = dispatch::MakeState(options, aOptions.mSeed + 1) };
+                           .mDispatch = dispatch::MakeState(options, aOptions.mSeed + 1),
+                           .mStarted = aNow.mTime };
+  state->mMembers.mOptions.mSuspectAfter = aOptions.mSuspectAfter;
+  state->mMembers.mDataCentre = aOptions.mDataCentre;
+  state->mMembers.mLatest[aOptions.mPeerAddress] = aOptions.mIncarnation;
+  state->mViews.mOptions = { aOptions.mLease, aOptions.mDriftMargin };
   return { state, [](State* aState) { delete aState; } };
 }
 
+void Handle(State& aState, Event&& aEvent, const Now& aNow, Actions& aActions)
+{
+  NotePause(aState, aNow, aActions);
+  std::visit([&](auto& aKind) { Apply(aState, aKind, aNow, aActions); }, aEvent);
+}
+
 void Handle(State& aState, const Event& aEvent, const Now& aNow, Actions& aActions)
 {
-  std::visit([&](const auto& aKind) { Apply(aState, aKind, aNow, aActions); }, aEvent);
+  Handle(aState, Event(aEvent), aNow, aActions);
 }
 
 bool IsReady(const State& aState)
 {
-  return aState.mAppliedVersion != 0 && !aState.mDraining;
+  if (aState.mAppliedVersion == 0 || aState.mDrainStarted) {
+    return false;
+  }
+  // With the log down an entry cannot join the view; it serves with borrowed slots.
+  const bool hasPeer = std::any_of(aState.mMembers.mPeers.begin(),
+                                   aState.mMembers.mPeers.end(),
+                                   [](const auto& aPeer) { return aPeer.second.mLinkUp; });
+  return IsMember(aState) || (IsLogDown(aState) && hasPeer);
 }
 
 dispatch::UpstreamAddress AddressOf(const State& aState, dispatch::UpstreamIndex aUpstream)
@@ -277,23 +447,57 @@
   return dispatch::AddressOf(*aState.mDispatch, aUpstream);
 }
 
-std::string StatusText(const State& aState, const Now& /*aNow*/)
+std::string StatusText(const State& aState, const Now& aNow)
 {
-  return boost::json::serialize(
-    boost::json::object{ { "incarnation", ToString(aState.mOptions.mIncarnation) },
-                         { "ready", IsReady(aState) },
-                         { "configuration_version", aState.mAppliedVersion } });
+  return boost::json::serialize(StatusObject(aState, aNow));
 }
 
 std::string Dump(const State& aState, const Now& aNow)
 {
-  return R"({"status":)" + StatusText(aState, aNow) + R"(,"dispatch":)" +
+  boost::json::array slots;
+  for (const auto& [key, it] : aState.mSlots) {
+    slots.push_back(boost::json::object{ { "upstream", key },
+                                         { "total", it.mTotal },
+                                         { "share", it.mShare },
+                                         { "held_back", it.mHeldBack },
+                                         { "lent", it.mLent },
+                                         { "borrowed", it.mBorrowed },
+                                         { "credits", it.mCredits } });
+  }
+  const boost::json::object node{ { "status", StatusObject(aState, aNow) },
+                                  { "waiters", aState.mWaiters.size() },
+                                  { "forwards", aState.mForwards.size() },
+                                  { "refusals", aState.mRefusals.size() },
+                                  { "loans_lent", aState.mLent.size() },
+                                  { "loans_borrowed", aState.mBorrowed.size() },
+                                  { "journal_buffer", aState.mJournalBuffer.size() },
+                                  { "knowledge", aState.mKnowledge.size() },
+                                  { "slots", std::move(slots) } };
+  return R"({"node":)" + boost::json::serialize(node) + R"(,"dispatch":)" +
          dispatch::Dump(*aState.mDispatch, aNow) + "}";
 }
 
 std::vector<std::pair<std::string, std::uint64_t>> Counters(const State& aState)
 {
-  return dispatch::Counters(*aState.mDispatch);
+  auto counters = dispatch::Counters(*aState.mDispatch);
+  const auto& c = aState.mCounters;
+  counters.insert(counters.end(),
+                  { { "requests_forwarded_total", c.mForwarded },
+                    { "late_replies_total", c.mLateReplies },
+                    { "duplicate_messages_total", c.mDuplicateMessages },
+                    { "repeated_refusals_total", c.mRepeatedRefusals },
+                    { "pauses_total", c.mPauses },
+                    { "views_proposed_total", c.mViewsProposed },
+                    { "heartbeats_sent_total", c.mHeartbeatsSent },
+                    { "borrow_requests_total", c.mBorrowRequests },
+                    { "credits_borrowed_total", c.mCreditsBorrowed },
+                    { "credits_lent_total", c.mCreditsLent },
+                    { "slot_queries_total", c.mSlotQueries },
+                    { "journal_entries_total", c.mJournalEntries },
+                    { "journal_dropped_total", c.mJournalDropped },
+                    { "jobs_handed_over_total", c.mHandedOver },
+                    { "jobs_taken_over_total", c.mTakenOver } });
+  return counters;
 }
 
 std::vector<std::pair<std::string, double>> Gauges(const State& aState)
@@ -301,7 +505,11 @@
   const auto load = dispatch::LoadOf(*aState.mDispatch);
   return { { "queued_tasks", static_cast<double>(load.mQueuedTasks) },
            { "running_tasks", static_cast<double>(load.mRunningTasks) },
-           { "idle_credits", static_cast<double>(load.mIdleCredits) } };
+           { "idle_credits", static_cast<double>(load.mIdleCredits) },
+           { "configuration_version", static_cast<double>(aState.mAppliedVersion) },
+           { "view_version", static_cast<double>(aState.mViews.mVersion) },
+           { "view_member", IsMember(aState) ? 1.0 : 0.0 },
+           { "journal_buffer_records", static_cast<double>(aState.mJournalBuffer.size()) } };
 }
 
 } // namespace pollenwall::node
--- /dev/null
+++ b/src/libnode/slots.cpp
@@ -0,0 +1,607 @@
+#include <algorithm>
+
+#include "state.h"
+
+// Slots: their division by the view, their handing on when a view changes, and lending.
+
+namespace pollenwall::node {
+namespace {
+
+using membership::MemberState;
+
+constexpr std::chrono::milliseconds kSlotsPeriod{ 50 };
+constexpr std::size_t kQueriesPerTick = 64;
+constexpr std::chrono::milliseconds kQueryInterval{ 200 };
+constexpr std::chrono::milliseconds kSlowQueryInterval{ 1000 };
+/// After this many answers an upstream still busy runs long tasks, and is asked less often.
+constexpr int kFastQueries = 25;
+
+constexpr std::chrono::milliseconds kLoanTime{ 2000 };
+/// What a lender adds for the messages' way.
+constexpr std::chrono::milliseconds kLoanMargin{ 500 };
+/// An ended loan or request is remembered for this long, for late and duplicate messages.
+constexpr std::chrono::milliseconds kLoanMemory{ 10000 };
+constexpr std::chrono::milliseconds kBorrowTime{ 500 };
+constexpr std::uint32_t kMaxBorrow = 64;
+/// Beyond it a heartbeat says that all upstreams are occupied, to bound its bytes.
+constexpr std::size_t kMaxOccupied = 128;
+constexpr std::string_view kAllOccupied = "*";
+constexpr std::chrono::milliseconds kNoteTime{ 3000 };
+
+std::string_view ServiceOf(std::string_view aKey)
+{
+  return aKey.substr(0, aKey.find('/'));
+}
+
+void UpdateCredits(State& aState,
+                   const std::string& aKey,
+                   Slots& aSlots,
+                   const Now& aNow,
+                   Actions& aActions)
+{
+  const auto own = aSlots.mShare - std::min(aSlots.mShare, aSlots.mHeldBack + aSlots.mLent);
+  const auto credits = own + aSlots.mBorrowed;
+  if (credits == aSlots.mCredits) {
+    return;
+  }
+  aSlots.mCredits = credits;
+  Dispatch(aState, dispatch::SetCredits{ aKey, credits }, aNow, aActions);
+}
+
+/// Learns the dispatch numbers of upstreams that dispatch has been told of.
+void LearnIndices(State& aState)
+{
+  while (aState.mIndices < aState.mKeysTold.size()) {
+    const auto key = dispatch::AddressOf(*aState.mDispatch, aState.mIndices).mKey;
+    aState.mIndexByKey[key] = aState.mIndices++;
+  }
+}
+
+std::uint32_t ShareOf(const State& aState, const std::string& aKey, const Slots& aSlots)
+{
+  const auto* view = ownership::CurrentView(aState.mViews);
+  return view == nullptr || !aSlots.mHere
+           ? 0
+           : ownership::SlotsOf(*view, aKey, aSlots.mTotal, aState.mOptions.mIncarnation);
+}
+
+using Loads = std::map<std::string, dispatch::UpstreamLoad, std::less<>>;
+
+Loads LoadsByKey(const State& aState)
+{
+  Loads loads;
+  for (auto& it : dispatch::UpstreamLoads(*aState.mDispatch)) {
+    auto key = it.mKey;
+    loads.emplace_hint(loads.end(), std::move(key), std::move(it));
+  }
+  return loads;
+}
+
+std::uint32_t RunningOf(const Loads& aLoads, std::string_view aKey)
+{
+  const auto it = aLoads.find(aKey);
+  return it == aLoads.end() ? 0 : it->second.mRunning;
+}
+
+bool IsOccupied(const membership::Peer& aPeer, std::string_view aKey)
+{
+  return aPeer.mOccupied.contains(aKey) || aPeer.mOccupied.contains(kAllOccupied);
+}
+
+/// Whether every living earlier holder has acknowledged the view and is done with the upstream.
+bool AreHoldersDone(const State& aState, const std::string& aKey)
+{
+  return std::all_of(
+    aState.mWaitFor.begin(), aState.mWaitFor.end(), [&](const Incarnation& aMember) {
+      const auto known = aState.mAcknowledged.mVersions.find(aMember);
+      const auto* peer = membership::FindPeer(aState.mMembers, aMember);
+      return known != aState.mAcknowledged.mVersions.end() &&
+             known->second >= aState.mWaitForVersion && peer != nullptr && !IsOccupied(*peer, aKey);
+    });
+}
+
+void Release(State& aState,
+             const std::string& aKey,
+             Slots& aSlots,
+             const Now& aNow,
+             Actions& aActions)
+{
+  aSlots.mHeldBack = 0;
+  aSlots.mDeparted = 0;
+  aSlots.mQueries = 0;
+  UpdateCredits(aState, aKey, aSlots, aNow, aActions);
+}
+
+void TickHeldBack(State& aState, const Now& aNow, Actions& aActions)
+{
+  std::size_t queries = 0;
+  for (auto it = aState.mHeld.begin(); it != aState.mHeld.end();) {
+    const auto& key = *it;
+    const auto found = aState.mSlots.find(key);
+    if (found == aState.mSlots.end() || found->second.mHeldBack == 0) {
+      it = aState.mHeld.erase(it);
+      continue;
+    }
+    auto& slots = found->second;
+    if (AreHoldersDone(aState, key)) {
+      if (slots.mDeparted == 0) {
+        Release(aState, key, slots, aNow, aActions);
+        it = aState.mHeld.erase(it);
+        continue;
+      }
+      const auto index = aState.mIndexByKey.find(key);
+      if (!slots.mQuerying && aNow.mTime >= slots.mQueryAt && queries < kQueriesPerTick &&
+          index != aState.mIndexByKey.end()) {
+        ++queries;
+        slots.mQuerying = true;
+        ++aState.mCounters.mSlotQueries;
+        aActions.emplace_back(QuerySlots{ index->second });
+      }
+    }
+    ++it;
+  }
+}
+
+// Lending.
+
+/// The peer with most idle slots: of this data centre, or of another one when that saves waiting.
+std::optional<Incarnation> Lender(const State& aState)
+{
+  const auto& configuration = *aState.mConfiguration.mConfiguration;
+  const auto wait = dispatch::LoadOf(*aState.mDispatch).mEstimatedWait;
+  std::optional<Incarnation> best;
+  std::pair<bool, std::uint64_t> most{ false, 0 };
+  for (const auto& [incarnation, peer] : aState.mMembers.mPeers) {
+    if (!peer.mLinkUp || peer.mIdleCredits == 0 || peer.mState != MemberState::Ready) {
+      continue;
+    }
+    const bool here = peer.mDataCentre == aState.mOptions.mDataCentre;
+    if (!here) {
+      const auto other = configuration.mDataCentres.find(peer.mDataCentre);
+      // The request's round trip, and that of each task.
+      if (other == configuration.mDataCentres.end() || wait < 4 * other->second.mOneWayLatency) {
+        continue;
+      }
+    }
+    const std::pair rank{ here, peer.mIdleCredits };
+    if (!best || rank > most) {
+      best = incarnation;
+      most = rank;
+    }
+  }
+  return best;
+}
+
+void Borrow(State& aState,
+            const std::string& aService,
+            std::size_t aTasks,
+            Actions& aActions,
+            const Now& aNow)
+{
+  const bool asked =
+    std::any_of(aState.mBorrowing.begin(), aState.mBorrowing.end(), [&](const auto& aIt) {
+      return aIt.second.mService == aService && aNow.mTime < aIt.second.mUntil;
+    });
+  if (asked) {
+    return;
+  }
+  const auto lender = Lender(aState);
+  if (!lender) {
+    return;
+  }
+  const auto number = ++aState.mNextNumber;
+  aState.mBorrowing[number] = { aService, *lender, aNow.mTime + kBorrowTime };
+  ++aState.mCounters.mBorrowRequests;
+  const auto count = static_cast<std::uint32_t>(std::min<std::size_t>(aTasks, kMaxBorrow));
+  Send(aState, *lender, message::Borrow{ number, aService, count }, aActions);
+}
+
+/// Asks for the credits of a service back; the borrower returns the idle ones at once.
+void Recall(State& aState, std::string_view aService, Actions& aActions)
+{
+  for (auto& [key, loan] : aState.mLent) {
+    if (loan.mRecalled || loan.mCredits.empty() ||
+        ServiceOf(loan.mCredits.begin()->first) != aService) {
+      continue;
+    }
+    loan.mRecalled = true;
+    Send(aState, key.first, message::ReturnCredits{ key.second, {} }, aActions);
+  }
+}
+
+/// Ends a loan taken: nothing more starts on it. Returns what is idle; tasks that still run show as
+/// occupied upstreams in heartbeats until they end.
+void EndLoan(State& aState,
+             std::uint64_t aNumber,
+             Loan& aLoan,
+             const Loads& aLoads,
+             const Now& aNow,
+             Actions& aActions)
+{
+  message::ReturnCredits message{ aNumber, {} };
+  for (const auto& [key, count] : aLoan.mCredits) {
+    auto& slots = aState.mSlots[key];
+    slots.mBorrowed -= std::min(slots.mBorrowed, count);
+    UpdateCredits(aState, key, slots, aNow, aActions);
+    const auto running = RunningOf(aLoads, key);
+    const auto over = running - std::min(running, slots.mCredits);
+    if (count > over) {
+      message.mCredits.push_back({ key, count - over });
+    }
+  }
+  aLoan.mCredits.clear();
+  aLoan.mExpired = true;
+  aLoan.mExpires = aNow.mTime + kLoanMemory;
+  if (!message.mCredits.empty()) {
+    Send(aState, aLoan.mPeer, std::move(message), aActions);
+  }
+}
+
+/// Returns credits that have nothing to do.
+void ReturnIdle(State& aState,
+                std::uint64_t aNumber,
+                Loan& aLoan,
+                const Loads& aLoads,
+                const Now& aNow,
+                Actions& aActions)
+{
+  message::ReturnCredits message{ aNumber, {} };
+  for (auto it = aLoan.mCredits.begin(); it != aLoan.mCredits.end();) {
+    auto& [key, count] = *it;
+    auto& slots = aState.mSlots[key];
+    const auto running = RunningOf(aLoads, key);
+    const auto idle = std::min(count, slots.mCredits - std::min(slots.mCredits, running));
+    if (idle > 0) {
+      count -= idle;
+      slots.mBorrowed -= std::min(slots.mBorrowed, idle);
+      UpdateCredits(aState, key, slots, aNow, aActions);
+      message.mCredits.push_back({ key, idle });
+    }
+    it = count == 0 ? aLoan.mCredits.erase(it) : std::next(it);
+  }
+  if (!message.mCredits.empty()) {
+    Send(aState, aLoan.mPeer, std::move(message), aActions);
+  }
+}
+
+void TickBorrowed(State& aState, const Loads& aLoads, const Now& aNow, Actions& aActions)
+{
+  for (auto it = aState.mBorrowed.begin(); it != aState.mBorrowed.end();) {
+    auto& loan = it->second;
+    if (loan.mExpired) {
+      it = aNow.mTime >= loan.mExpires ? aState.mBorrowed.erase(it) : std::next(it);
+      continue;
+    }
+    if (loan.mRecalled || aNow.mTime >= loan.mExpires || !IsLinkUp(aState, loan.mPeer)) {
+      EndLoan(aState, it->first, loan, aLoads, aNow, aActions);
+    } else if (!loan.mCredits.empty() &&
+               dispatch::UnservedTasks(*aState.mDispatch,
+                                       ServiceOf(loan.mCredits.begin()->first)) == 0) {
+      ReturnIdle(aState, it->first, loan, aLoads, aNow, aActions);
+    }
+    ++it;
+  }
+  std::erase_if(aState.mBorrowing,
+                [&](const auto& aIt) { return aNow.mTime >= aIt.second.mUntil + kLoanMemory; });
+}
+
+void TickLent(State& aState, const Now& aNow, Actions& aActions)
+{
+  for (auto it = aState.mLent.begin(); it != aState.mLent.end();) {
+    auto& loan = it->second;
+    if (aNow.mTime < loan.mExpires + kLoanMargin) {
+      ++it;
+      continue;
+    }
+    // A return was lost, or tasks still run. The borrower's heartbeats tell which.
+    const auto* peer = membership::FindPeer(aState.mMembers, loan.mPeer);
+    const bool lost = peer == nullptr || !peer->mLinkUp;
+    const bool heard = !lost && peer->mHeard && *peer->mHeard >= loan.mExpires + kLoanMargin;
+    for (auto credit = loan.mCredits.begin(); credit != loan.mCredits.end();) {
+      const auto& [key, count] = *credit;
+      if (!lost && (!heard || IsOccupied(*peer, key))) {
+        ++credit;
+        continue;
+      }
+      auto& slots = aState.mSlots[key];
+      slots.mLent -= std::min(slots.mLent, count);
+      if (lost) {
+        // Its tasks may still run: the upstream is asked, as for a departed member's slots.
+        slots.mHeldBack = std::min(slots.mShare, slots.mHeldBack + count);
+        slots.mDeparted += count;
+        aState.mHeld.insert(key);
+      }
+      UpdateCredits(aState, key, slots, aNow, aActions);
+      credit = loan.mCredits.erase(credit);
+    }
+    it = loan.mCredits.empty() ? aState.mLent.erase(it) : std::next(it);
+  }
+}
+
+void TickLending(State& aState, const Now& aNow, Actions& aActions)
+{
+  if (!aState.mBorrowed.empty()) {
+    TickBorrowed(aState, LoadsByKey(aState), aNow, aActions);
+  } else if (!aState.mBorrowing.empty()) {
+    TickBorrowed(aState, {}, aNow, aActions);
+  }
+  TickLent(aState, aNow, aActions);
+  for (const auto& [name, service] : aState.mConfiguration.mConfiguration->mServices) {
+    const auto unserved = dispatch::UnservedTasks(*aState.mDispatch, name);
+    if (unserved > 0) {
+      Recall(aState, name, aActions);
+      Borrow(aState, name, unserved, aActions, aNow);
+    }
+  }
+}
+
+} // namespace
+
+void FollowConfiguration(State& aState, const Now& aNow, Actions& aActions)
+{
+  const auto current = aState.mConfiguration.mConfiguration;
+  for (auto& [key, slots] : aState.mSlots) {
+    if (!current->mUpstreams.contains(key)) {
+      slots.mTotal = 0;
+      slots.mShare = 0;
+      slots.mHeldBack = 0;
+      UpdateCredits(aState, key, slots, aNow, aActions);
+    }
+  }
+  for (const auto& [key, upstream] : current->mUpstreams) {
+    const auto worker = current->mWorkers.find(upstream.mWorker);
+    if (worker == current->mWorkers.end()) {
+      continue;
+    }
+    auto& slots = aState.mSlots[key];
+    slots.mHere = worker->second.mDataCentre == aState.mOptions.mDataCentre;
+    slots.mWorkerAddress = worker->second.mAddress;
+    slots.mTotal = upstream.mSlots;
+    slots.mShare = ShareOf(aState, key, slots);
+    slots.mHeldBack = std::min(slots.mHeldBack, slots.mShare);
+    if (aState.mKeysTold.insert(key).second) {
+      Dispatch(aState, dispatch::SetCredits{ key, 0 }, aNow, aActions);
+    }
+    UpdateCredits(aState, key, slots, aNow, aActions);
+  }
+  LearnIndices(aState);
+}
+
+void FollowView(State& aState, const ownership::View* aOld, const Now& aNow, Actions& aActions)
+{
+  const auto& view = *ownership::CurrentView(aState.mViews);
+  const bool isFirst = aOld == nullptr && view.mVersion == 1;
+  std::set<Incarnation> waitFor;
+  std::vector<Incarnation> departed;
+  if (aOld != nullptr) {
+    for (const auto& it : aOld->mMembers) {
+      if (!ownership::Contains(view.mMembers, it.mIncarnation)) {
+        departed.push_back(it.mIncarnation);
+      } else if (it.mIncarnation != aState.mOptions.mIncarnation) {
+        waitFor.insert(it.mIncarnation);
+      }
+    }
+  }
+  if (!aState.mHeld.empty()) {
+    for (const auto& it : aState.mWaitFor) {
+      if (ownership::Contains(view.mMembers, it)) {
+        waitFor.insert(it);
+      }
+    }
+  }
+  aState.mWaitFor = std::move(waitFor);
+  aState.mWaitForVersion = view.mVersion;
+  for (auto& [key, slots] : aState.mSlots) {
+    const auto share = ShareOf(aState, key, slots);
+    const auto usable =
+      isFirst ? share : std::min(share, slots.mShare - std::min(slots.mShare, slots.mHeldBack));
+    slots.mShare = share;
+    slots.mHeldBack = share - usable;
+    if (slots.mHeldBack == 0) {
+      slots.mDeparted = 0;
+    } else {
+      aState.mHeld.insert(key);
+      slots.mQueryAt = aNow.mTime;
+      slots.mQueries = 0;
+      for (const auto member : departed) {
+        slots.mDeparted += ownership::SlotsOf(*aOld, key, slots.mTotal, member);
+      }
+      if (aOld == nullptr) {
+        slots.mDeparted = slots.mTotal; // The earlier views are not known.
+      }
+      slots.mDeparted = std::min(slots.mDeparted, slots.mTotal);
+    }
+    UpdateCredits(aState, key, slots, aNow, aActions);
+  }
+}
+
+void OnSlotsAnswered(State& aState, const SlotsAnswered& aEvent, const Now& aNow, Actions& aActions)
+{
+  if (aEvent.mUpstream >= aState.mIndices) {
+    return;
+  }
+  const auto key = dispatch::AddressOf(*aState.mDispatch, aEvent.mUpstream).mKey;
+  const auto it = aState.mSlots.find(key);
+  if (it == aState.mSlots.end() || !it->second.mQuerying) {
+    return;
+  }
+  auto& slots = it->second;
+  slots.mQuerying = false;
+  const auto interval = ++slots.mQueries > kFastQueries ? kSlowQueryInterval : kQueryInterval;
+  slots.mQueryAt = aNow.mTime + Jitter(aState, interval / 2, interval);
+  if (!aEvent.mBusy || slots.mHeldBack == 0 || slots.mDeparted == 0) {
+    return;
+  }
+  // Free slots beyond this entry's own idle ones are those of the departed, and of other members
+  // that leave theirs idle; the latter are rare when slots are short.
+  const auto running = RunningOf(LoadsByKey(aState), key);
+  const auto idle = slots.mCredits - std::min(slots.mCredits, running);
+  const auto taken = *aEvent.mBusy + idle;
+  const auto free = slots.mTotal - std::min(slots.mTotal, taken);
+  const auto part = std::min<std::uint64_t>(
+    slots.mHeldBack,
+    (std::uint64_t{ std::min(free, slots.mDeparted) } * slots.mHeldBack + slots.mDeparted - 1) /
+      slots.mDeparted);
+  slots.mHeldBack -= static_cast<std::uint32_t>(part);
+  slots.mDeparted -= std::min(slots.mDeparted, std::min(free, slots.mDeparted));
+  if (slots.mHeldBack == 0) {
+    Release(aState, key, slots, aNow, aActions);
+  } else {
+    slots.mDeparted = std::max(slots.mDeparted, slots.mHeldBack);
+    UpdateCredits(aState, key, slots, aNow, aActions);
+  }
+}
+
+void OnBorrow(State& aState,
+              Incarnation aFrom,
+              const message::Borrow& aMessage,
+              const Now& aNow,
+              Actions& aActions)
+{
+  message::Grant grant{ aMessage.mNumber, {}, kLoanTime };
+  Loan loan{ aFrom, {}, aNow.mTime + kLoanTime, false, false };
+  if (dispatch::UnservedTasks(*aState.mDispatch, aMessage.mService) == 0) {
+    auto left = std::min(aMessage.mCount, kMaxBorrow);
+    for (const auto& it : dispatch::UpstreamLoads(*aState.mDispatch)) {
+      const auto found = aState.mSlots.find(it.mKey);
+      if (left == 0) {
+        break;
+      }
+      if (!it.mUsable || ServiceOf(it.mKey) != aMessage.mService || found == aState.mSlots.end()) {
+        continue;
+      }
+      auto& slots = found->second;
+      // Borrowed credits are not lent on. A quarter stays for the next jobs of this entry.
+      const auto own = slots.mCredits - std::min(slots.mCredits, slots.mBorrowed);
+      const auto idle = own - std::min(own, it.mRunning);
+      const auto count = std::min(left, idle - idle / 4);
+      if (count == 0) {
+        continue;
+      }
+      left -= count;
+      loan.mCredits[it.mKey] = count;
+      grant.mCredits.push_back({ it.mKey, count });
+    }
+  }
+  for (const auto& [key, count] : loan.mCredits) {
+    auto& slots = aState.mSlots[key];
+    slots.mLent += count;
+    aState.mCounters.mCreditsLent += count;
+    UpdateCredits(aState, key, slots, aNow, aActions);
+  }
+  if (!loan.mCredits.empty()) {
+    aState.mLent[{ aFrom, aMessage.mNumber }] = std::move(loan);
+  }
+  Send(aState, aFrom, std::move(grant), aActions);
+}
+
+void OnGrant(State& aState,
+             Incarnation aFrom,
+             const message::Grant& aMessage,
+             const Now& aNow,
+             Actions& aActions)
+{
+  const auto asked = aState.mBorrowing.find(aMessage.mNumber);
+  if (asked == aState.mBorrowing.end() || asked->second.mPeer != aFrom) {
+    const auto known = aState.mBorrowed.find(aMessage.mNumber);
+    if (known == aState.mBorrowed.end()) {
+      Send(aState, aFrom, message::ReturnCredits{ aMessage.mNumber, aMessage.mCredits }, aActions);
+    }
+    return;
+  }
+  aState.mBorrowing.erase(asked);
+  auto& loan = aState.mBorrowed[aMessage.mNumber];
+  loan = Loan{ aFrom, {}, aNow.mTime + aMessage.mExpires, false, false };
+  for (const auto& it : aMessage.mCredits) {
+    const auto found = aState.mSlots.find(it.mUpstream);
+    if (found == aState.mSlots.end()) {
+      continue; // An upstream of a later configuration: left to expire at the lender.
+    }
+    const auto count = std::min(it.mCount, found->second.mTotal);
+    loan.mCredits[it.mUpstream] += count;
+    found->second.mBorrowed += count;
+    aState.mCounters.mCreditsBorrowed += count;
+  }
+  // Credits are set in a second pass, because dispatch starts tasks at once.
+  const auto credits = loan.mCredits;
+  for (const auto& [key, count] : credits) {
+    UpdateCredits(aState, key, aState.mSlots[key], aNow, aActions);
+  }
+}
+
+void OnReturnCredits(State& aState,
+                     Incarnation aFrom,
+                     const message::ReturnCredits& aMessage,
+                     const Now& aNow,
+                     Actions& aActions)
+{
+  if (const auto own = aState.mBorrowed.find(aMessage.mNumber);
+      aMessage.mCredits.empty() && own != aState.mBorrowed.end() && own->second.mPeer == aFrom &&
+      !own->second.mExpired) {
+    EndLoan(aState, own->first, own->second, LoadsByKey(aState), aNow, aActions);
+    return;
+  }
+  const auto it = aState.mLent.find({ aFrom, aMessage.mNumber });
+  if (it == aState.mLent.end()) {
+    return;
+  }
+  auto& loan = it->second;
+  for (const auto& credit : aMessage.mCredits) {
+    const auto lent = loan.mCredits.find(credit.mUpstream);
+    if (lent == loan.mCredits.end()) {
+      continue;
+    }
+    const auto count = std::min(lent->second, credit.mCount);
+    auto& slots = aState.mSlots[credit.mUpstream];
+    slots.mLent -= std::min(slots.mLent, count);
+    lent->second -= count;
+    if (lent->second == 0) {
+      loan.mCredits.erase(lent);
+    }
+    UpdateCredits(aState, credit.mUpstream, slots, aNow, aActions);
+  }
+  if (loan.mCredits.empty()) {
+    aState.mLent.erase(it);
+  }
+}
+
+void NoteRefusal(State& aState, const UpstreamAnswered& aEvent, const Now& aNow)
+{
+  if (aEvent.mOutcome.mVerdict == Verdict::NotRun && aEvent.mOutcome.mCode == ErrorCode::Stopping &&
+      aEvent.mUpstream < aState.mIndices) {
+    aState.mLeavingNotes[dispatch::AddressOf(*aState.mDispatch, aEvent.mUpstream).mKey] =
+      aNow.mTime + kNoteTime;
+  }
+}
+
+void TickSlots(State& aState, const Now& aNow, Actions& aActions)
+{
+  if (aNow.mTime < aState.mSlotsAt) {
+    return;
+  }
+  aState.mSlotsAt = aNow.mTime + kSlotsPeriod;
+  TickHeldBack(aState, aNow, aActions);
+  TickLending(aState, aNow, aActions);
+  std::erase_if(aState.mLeavingNotes,
+                [&aNow](const auto& aIt) { return aNow.mTime >= aIt.second; });
+}
+
+std::vector<std::string> OccupiedUpstreams(const State& aState)
+{
+  std::vector<std::string> keys;
+  for (const auto& it : dispatch::UpstreamLoads(*aState.mDispatch)) {
+    const auto slots = aState.mSlots.find(it.mKey);
+    const bool overLent =
+      slots != aState.mSlots.end() && slots->second.mLent > slots->second.mShare;
+    if (it.mRunning <= it.mCredits && !overLent) {
+      continue;
+    }
+    if (keys.size() == kMaxOccupied) {
+      return { std::string(kAllOccupied) };
+    }
+    keys.push_back(it.mKey);
+  }
+  return keys;
+}
+
+} // namespace pollenwall::node
--- /dev/null
+++ b/src/libownership/ownership.cpp
@@ -0,0 +1,347 @@
+#include <pollenwall/ownership.h>
+
+#include <algorithm>
+
+#include <boost/json.hpp>
+#include <boost/range/adaptor/reversed.hpp>
+
+#include <pollenwall/hash.h>
+
+namespace pollenwall::ownership {
+namespace {
+
+constexpr std::size_t kMaxMembers = 256;
+
+/// Views that a reader knows of but has not read, because the stream's beginning is gone, are taken
+/// for sealed after this many leases. They are older than the log's retention.
+constexpr int kUnreadLeases = 30;
+
+bool IsMajority(std::size_t aVotes, const View& aView)
+{
+  return aVotes * 2 > aView.mWitnesses.size();
+}
+
+boost::json::array ToJson(const std::vector<Member>& aMembers)
+{
+  boost::json::array list;
+  for (const auto& it : aMembers) {
+    list.push_back(boost::json::array{ ToString(it.mIncarnation), it.mAddress });
+  }
+  return list;
+}
+
+std::optional<std::vector<Member>> ParseMembers(const boost::json::value* aValue)
+{
+  const auto* list = aValue != nullptr ? aValue->if_array() : nullptr;
+  if (list == nullptr || list->empty() || list->size() > kMaxMembers) {
+    return std::nullopt;
+  }
+  std::vector<Member> members;
+  for (const auto& it : *list) {
+    const auto* pair = it.if_array();
+    if (pair == nullptr || pair->size() != 2 || !(*pair)[0].is_string() ||
+        !(*pair)[1].is_string()) {
+      return std::nullopt;
+    }
+    const auto incarnation = ParseIncarnation((*pair)[0].get_string());
+    if (!incarnation || incarnation->mValue == 0) {
+      return std::nullopt;
+    }
+    members.push_back({ *incarnation, std::string((*pair)[1].get_string()) });
+  }
+  std::sort(members.begin(), members.end());
+  const auto sameProcess = [](const Member& aOne, const Member& aOther) {
+    return aOne.mIncarnation == aOther.mIncarnation;
+  };
+  if (std::adjacent_find(members.begin(), members.end(), sameProcess) != members.end()) {
+    return std::nullopt;
+  }
+  return members;
+}
+
+std::optional<std::uint64_t> ParseVersion(const boost::json::value* aValue)
+{
+  if (aValue == nullptr || !aValue->is_int64() || aValue->get_int64() < 0) {
+    return std::nullopt;
+  }
+  return static_cast<std::uint64_t>(aValue->get_int64());
+}
+
+void Renew(Lease& aLease, std::uint64_t aVersion, Time aExpires)
+{
+  if (aLease.mVersion != aVersion) {
+    aLease.mVersion = aVersion;
+    aLease.mExpires = aExpires;
+    return;
+  }
+  aLease.mExpires = std::max(aLease.mExpires, aExpires);
+}
+
+void Settle(ReadView& aView, const Now& aNow)
+{
+  if (!aView.mSettled) {
+    aView.mSettled = Settled{ aNow.mTime, aNow.mUnixMs };
+  }
+}
+
+} // namespace
+
+std::string ViewStream(std::string_view aDataCentre)
+{
+  return "view." + std::string(aDataCentre);
+}
+
+std::string ViewRecord(const View& aView)
+{
+  return boost::json::serialize(boost::json::object{ { "type", "view" },
+                                                     { "base", aView.mBase },
+                                                     { "version", aView.mVersion },
+                                                     { "members", ToJson(aView.mMembers) },
+                                                     { "witnesses", ToJson(aView.mWitnesses) },
+                                                     { "sealed", aView.mSealed } });
+}
+
+std::optional<View> ParseViewRecord(std::string_view aText)
+{
+  boost::system::error_code ec;
+  const auto value = boost::json::parse(aText, ec);
+  const auto* object = ec ? nullptr : value.if_object();
+  if (object == nullptr) {
+    return std::nullopt;
+  }
+  const auto* type = object->if_contains("type");
+  const auto base = ParseVersion(object->if_contains("base"));
+  const auto version = ParseVersion(object->if_contains("version"));
+  const auto sealed = ParseVersion(object->if_contains("sealed"));
+  auto members = ParseMembers(object->if_contains("members"));
+  auto witnesses = ParseMembers(object->if_contains("witnesses"));
+  if (type == nullptr || *type != "view" || !base || !version || !sealed || !members ||
+      !witnesses || *version != *base + 1 || *sealed > *base) {
+    return std::nullopt;
+  }
+  return View{ *base, *version, std::move(*members), std::move(*witnesses), *sealed };
+}
+
+bool Contains(const std::vector<Member>& aMembers, Incarnation aIncarnation)
+{
+  return std::any_of(aMembers.begin(), aMembers.end(), [aIncarnation](const Member& aMember) {
+    return aMember.mIncarnation == aIncarnation;
+  });
+}
+
+Incarnation OwnerOf(const View& aView, std::string_view aKey)
+{
+  Incarnation owner;
+  std::uint64_t most = 0;
+  for (const auto& it : aView.mMembers) {
+    const auto weight = RendezvousWeight(aKey, it.mIncarnation.mValue);
+    if (owner.mValue == 0 || weight > most) {
+      owner = it.mIncarnation;
+      most = weight;
+    }
+  }
+  return owner;
+}
+
+std::uint32_t SlotsOf(const View& aView,
+                      std::string_view aUpstream,
+                      std::uint32_t aSlots,
+                      Incarnation aMember)
+{
+  if (!Contains(aView.mMembers, aMember)) {
+    return 0;
+  }
+  const auto own = std::pair(RendezvousWeight(aUpstream, aMember.mValue), aMember);
+  std::uint32_t place = 0;
+  for (const auto& it : aView.mMembers) {
+    const auto weight = RendezvousWeight(aUpstream, it.mIncarnation.mValue);
+    place += std::pair(weight, it.mIncarnation) < own ? 1 : 0;
+  }
+  const auto n = static_cast<std::uint32_t>(aView.mMembers.size());
+  return aSlots / n + (place < aSlots % n ? 1 : 0);
+}
+
+std::vector<Member> MakeWitnesses(const std::vector<Member>& aMembers,
+                                  const std::optional<Member>& aOther)
+{
+  auto witnesses = aMembers;
+  if (aMembers.size() % 2 == 0 && aOther) {
+    witnesses.push_back(*aOther);
+  }
+  std::sort(witnesses.begin(), witnesses.end());
+  return witnesses;
+}
+
+const View* CurrentView(const ViewLog& aLog)
+{
+  const auto it = aLog.mViews.find(aLog.mVersion);
+  return it == aLog.mViews.end() ? nullptr : &it->second.mView;
+}
+
+bool ApplyRecord(ViewLog& aLog,
+                 std::uint64_t aFirst,
+                 std::uint64_t aOffset,
+                 std::string_view aText,
+                 const Now& aNow)
+{
+  if (aOffset < aLog.mNext) {
+    return false;
+  }
+  aLog.mNext = aOffset + 1;
+  auto view = ParseViewRecord(aText);
+  const bool adopts = aLog.mVersion == 0 && aFirst > 0;
+  if (!view || (view->mBase != aLog.mVersion && !adopts)) {
+    return false;
+  }
+  aLog.mVersion = view->mVersion;
+  const auto sealed = view->mSealed;
+  auto& read = aLog.mViews[view->mVersion];
+  read = ReadView{ std::move(*view), aNow.mTime, std::nullopt, std::nullopt };
+  if (read.mView.mBase == 0 && aFirst == 0) {
+    read.mSettled = Settled{ aNow.mTime, 0 }; // Nothing can have run before the first view.
+  }
+  NoteSealed(aLog, sealed, aNow);
+  while (aLog.mViews.size() > kMaxViews) {
+    aLog.mViews.erase(aLog.mViews.begin());
+  }
+  return true;
+}
+
+void Advance(ViewLog& aLog, const Acknowledgements& aKnown, const Now& aNow)
+{
+  while (aLog.mSealed + 1 < aLog.mVersion) {
+    const auto version = aLog.mSealed + 1;
+    const auto it = aLog.mViews.find(version);
+    const auto next = it == aLog.mViews.end() ? aLog.mViews.begin() : std::next(it);
+    if (it == aLog.mViews.end()) {
+      if (aNow.mTime < next->second.mFirstRead + kUnreadLeases * aLog.mOptions.mLease) {
+        return;
+      }
+      NoteSealed(aLog, next->first - 1, aNow);
+      continue;
+    }
+    auto& read = it->second;
+    if (!read.mSealSeen) {
+      const auto& witnesses = read.mView.mWitnesses;
+      const auto n = std::count_if(witnesses.begin(), witnesses.end(), [&](const Member& aWitness) {
+        const auto known = aKnown.mVersions.find(aWitness.mIncarnation);
+        return aKnown.mGone.contains(aWitness.mIncarnation) ||
+               (known != aKnown.mVersions.end() && known->second > version);
+      });
+      if (!IsMajority(static_cast<std::size_t>(n), read.mView)) {
+        return;
+      }
+      read.mSealSeen = aNow.mTime;
+    }
+    const auto from = std::max(*read.mSealSeen, next->second.mFirstRead);
+    if (aNow.mTime < from + aLog.mOptions.mLease + aLog.mOptions.mDriftMargin) {
+      return;
+    }
+    NoteSealed(aLog, version, aNow);
+  }
+}
+
+void NoteSealed(ViewLog& aLog, std::uint64_t aSealed, const Now& aNow)
+{
+  if (aLog.mVersion == 0) {
+    return;
+  }
+  aLog.mSealed = std::max(aLog.mSealed, std::min(aSealed, aLog.mVersion - 1));
+  const auto end = aLog.mViews.upper_bound(aLog.mSealed + 1);
+  for (auto it = aLog.mViews.begin(); it != end; ++it) {
+    Settle(it->second, aNow);
+  }
+}
+
+Claim ClaimOf(const ViewLog& aLog, std::string_view aKey, Incarnation aSelf)
+{
+  Claim claim;
+  auto expected = aLog.mVersion;
+  for (const auto& [version, read] : boost::adaptors::reverse(aLog.mViews)) {
+    if (version != expected || OwnerOf(read.mView, aKey) != aSelf) {
+      break;
+    }
+    claim.mOwner = true;
+    claim.mOwnedSince = expected--;
+    if (read.mSettled) {
+      claim.mSettled = read.mSettled;
+    }
+  }
+  return claim;
+}
+
+Incarnation PreviousOwner(const ViewLog& aLog, std::string_view aKey, Incarnation aSelf)
+{
+  for (const auto& [version, read] : boost::adaptors::reverse(aLog.mViews)) {
+    const auto owner = OwnerOf(read.mView, aKey);
+    if (owner != aSelf) {
+      return owner;
+    }
+  }
+  return {};
+}
+
+std::uint64_t BeginRound(Lease& aLease,
+                         const View& aView,
+                         Incarnation aSelf,
+                         bool aOwnVote,
+                         const Now& aNow,
+                         const Options& aOptions)
+{
+  if (aLease.mRoundVersion != aView.mVersion) {
+    aLease.mRoundVersion = aView.mVersion;
+    aLease.mRounds.clear();
+  }
+  if (aLease.mRounds.size() == kMaxRounds) {
+    aLease.mRounds.erase(aLease.mRounds.begin());
+  }
+  const auto number = ++aLease.mLastRound;
+  aLease.mRounds.push_back({ number, aNow.mTime, {} });
+  if (aOwnVote) {
+    AddVote(aLease, aView, aSelf, aView.mVersion, number, aOptions);
+  }
+  return number;
+}
+
+void AddVote(Lease& aLease,
+             const View& aView,
+             Incarnation aFrom,
+             std::uint64_t aVersion,
+             std::uint64_t aRound,
+             const Options& aOptions)
+{
+  if (aVersion != aView.mVersion || aLease.mRoundVersion != aVersion ||
+      !Contains(aView.mWitnesses, aFrom)) {
+    return;
+  }
+  const auto round =
+    std::find_if(aLease.mRounds.begin(), aLease.mRounds.end(), [aRound](const Lease::Round& aIt) {
+      return aIt.mNumber == aRound;
+    });
+  if (round == aLease.mRounds.end()) {
+    return;
+  }
+  round->mVotes.insert(aFrom);
+  if (IsMajority(round->mVotes.size(), aView)) {
+    Renew(aLease, aVersion, round->mSent + aOptions.mLease);
+  }
+}
+
+void NoteEndRead(Lease& aLease, const View& aView, Time aStarted, const Options& aOptions)
+{
+  Renew(aLease, aView.mVersion, aStarted + aOptions.mLease);
+}
+
+void DropLease(Lease& aLease)
+{
+  aLease.mExpires = Time{};
+  aLease.mVersion = 0;
+  aLease.mRounds.clear();
+}
+
+bool HoldsLease(const Lease& aLease, const Now& aNow)
+{
+  return aLease.mVersion != 0 && aNow.mTime < aLease.mExpires;
+}
+
+} // namespace pollenwall::ownership
