Borrow credits when tasks wait, and return those of ended loans with their tasks

Cause: entries asked for credits only every 50 ms, and a credit whose task still ran when its loan was recalled came back only after the loan's expiry, a margin and a heartbeat, up to 2.7 s later; at 70% load a good part of the slots belonged to nobody. Change: an entry asks as soon as a job leaves tasks without a slot and asks again after each grant; peers with fewer than four idle credits are not asked; credits of ended loans return when their tasks end.

--- a/src/include/pollenwall/dispatch.h
+++ b/src/include/pollenwall/dispatch.h
@@ -251,7 +251,13 @@
 };
 std::vector<UpstreamLoad> UpstreamLoads(const State& aState);
 
-/// Tasks waiting for a slot of the service, and those that no idle credit of this entry can serve.
+/// The same of one upstream; nothing when it is not known.
+std::optional<UpstreamLoad> FindUpstreamLoad(const State& aState, std::string_view aKey);
+
+/// Tasks that wait, of all services.
+std::size_t QueuedTasks(const State& aState);
+
+/// Tasks of the service that wait because no idle credit of this entry can serve them.
 std::size_t UnservedTasks(const State& aState, std::string_view aService);
 
 /// Task starts a second that each team asks of this entry (a decaying mean over about 5 s), refused
--- a/src/libdispatch/queries.cpp
+++ b/src/libdispatch/queries.cpp
@@ -131,6 +131,24 @@
   return loads;
 }
 
+std::optional<UpstreamLoad> FindUpstreamLoad(const State& aState, std::string_view aKey)
+{
+  const auto it = aState.mPlacement.mByKey.find(aKey);
+  if (it == aState.mPlacement.mByKey.end()) {
+    return std::nullopt;
+  }
+  const auto& upstream = aState.mPlacement.mUpstreams[it->second];
+  return UpstreamLoad{ std::string(aKey),
+                       upstream.mCredits,
+                       upstream.mRunning,
+                       placement::IsUsable(aState.mPlacement, it->second) };
+}
+
+std::size_t QueuedTasks(const State& aState)
+{
+  return aState.mQueuedTasks;
+}
+
 std::size_t UnservedTasks(const State& aState, std::string_view aService)
 {
   const auto it = aState.mPlacement.mServices.find(aService);
--- a/src/libnode/node.cpp
+++ b/src/libnode/node.cpp
@@ -202,6 +202,7 @@
 void Apply(State& aState, CallerSubmit& aEvent, const Now& aNow, Actions& aActions)
 {
   OnCallerSubmit(aState, aEvent, aNow, aActions);
+  SeekCredits(aState, aNow, aActions);
 }
 
 void Apply(State& aState, const CallerStatus& aEvent, const Now& aNow, Actions& aActions)
@@ -226,6 +227,7 @@
            dispatch::TaskEnded{ aEvent.mTask, aEvent.mAttempt, aEvent.mUpstream, aEvent.mOutcome },
            aNow,
            aActions);
+  ReturnAfterTask(aState, aEvent.mUpstream, aActions);
 }
 
 void Apply(State& aState, const SlotsAnswered& aEvent, const Now& aNow, Actions& aActions)
--- a/src/libnode/slots.cpp
+++ b/src/libnode/slots.cpp
@@ -23,6 +23,9 @@
 constexpr std::chrono::milliseconds kLoanMemory{ 10000 };
 constexpr std::chrono::milliseconds kBorrowTime{ 500 };
 constexpr std::uint32_t kMaxBorrow = 64;
+/// A peer with fewer idle credits, as last heard, has probably none left by the time that a request
+/// arrives.
+constexpr std::uint64_t kLeastIdleToAsk = 4;
 /// Beyond it a heartbeat says that all upstreams are occupied, to bound its bytes.
 constexpr std::size_t kMaxOccupied = 128;
 constexpr std::string_view kAllOccupied = "*";
@@ -152,7 +155,7 @@
   std::optional<Incarnation> best;
   std::pair<bool, std::uint64_t> most{ false, 0 };
   for (const auto& [incarnation, peer] : aState.mMembers.mPeers) {
-    if (!peer.mLinkUp || peer.mIdleCredits == 0 || peer.mState != MemberState::Ready) {
+    if (!peer.mLinkUp || peer.mIdleCredits < kLeastIdleToAsk || peer.mState != MemberState::Ready) {
       continue;
     }
     const bool here = peer.mDataCentre == aState.mOptions.mDataCentre;
@@ -209,8 +212,67 @@
   }
 }
 
-/// Ends a loan taken: nothing more starts on it. Returns what is idle; tasks that still run show as
-/// occupied upstreams in heartbeats until they end.
+/// Returns the credits of an ended loan on one upstream whose tasks have ended. aKept counts
+/// running tasks that other ended loans on the upstream stand for.
+void ReturnEnded(Loan& aLoan,
+                 const std::string& aKey,
+                 std::uint32_t aRunning,
+                 std::uint32_t aCredits,
+                 std::uint32_t& aKept,
+                 message::ReturnCredits& aMessage)
+{
+  const auto it = aLoan.mCredits.find(aKey);
+  if (it == aLoan.mCredits.end()) {
+    return;
+  }
+  const auto over = aRunning - std::min(aRunning, aCredits + aKept);
+  const auto kept = std::min(it->second, over);
+  aKept += kept;
+  if (it->second > kept) {
+    aMessage.mCredits.push_back({ aKey, it->second - kept });
+  }
+  it->second = kept;
+  if (kept == 0) {
+    aLoan.mCredits.erase(it);
+  }
+}
+
+/// Returns what has become free of ended loans on an upstream.
+void ReturnEndedOn(State& aState, const std::string& aKey, Actions& aActions)
+{
+  const auto load = dispatch::FindUpstreamLoad(*aState.mDispatch, aKey);
+  std::uint32_t kept = 0;
+  for (auto& [number, loan] : aState.mBorrowed) {
+    message::ReturnCredits message{ number, {} };
+    if (loan.mExpired && load) {
+      ReturnEnded(loan, aKey, load->mRunning, load->mCredits, kept, message);
+    }
+    if (!message.mCredits.empty()) {
+      Send(aState, loan.mPeer, std::move(message), aActions);
+    }
+  }
+}
+
+/// Returns all credits of an ended loan that are free now, in one message.
+void ReturnFree(State& aState,
+                std::uint64_t aNumber,
+                Loan& aLoan,
+                const Loads& aLoads,
+                Actions& aActions)
+{
+  message::ReturnCredits message{ aNumber, {} };
+  const auto credits = aLoan.mCredits;
+  for (const auto& [key, count] : credits) {
+    std::uint32_t kept = 0;
+    ReturnEnded(aLoan, key, RunningOf(aLoads, key), aState.mSlots[key].mCredits, kept, message);
+  }
+  if (!message.mCredits.empty()) {
+    Send(aState, aLoan.mPeer, std::move(message), aActions);
+  }
+}
+
+/// Ends a loan taken: nothing more starts on it. Idle credits return at once, others when their
+/// tasks end; until then the upstreams show as occupied in heartbeats.
 void EndLoan(State& aState,
              std::uint64_t aNumber,
              Loan& aLoan,
@@ -218,23 +280,15 @@
              const Now& aNow,
              Actions& aActions)
 {
-  message::ReturnCredits message{ aNumber, {} };
-  for (const auto& [key, count] : aLoan.mCredits) {
+  aLoan.mExpired = true;
+  aLoan.mExpires = aNow.mTime + kLoanMemory;
+  const auto credits = aLoan.mCredits;
+  for (const auto& [key, count] : credits) {
     auto& slots = aState.mSlots[key];
     slots.mBorrowed -= std::min(slots.mBorrowed, count);
     UpdateCredits(aState, key, slots, aNow, aActions);
-    const auto running = RunningOf(aLoads, key);
-    const auto over = running - std::min(running, slots.mCredits);
-    if (count > over) {
-      message.mCredits.push_back({ key, count - over });
-    }
-  }
-  aLoan.mCredits.clear();
-  aLoan.mExpired = true;
-  aLoan.mExpires = aNow.mTime + kLoanMemory;
-  if (!message.mCredits.empty()) {
-    Send(aState, aLoan.mPeer, std::move(message), aActions);
   }
+  ReturnFree(aState, aNumber, aLoan, aLoads, aActions);
 }
 
 /// Returns credits that have nothing to do.
@@ -269,7 +323,8 @@
   for (auto it = aState.mBorrowed.begin(); it != aState.mBorrowed.end();) {
     auto& loan = it->second;
     if (loan.mExpired) {
-      it = aNow.mTime >= loan.mExpires ? aState.mBorrowed.erase(it) : std::next(it);
+      const bool over = aNow.mTime >= loan.mExpires && loan.mCredits.empty();
+      it = over ? aState.mBorrowed.erase(it) : std::next(it);
       continue;
     }
     if (loan.mRecalled || aNow.mTime >= loan.mExpires || !IsLinkUp(aState, loan.mPeer)) {
@@ -326,6 +381,16 @@
     TickBorrowed(aState, {}, aNow, aActions);
   }
   TickLent(aState, aNow, aActions);
+  SeekCredits(aState, aNow, aActions);
+}
+
+} // namespace
+
+void SeekCredits(State& aState, const Now& aNow, Actions& aActions)
+{
+  if (dispatch::QueuedTasks(*aState.mDispatch) == 0) {
+    return;
+  }
   for (const auto& [name, service] : aState.mConfiguration.mConfiguration->mServices) {
     const auto unserved = dispatch::UnservedTasks(*aState.mDispatch, name);
     if (unserved > 0) {
@@ -335,7 +400,16 @@
   }
 }
 
-} // namespace
+void ReturnAfterTask(State& aState, dispatch::UpstreamIndex aUpstream, Actions& aActions)
+{
+  const bool hasEnded =
+    std::any_of(aState.mBorrowed.begin(), aState.mBorrowed.end(), [](const auto& aLoan) {
+      return aLoan.second.mExpired && !aLoan.second.mCredits.empty();
+    });
+  if (hasEnded && aUpstream < aState.mIndices) {
+    ReturnEndedOn(aState, dispatch::AddressOf(*aState.mDispatch, aUpstream).mKey, aActions);
+  }
+}
 
 void FollowConfiguration(State& aState, const Now& aNow, Actions& aActions)
 {
@@ -510,6 +584,11 @@
     return;
   }
   aState.mBorrowing.erase(asked);
+  if (const auto lender = aState.mMembers.mPeers.find(aFrom);
+      lender != aState.mMembers.mPeers.end()) {
+    // Its next heartbeat says how many are left; until then others are asked first.
+    lender->second.mIdleCredits = aMessage.mCredits.empty() ? 0 : lender->second.mIdleCredits / 2;
+  }
   auto& loan = aState.mBorrowed[aMessage.mNumber];
   loan = Loan{ aFrom, {}, aNow.mTime + aMessage.mExpires, false, false };
   for (const auto& it : aMessage.mCredits) {
@@ -527,6 +606,7 @@
   for (const auto& [key, count] : credits) {
     UpdateCredits(aState, key, aState.mSlots[key], aNow, aActions);
   }
+  SeekCredits(aState, aNow, aActions);
 }
 
 void OnReturnCredits(State& aState,
--- a/src/libnode/state.h
+++ b/src/libnode/state.h
@@ -98,7 +98,7 @@
   Incarnation mPeer;
   std::map<std::string, std::uint32_t, std::less<>> mCredits;
   Time mExpires{};
-  bool mExpired = false;
+  bool mExpired = false; ///< Nothing starts on it; mCredits are those whose tasks still run.
   bool mRecalled = false;
 };
 
@@ -347,6 +347,12 @@
 /// new to this entry are held back until their earlier holders are done with them.
 void FollowView(State& aState, const ownership::View* aOld, const Now& aNow, Actions& aActions);
 
+/// Asks for credits when tasks wait: lent ones back, others from peers with idle ones.
+void SeekCredits(State& aState, const Now& aNow, Actions& aActions);
+
+/// Returns a credit of an ended loan once its task has ended.
+void ReturnAfterTask(State& aState, dispatch::UpstreamIndex aUpstream, Actions& aActions);
+
 /// Tells peers that a worker refuses because it is leaving.
 void NoteRefusal(State& aState, const UpstreamAnswered& aEvent, const Now& aNow);
 void OnSlotsAnswered(State& aState,
