--- a/scripts/harness/cluster.py
+++ b/scripts/harness/cluster.py
@@ -258,7 +258,6 @@
         """Places one forwarder for each data centre before each entry and worker of another."""
         self.network = Network()
         self.connect_maps = {}
-        port = self.base + 3000
         for source, _, _ in self.data_centres:
             pairs = []
             for target, _, _ in self.data_centres:
@@ -268,9 +267,8 @@
                 addresses += [f"{ip}:{number}" for _, ip, number in self.workers[target]]
                 for address in addresses:
                     host, number = address.rsplit(":", 1)
-                    self.network.forward(source, target, port, (host, int(number)))
+                    port = self.network.forward(source, target, (host, int(number)))
                     pairs.append(f"{address}=127.0.0.1:{port}")
-                    port += 1
             self.connect_maps[source] = ",".join(pairs)
 
     def cut(self, data_centre, stalled):
--- a/scripts/harness/forwarder.py
+++ b/scripts/harness/forwarder.py
@@ -28,16 +28,19 @@
     def _call(self, coroutine):
         return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(10)
 
-    def forward(self, source, target, port, address):
-        """Forwards 127.0.0.1:PORT to the address (IP, PORT) as part of the link of two names."""
+    def forward(self, source, target, address):
+        """Forwards a free port of 127.0.0.1 to the address (IP, PORT) as part of the link of two
+        names. Returns the port."""
 
         async def add():
             link = self.links.setdefault((source, target), Link())
-            self.servers.append(await asyncio.start_server(
+            server = await asyncio.start_server(
                 lambda reader, writer: self._serve(link, reader, writer, address),
-                "127.0.0.1", port, backlog=512))
+                "127.0.0.1", 0, backlog=512)
+            self.servers.append(server)
+            return server.sockets[0].getsockname()[1]
 
-        self._call(add())
+        return self._call(add())
 
     def cut(self, name, stalled):
         """Stalls, or lets through again, all links from and to a data centre."""
