Serve only in views that are certainly in force, and carry health notes

Cause: a process that starts after the log has dropped the first view records took the first one that it read for the view in force, which may have lost its race. After a view change an owner could be without a lease for some 75 ms, because votes for the new view waited for the next heartbeat.

Change: a view record names the hash of its base. A reader that has not read every record holds the first one as tentative until a record confirms it, or until no member that could has been there for 10 s. The first vote for a view is sent at once. The age of a birth is judged by a clock that never steps back.

--- a/src/include/pollenwall/ownership.h
+++ b/src/include/pollenwall/ownership.h
@@ -33,10 +33,14 @@
   std::vector<Member> mMembers;
   std::vector<Member> mWitnesses; ///< The members, and one entry of another data centre if needed.
   std::uint64_t mSealed = 0;      ///< All views up to this one can hold no lease any more.
+  std::uint64_t mBaseHash = 0;    ///< HashOf the view mBase; 0 when there was none.
 
   friend bool operator==(const View&, const View&) = default;
 };
 
+/// Of the members and witnesses, with the version.
+std::uint64_t HashOf(const View& aView);
+
 /// "view.DC".
 std::string ViewStream(std::string_view aDataCentre);
 
@@ -87,26 +91,35 @@
 inline constexpr std::size_t kMaxViews = 64;
 
 /// The fold of `view.DC`. A record is accepted only when its base is the version in force.
+///
+/// A reader judges this only while it has read every record. One that starts after the stream's
+/// beginning is gone, or that missed records, holds the first record it reads as *tentative*: it
+/// may have lost its race. The next accepted record names the hash of its base, which confirms the
+/// tentative view or replaces it. Without this rule a reader could serve in a view that was never
+/// in force.
 struct ViewLog
 {
   Options mOptions;
-  std::uint64_t mNext = 0;    ///< The offset to read from.
+  std::uint64_t mNext = 0; ///< The offset to read from.
+  bool mExact = true;      ///< Every record has been read, or a tentative view was confirmed.
+  std::optional<View> mTentative;
   std::uint64_t mVersion = 0; ///< In force; 0 before any.
   std::uint64_t mSealed = 0;  ///< All views up to this one can hold no lease any more.
   std::map<std::uint64_t, ReadView> mViews;
 };
 
-/// The view in force; nothing before any.
+/// The view in force; nothing before any, or while it is not known for certain.
 const View* CurrentView(const ViewLog& aLog);
 
-/// Applies the record at an offset; returns whether it is now in force. aFirst is the stream's
-/// oldest retained offset: a reader without a view adopts the first record of a stream whose
-/// beginning is gone.
-bool ApplyRecord(ViewLog& aLog,
-                 std::uint64_t aFirst,
-                 std::uint64_t aOffset,
-                 std::string_view aText,
-                 const Now& aNow);
+/// Tells the oldest retained offset of a read, before its records are applied. Returns whether
+/// records that this reader has not read are gone; the views are then forgotten.
+bool NoteFirst(ViewLog& aLog, std::uint64_t aFirst);
+
+/// Takes the tentative view for the one in force: no process that could confirm it is left.
+void ConfirmTentative(ViewLog& aLog, const Now& aNow);
+
+/// Applies the record at an offset; returns whether it is now in force.
+bool ApplyRecord(ViewLog& aLog, std::uint64_t aOffset, std::string_view aText, const Now& aNow);
 
 /// What this process knows of others' acknowledgements.
 struct Acknowledgements
--- a/src/libnode/control.cpp
+++ b/src/libnode/control.cpp
@@ -29,6 +29,7 @@
 constexpr std::chrono::milliseconds kFallbackDelay{ 1000 };
 constexpr std::chrono::milliseconds kOutsiderDelay{ 3000 };
 constexpr std::chrono::milliseconds kViewAppendInterval{ 500 };
+constexpr std::chrono::milliseconds kAloneTime{ 10000 };
 
 /// Heartbeats go to this many entries of each other data centre.
 constexpr std::size_t kPeersOfOtherDataCentre = 2;
@@ -41,6 +42,9 @@
 /// so it is asked for only when a peer has been ahead for longer.
 constexpr std::chrono::milliseconds kFetchAfter{ 1500 };
 constexpr std::size_t kMaxNotes = 32;
+/// Health notes are sent in every fifth heartbeat, some of them only, to bound the bytes.
+constexpr std::uint64_t kHealthEvery = 5;
+constexpr std::size_t kMaxHealthNotes = 8;
 /// 150 teams in 5 s, at 14 peers and about 25 bytes each 10 KB/s.
 constexpr std::size_t kDemandsPerHeartbeat = 6;
 
@@ -179,6 +183,7 @@
       return std::nullopt;
     }
   }
+  next.mBaseHash = current == nullptr ? 0 : ownership::HashOf(*current);
   next.mVersion = next.mBase + 1;
   next.mSealed = aState.mViews.mSealed;
   return next;
@@ -218,7 +223,7 @@
 
 void ProposeView(State& aState, const Now& aNow, Actions& aActions)
 {
-  if (!IsAbleToServe(aState) || !MayAppend(aState.mViewAppend, aNow)) {
+  if (!IsAbleToServe(aState) || !MayAppend(aState.mViewAppend, aNow) || aState.mViews.mTentative) {
     return;
   }
   auto next = NextView(aState);
@@ -265,25 +270,65 @@
   }
 }
 
+/// Follows a change of the view in force. Others wait for the acknowledgement, so it is sent at
+/// once.
+void NoteViewChange(State& aState,
+                    const std::optional<ownership::View>& aOld,
+                    const Now& aNow,
+                    Actions& aActions)
+{
+  const auto version = aState.mViews.mVersion;
+  aState.mAcknowledged.mVersions[aState.mOptions.mIncarnation] = version;
+  auto& promised = PromisedOf(aState, aState.mOptions.mDataCentre);
+  promised = std::max(promised, version);
+  aState.mProposalDue.reset();
+  FollowView(aState, aOld ? &*aOld : nullptr, aNow, aActions);
+  aState.mHeartbeatAt = aNow.mTime;
+  aActions.emplace_back(
+    Report{ false, "view_in_force", { { "version", std::to_string(version) } } });
+}
+
+/// A tentative view is confirmed by the next record, which a ready member writes when this entry
+/// asks to join. Without such a member for a while nobody is left who knows better.
+void ConfirmAlone(State& aState, const Now& aNow, Actions& aActions)
+{
+  if (!aState.mViews.mTentative) {
+    aState.mAloneSince.reset();
+    return;
+  }
+  for (const auto& [incarnation, peer] : aState.mMembers.mPeers) {
+    const auto known = aState.mAcknowledged.mVersions.find(incarnation);
+    if (peer.mDataCentre == aState.mOptions.mDataCentre && peer.mState == MemberState::Ready &&
+        known != aState.mAcknowledged.mVersions.end() &&
+        known->second >= aState.mViews.mTentative->mVersion) {
+      aState.mAloneSince.reset();
+      return;
+    }
+  }
+  if (!aState.mAloneSince) {
+    aState.mAloneSince = aNow.mTime;
+  }
+  if (aNow.mTime >= *aState.mAloneSince + kAloneTime) {
+    ownership::ConfirmTentative(aState.mViews, aNow);
+    NoteViewChange(aState, std::nullopt, aNow, aActions);
+  }
+}
+
 void ApplyViewRecords(State& aState, const LogRead& aEvent, const Now& aNow, Actions& aActions)
 {
+  if (ownership::NoteFirst(aState.mViews, aEvent.mFirst)) {
+    ownership::DropLease(aState.mLease);
+    aActions.emplace_back(Report{ true, "view_records_missed", {} });
+  }
   for (const auto& record : aEvent.mRecords) {
     std::optional<ownership::View> old;
     if (const auto* current = ownership::CurrentView(aState.mViews)) {
       old = *current;
     }
-    if (!ownership::ApplyRecord(aState.mViews, aEvent.mFirst, record.mOffset, record.mData, aNow)) {
+    if (!ownership::ApplyRecord(aState.mViews, record.mOffset, record.mData, aNow)) {
       continue;
     }
-    const auto version = aState.mViews.mVersion;
-    aState.mAcknowledged.mVersions[aState.mOptions.mIncarnation] = version;
-    auto& promised = PromisedOf(aState, aState.mOptions.mDataCentre);
-    promised = std::max(promised, version);
-    aState.mProposalDue.reset();
-    FollowView(aState, old ? &*old : nullptr, aNow, aActions);
-    aState.mHeartbeatAt = aNow.mTime; // Others wait for the acknowledgement.
-    aActions.emplace_back(
-      Report{ false, "view_in_force", { { "version", std::to_string(version) } } });
+    NoteViewChange(aState, old, aNow, aActions);
   }
 }
 
@@ -369,6 +414,13 @@
     }
     beat.mNotes.push_back({ upstream, true, 0 });
   }
+  if (beat.mSequence % kHealthEvery == 0) {
+    auto unhealthy = dispatch::UnhealthyUpstreams(*aState.mDispatch);
+    unhealthy.resize(std::min(unhealthy.size(), kMaxHealthNotes));
+    for (auto& [upstream, rate] : unhealthy) {
+      beat.mNotes.push_back({ std::move(upstream), false, rate });
+    }
+  }
   return beat;
 }
 
@@ -543,6 +595,11 @@
     if (request.mVersion < promised) {
       continue;
     }
+    if (request.mVersion > notes.mVotedVersion) {
+      notes.mVotedVersion = request.mVersion;
+      // Not with the next heartbeat but now: the asker's lease on the view before ends soon.
+      aState.mHeartbeatAt = aNow.mTime;
+    }
     promised = request.mVersion;
     notes.mVotes[request.mDataCentre] = request;
     notes.mAskedForVote = aNow.mTime;
@@ -562,11 +619,16 @@
     return;
   }
   for (const auto& it : aMessage.mNotes) {
-    if (it.mLeaving && aState.mSlots.contains(it.mUpstream)) {
+    if (!aState.mSlots.contains(it.mUpstream)) {
+      continue;
+    }
+    if (it.mLeaving) {
       Dispatch(aState,
                dispatch::UpstreamSign{ it.mUpstream, dispatch::Sign::SuspectedLeaving },
                aNow,
                aActions);
+    } else {
+      Dispatch(aState, dispatch::UpstreamNote{ it.mUpstream, it.mFailureRate }, aNow, aActions);
     }
   }
 }
@@ -726,6 +788,8 @@
                       std::chrono::duration_cast<std::chrono::milliseconds>(gap).count()) } } });
     }
   }
+  const auto passed = aState.mLastEvent ? aNow.mTime - aState.mLastEvent->mTime : Duration(0);
+  aState.mWallUs = std::max(aState.mWallUs + passed.count(), aNow.mUnixMs * std::int64_t{ 1000 });
   aState.mLastEvent = aNow;
 }
 
@@ -746,6 +810,12 @@
                                       { "from", std::string(membership::ToString(it.mFrom)) },
                                       { "to", std::string(membership::ToString(it.mTo)) } } });
     }
+    if (aState.mPeers.size() > 2 * aState.mMembers.mPeers.size()) {
+      std::erase_if(aState.mPeers, [&aState](const auto& aIt) {
+        return !aState.mMembers.mPeers.contains(aIt.first) && aIt.second.mForwards.empty();
+      });
+    }
+    ConfirmAlone(aState, aNow, aActions);
     AdvanceViews(aState, aNow, aActions);
     ProposeView(aState, aNow, aActions);
     FetchConfiguration(aState, aNow, aActions);
--- a/src/libnode/routing.cpp
+++ b/src/libnode/routing.cpp
@@ -320,9 +320,11 @@
   }
   const auto slack = (options.mMaxAhead + options.mMaxClockSkew).count();
   const bool mayHaveRunBefore = aJob.mBornMs <= claim.mSettled->mUnixMs + slack;
-  // An answer is forgotten after the retention time, so an older birth cannot be told from new.
+  // An answer is forgotten after the retention time, so an older birth cannot be told from new. The
+  // time is one that never steps back, as the retention does not.
+  const auto wallMs = aState.mWallUs / 1000;
   const bool mayBeForgotten =
-    aJob.mBornMs <= aNow.mUnixMs - options.mDispatch.mAnswerRetention.count() + slack;
+    aJob.mBornMs <= wallMs - options.mDispatch.mAnswerRetention.count() + slack;
   if (aJob.mResubmission && (mayHaveRunBefore || mayBeForgotten)) {
     if (const auto it = aState.mKnowledge.find(aJob.mId); it != aState.mKnowledge.end() &&
                                                           it->second.mTeam == aJob.mTeam &&
--- a/src/libnode/state.h
+++ b/src/libnode/state.h
@@ -131,6 +131,7 @@
   std::map<std::string, double, std::less<>> mDemands;
   std::map<std::string, double, std::less<>> mDemandsSent; ///< On this link.
   std::string mLastDemand;                                 ///< The team sent last.
+  std::uint64_t mVotedVersion = 0;   ///< Of the view of its data centre, the latest voted for.
   std::optional<Time> mAskedForVote; ///< Its heartbeats are answered while it asks.
 };
 
@@ -162,6 +163,7 @@
   dispatch::Actions mDispatchActions; ///< Reused between events.
   Time mStarted{};
   std::optional<Now> mLastEvent;
+  std::int64_t mWallUs = 0; ///< The wall clock, except that it never steps back.
 
   // Configuration.
   configuration::ConfigurationLog mConfiguration;
@@ -207,6 +209,7 @@
   Time mHeartbeatAt{};
   std::uint64_t mHeartbeatSequence = 0;
   Append mViewAppend;
+  std::optional<Time> mAloneSince;  ///< No member that could confirm a tentative view.
   std::optional<Time> mProposalDue; ///< When this entry proposes if the view still differs.
   Time mControlAt{};
 
--- a/src/libownership/ownership.cpp
+++ b/src/libownership/ownership.cpp
@@ -84,8 +84,35 @@
   }
 }
 
+void PutInForce(ViewLog& aLog, View aView, const Now& aNow)
+{
+  aLog.mVersion = aView.mVersion;
+  const auto sealed = aView.mSealed;
+  auto& read = aLog.mViews[aView.mVersion];
+  read = ReadView{ std::move(aView), aNow.mTime, std::nullopt, std::nullopt };
+  if (read.mView.mBase == 0) {
+    read.mSettled = Settled{ aNow.mTime, 0 }; // Nothing can have run before the first view.
+  }
+  NoteSealed(aLog, sealed, aNow);
+  while (aLog.mViews.size() > kMaxViews) {
+    aLog.mViews.erase(aLog.mViews.begin());
+  }
+}
+
 } // namespace
 
+std::uint64_t HashOf(const View& aView)
+{
+  auto text = std::to_string(aView.mVersion);
+  for (const auto* members : { &aView.mMembers, &aView.mWitnesses }) {
+    text += ';';
+    for (const auto& it : *members) {
+      text.append(ToString(it.mIncarnation)).append(it.mAddress);
+    }
+  }
+  return Hash64(text);
+}
+
 std::string ViewStream(std::string_view aDataCentre)
 {
   return "view." + std::string(aDataCentre);
@@ -93,12 +120,14 @@
 
 std::string ViewRecord(const View& aView)
 {
-  return boost::json::serialize(boost::json::object{ { "type", "view" },
-                                                     { "base", aView.mBase },
-                                                     { "version", aView.mVersion },
-                                                     { "members", ToJson(aView.mMembers) },
-                                                     { "witnesses", ToJson(aView.mWitnesses) },
-                                                     { "sealed", aView.mSealed } });
+  return boost::json::serialize(
+    boost::json::object{ { "type", "view" },
+                         { "base", aView.mBase },
+                         { "version", aView.mVersion },
+                         { "members", ToJson(aView.mMembers) },
+                         { "witnesses", ToJson(aView.mWitnesses) },
+                         { "sealed", aView.mSealed },
+                         { "base_hash", ToString(Incarnation{ aView.mBaseHash }) } });
 }
 
 std::optional<View> ParseViewRecord(std::string_view aText)
@@ -113,13 +142,17 @@
   const auto base = ParseVersion(object->if_contains("base"));
   const auto version = ParseVersion(object->if_contains("version"));
   const auto sealed = ParseVersion(object->if_contains("sealed"));
+  const auto* hash = object->if_contains("base_hash");
+  const auto baseHash =
+    hash != nullptr && hash->is_string() ? ParseIncarnation(hash->get_string()) : std::nullopt;
   auto members = ParseMembers(object->if_contains("members"));
   auto witnesses = ParseMembers(object->if_contains("witnesses"));
   if (type == nullptr || *type != "view" || !base || !version || !sealed || !members ||
-      !witnesses || *version != *base + 1 || *sealed > *base) {
+      !witnesses || !baseHash || *version != *base + 1 || *sealed > *base) {
     return std::nullopt;
   }
-  return View{ *base, *version, std::move(*members), std::move(*witnesses), *sealed };
+  return View{ *base,   *version,        std::move(*members), std::move(*witnesses),
+               *sealed, baseHash->mValue };
 }
 
 bool Contains(const std::vector<Member>& aMembers, Incarnation aIncarnation)
@@ -178,32 +211,56 @@
   return it == aLog.mViews.end() ? nullptr : &it->second.mView;
 }
 
-bool ApplyRecord(ViewLog& aLog,
-                 std::uint64_t aFirst,
-                 std::uint64_t aOffset,
-                 std::string_view aText,
-                 const Now& aNow)
+bool NoteFirst(ViewLog& aLog, std::uint64_t aFirst)
+{
+  if (aFirst <= aLog.mNext) {
+    return false;
+  }
+  aLog.mNext = aFirst;
+  aLog.mExact = false;
+  aLog.mTentative.reset();
+  aLog.mVersion = 0;
+  aLog.mSealed = 0;
+  aLog.mViews.clear();
+  return true;
+}
+
+void ConfirmTentative(ViewLog& aLog, const Now& aNow)
+{
+  if (!aLog.mTentative) {
+    return;
+  }
+  aLog.mExact = true;
+  PutInForce(aLog, std::move(*aLog.mTentative), aNow);
+  aLog.mTentative.reset();
+}
+
+bool ApplyRecord(ViewLog& aLog, std::uint64_t aOffset, std::string_view aText, const Now& aNow)
 {
   if (aOffset < aLog.mNext) {
     return false;
   }
   aLog.mNext = aOffset + 1;
   auto view = ParseViewRecord(aText);
-  const bool adopts = aLog.mVersion == 0 && aFirst > 0;
-  if (!view || (view->mBase != aLog.mVersion && !adopts)) {
+  if (!view) {
     return false;
   }
-  aLog.mVersion = view->mVersion;
-  const auto sealed = view->mSealed;
-  auto& read = aLog.mViews[view->mVersion];
-  read = ReadView{ std::move(*view), aNow.mTime, std::nullopt, std::nullopt };
-  if (read.mView.mBase == 0 && aFirst == 0) {
-    read.mSettled = Settled{ aNow.mTime, 0 }; // Nothing can have run before the first view.
+  if (!aLog.mExact) {
+    const auto& held = aLog.mTentative;
+    if (!held || view->mBase > held->mVersion ||
+        (view->mBase == held->mVersion && view->mBaseHash != HashOf(*held))) {
+      aLog.mTentative = std::move(view);
+      return false;
+    }
+    if (view->mBase < held->mVersion) {
+      return false;
+    }
+    ConfirmTentative(aLog, aNow);
   }
-  NoteSealed(aLog, sealed, aNow);
-  while (aLog.mViews.size() > kMaxViews) {
-    aLog.mViews.erase(aLog.mViews.begin());
+  if (view->mBase != aLog.mVersion) {
+    return false;
   }
+  PutInForce(aLog, std::move(*view), aNow);
   return true;
 }
 
