Offer refused jobs of a planned stop again after a pause

Change: after a reply with untaken jobs the next offer waits 300 ms.

Conclusion: fewer wasted messages when peers are full.

--- a/src/libnode/handover.cpp
+++ b/src/libnode/handover.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds kHandoverTime{ 3000 };
 /// Time for the view to leave this entry out before it exits, so that its ranges move sooner.
 constexpr std::chrono::milliseconds kViewTime{ 3000 };
+/// After a receiver did not take jobs, before they are offered again.
+constexpr std::chrono::milliseconds kOfferAgain{ 300 };
 constexpr std::size_t kJobsPerMessage = 32;
 /// A message is sent when its payloads reach this, which leaves room in a frame for one more job.
 constexpr std::size_t kMessageBytes = 256 * 1024;
@@ -62,7 +64,8 @@
 void HandOverJobs(State& aState, const Now& aNow, Actions& aActions)
 {
   const auto peers = ReadyPeers(aState);
-  if (peers.empty() || aState.mHandovers.size() >= kMessagesAtOnce) {
+  if (peers.empty() || aState.mHandovers.size() >= kMessagesAtOnce ||
+      aNow.mTime < aState.mHandoverAt) {
     return;
   }
   std::map<Incarnation, PendingHandover> batches;
@@ -216,6 +219,7 @@
       continue;
     }
     // The receiver never starts it, so it is this entry's again.
+    aState.mHandoverAt = aNow.mTime + kOfferAgain;
     aState.mMoved.erase(id);
     if (waiters.empty()) {
       Dispatch(aState, dispatch::Submit{ 0, std::move(job) }, aNow, aActions);
--- a/src/libnode/state.h
+++ b/src/libnode/state.h
@@ -243,6 +243,7 @@
   std::map<std::uint64_t, PendingHandover> mHandovers;
   std::unordered_map<std::string, Incarnation> mMoved; ///< Jobs handed over, and to whom.
   std::optional<Time> mDrainStarted;
+  Time mHandoverAt{}; ///< Jobs are not offered before.
   bool mKnownHandedOver = false;
   bool mStopped = false;
 
