Estimate the wait by class, follow quotas with equal shares, lend for the long class rarely

Change: queued work is counted by class; run times enter the admission test by the lesser of the 95% quantile and four medians; a job is refused when three times its wait does not fit; long tasks ask for credits every 250 ms; shares of a quota are equal while the demand is small against it; admission does not count on borrowed credits.

--- a/src/include/pollenwall/dispatch.h
+++ b/src/include/pollenwall/dispatch.h
@@ -94,6 +94,8 @@
 {
   std::string mUpstream; ///< Key "SERVICE/WORKER".
   std::uint32_t mCredits = 0;
+  std::uint32_t mBorrowed =
+    0; ///< Of mCredits. They may be recalled, so admission does not count on them.
 };
 
 enum class Sign
@@ -257,6 +259,9 @@
 /// Tasks that wait, of all services.
 std::size_t QueuedTasks(const State& aState);
 
+/// Tasks of the service that wait for any reason.
+std::size_t WaitingTasks(const State& aState, std::string_view aService);
+
 /// Tasks of the service that wait because no idle credit of this entry can serve them.
 std::size_t UnservedTasks(const State& aState, std::string_view aService);
 
--- a/src/include/pollenwall/task_queue.h
+++ b/src/include/pollenwall/task_queue.h
@@ -71,21 +71,15 @@
   std::size_t mTasks = 0;
 };
 
-/// Work of queued jobs by size class: a job's work is counted in the class of its binary logarithm.
-struct WorkBySize
-{
-  static constexpr std::size_t kClasses = 48;
-
-  std::array<std::int64_t, kClasses> mMicroseconds{};
-};
+/// Queued work in microseconds of the short class and of the long one.
+using WorkByClass = std::array<std::int64_t, 2>;
 
 struct Team
 {
   double mWeight = 1;
   double mVirtualTime = 0;
   std::size_t mTasks = 0;
-  WorkBySize mWork;
-  std::int64_t mWorkSum = 0; ///< Microseconds.
+  WorkByClass mWork{};
 };
 
 struct Queue
@@ -97,7 +91,7 @@
   double mVirtualTime = 0;  ///< Of the team served last.
   double mActiveWeight = 0; ///< Of the teams with queued tasks.
   std::size_t mTasks = 0;
-  std::int64_t mWork = 0; ///< Microseconds.
+  WorkByClass mWork{};
 };
 
 /// Adds the team when it is new.
@@ -134,12 +128,10 @@
 /// Notes that a team is being served.
 void Serve(Queue& aQueue, TeamIndex aTeam);
 
-/// Counts a job's queued work, or takes it out of the count with a negative sign. aSize is the
-/// job's whole queued work, which selects the size class.
-void CountWork(Queue& aQueue, TeamIndex aTeam, std::int64_t aSize, int aSign);
-
-/// The queued work of a team's jobs that are not larger than aSize.
-std::int64_t WorkUpTo(const Queue& aQueue, TeamIndex aTeam, std::int64_t aSize);
+/// Counts queued work of a team; a negative number takes it out of the count. Tasks of the long
+/// class wait for their class's share of the slots and not for the short ones, so their work is
+/// counted apart.
+void CountWork(Queue& aQueue, TeamIndex aTeam, bool aLong, std::int64_t aMicroseconds);
 
 /// Heap elements moved so far by all operations.
 std::uint64_t Moves(const Queue& aQueue);
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -36,7 +36,9 @@
 /// Jobs are refused when this many times their estimated wait does not fit before the deadline. The
 /// slots do the same work with a shorter queue, and a job that misses its deadline wastes what was
 /// done for it; a queue of half a deadline is also gone soon after a burst.
-constexpr double kWaitMargin = 2;
+constexpr double kWaitMargin = 3;
+/// A few long tasks among many short ones of the same kind do not make all of its jobs hopeless.
+constexpr int kMostHighRatio = 4;
 /// A job goes first once no more than this many times its longest task is left to its deadline.
 constexpr int kUrgentSlack = 2;
 constexpr double kLeastWeight = 0.001;
@@ -86,23 +88,27 @@
   const double ageing =
     aState.mOptions.mAgeing * static_cast<double>(aJob.mAccepted.time_since_epoch().count());
   return { !nearlyComplete && !aJob.mUrgent,
-           aJob.mQueuedWork + std::llround(ageing),
+           aJob.mQueuedWork[0] + aJob.mQueuedWork[1] + std::llround(ageing),
            aJob.mSequence };
 }
 
-/// Changes a job's queued work and its place in the queue.
-void ChangeWork(State& aState, Job& aJob, std::int64_t aChange)
+/// Gives the job's slices its present place in the queue.
+void SetKeys(State& aState, const Job& aJob)
 {
-  auto& queue = aState.mServices[aJob.mService].mQueue;
-  queue::CountWork(queue, aJob.mTeam, aJob.mQueuedWork, -1);
-  aJob.mQueuedWork += aChange;
-  queue::CountWork(queue, aJob.mTeam, aJob.mQueuedWork, 1);
   const auto key = KeyOf(aState, aJob);
   for (const auto slice : aJob.mSlices) {
-    queue::SetKey(queue, slice, key);
+    queue::SetKey(aState.mServices[aJob.mService].mQueue, slice, key);
   }
 }
 
+/// Changes a job's queued work of one class and its place in the queue.
+void ChangeWork(State& aState, Job& aJob, bool aLong, std::int64_t aChange)
+{
+  aJob.mQueuedWork[aLong ? 1 : 0] += aChange;
+  queue::CountWork(aState.mServices[aJob.mService].mQueue, aJob.mTeam, aLong, aChange);
+  SetKeys(aState, aJob);
+}
+
 void CountQueued(State& aState, Job& aJob, std::size_t aAdded, std::size_t aRemoved)
 {
   aState.mQueuedTasks += aAdded - aRemoved;
@@ -156,7 +162,8 @@
     queue::DropSlice(queue, slice);
   }
   aJob.mSlices = {};
-  ChangeWork(aState, aJob, -aJob.mQueuedWork);
+  ChangeWork(aState, aJob, false, -aJob.mQueuedWork[0]);
+  ChangeWork(aState, aJob, true, -aJob.mQueuedWork[1]);
   CountQueued(aState, aJob, 0, aJob.mQueued + aJob.mDelayed);
   aJob.mQueued = 0;
   aJob.mDelayed = 0;
@@ -406,7 +413,7 @@
     } else {
       Delay(aState, index, next, aNow.mTime + Jittered(aState, kAvoidDelay));
     }
-    ChangeWork(aState, job, -task.mMean.count());
+    ChangeWork(aState, job, task.mLong, -task.mMean.count());
   }
 }
 
@@ -450,7 +457,7 @@
       continue;
     }
     job.mUrgent = true;
-    ChangeWork(aState, job, 0);
+    SetKeys(aState, job);
   }
 }
 
@@ -477,7 +484,7 @@
     ++job.mQueued;
     auto& queue = aState.mServices[job.mService].mQueue;
     queue::AddTask(queue, job.mSlices[task.mSlice], KeyOf(aState, job), timer.mTask);
-    ChangeWork(aState, job, task.mMean.count());
+    ChangeWork(aState, job, task.mLong, task.mMean.count());
     MarkChanged(aState, job.mService);
   }
 }
@@ -609,14 +616,49 @@
     task.mLearned = estimate.mLearned;
     task.mMean = std::max(estimate.mMean, Duration{ 1 });
     task.mMedian = estimate.mMedian;
-    job.mLongest = std::max(job.mLongest, estimate.mLearned ? estimate.mHigh : Duration{ 0 });
+    if (estimate.mLearned) {
+      job.mLongest =
+        std::max(job.mLongest, std::min(estimate.mHigh, kMostHighRatio * estimate.mMedian));
+    }
     // Holds the lane until the slices are made.
     task.mSlice = 2 * GroupOf(aState, job.mService, *rounded) + (task.mLong ? 1 : 0);
-    job.mQueuedWork += task.mMean.count();
+    job.mQueuedWork[task.mLong ? 1 : 0] += task.mMean.count();
   }
   return job;
 }
 
+/// The estimated wait of a job's tasks of one class, for the queued work of that class and the
+/// job's own as far as it is known from outcomes.
+Duration WaitOf(const State& aState, const Job& aJob, bool aLong)
+{
+  const auto& queue = aState.mServices[aJob.mService].mQueue;
+  const auto& team = queue.mTeams[aJob.mTeam];
+  Duration own{ 0 };
+  bool hasTasks = false;
+  for (const auto& task : aJob.mTasks) {
+    hasTasks |= task.mLong == aLong;
+    own += task.mLong == aLong && task.mLearned ? task.mMean : Duration{ 0 };
+  }
+  if (!hasTasks) {
+    return Duration{ 0 };
+  }
+  const auto n = aLong ? 1 : 0;
+  const auto& service = aState.mServices[aJob.mService];
+  const double healthy = aState.mPlacement.mPools[aJob.mService].mHealthyCredits;
+  // An entry that has no slots of its own lives on borrowed ones.
+  const double credits = std::max(healthy - service.mBorrowed, healthy / 2);
+  const auto longRunning = static_cast<double>(service.mRunning[1]);
+  const auto slots = aLong
+                       ? std::min(credits, static_cast<double>(LongLimit(aState, aJob.mService)))
+                       : credits - std::min(longRunning, credits / 2);
+  const admission::Backlog backlog{ Duration{ team.mWork[n] } + own,
+                                    Duration{ queue.mWork[n] } + own,
+                                    team.mWeight,
+                                    queue.mActiveWeight + (team.mTasks > 0 ? 0 : team.mWeight),
+                                    slots };
+  return admission::EstimateWait(backlog).value_or(Duration{ 0 });
+}
+
 /// What speaks against accepting the job now.
 std::optional<Error> CheckLoad(State& aState,
                                const Job& aJob,
@@ -629,22 +671,7 @@
     return error;
   };
   auto& team = aState.mTeams[aJob.mTeam];
-  const auto& queue = aState.mServices[aJob.mService].mQueue;
-  const auto& pool = aState.mPlacement.mPools[aJob.mService];
-  const auto& queueTeam = queue.mTeams[aJob.mTeam];
-  // The job's own work counts as far as it is known from outcomes.
-  Duration own{ 0 };
-  for (const auto& task : aJob.mTasks) {
-
-    own += task.mLearned ? task.mMean : Duration{ 0 };
-  }
-  const admission::Backlog backlog{ Duration{ queueTeam.mWorkSum } + own,
-                                    Duration{ queue.mWork } + own,
-                                    queueTeam.mWeight,
-                                    queue.mActiveWeight +
-                                      (queueTeam.mTasks > 0 ? 0 : queueTeam.mWeight),
-                                    static_cast<double>(pool.mHealthyCredits) };
-  const auto wait = admission::EstimateWait(backlog).value_or(Duration{ 0 });
+  const auto wait = std::max(WaitOf(aState, aJob, false), WaitOf(aState, aJob, true));
   if (!admission::HasRoom(
         aState.mQueuedTasks, team.mQueued, aSpec.mTasks.size(), aState.mOptions.mMaxQueuedTasks)) {
     return refuse(ErrorCode::Overloaded, "The queue is full.", wait / 4);
@@ -673,7 +700,8 @@
   auto& queue = aState.mServices[job.mService].mQueue;
   job.mQueued = static_cast<std::uint32_t>(job.mTasks.size());
   CountQueued(aState, job, job.mQueued, 0);
-  queue::CountWork(queue, job.mTeam, job.mQueuedWork, 1);
+  queue::CountWork(queue, job.mTeam, false, job.mQueuedWork[0]);
+  queue::CountWork(queue, job.mTeam, true, job.mQueuedWork[1]);
   const auto key = KeyOf(aState, job);
   std::vector<std::pair<queue::LaneIndex, std::vector<std::uint32_t>>> lanes;
   for (auto n = job.mQueued; n-- > 0;) {
@@ -924,8 +952,12 @@
 void Apply(State& aState, const SetCredits& aEvent, const Now& aNow, Actions&)
 {
   auto& placement = aState.mPlacement;
-  placement::SetCredits(
-    placement, placement::FindOrAddUpstream(placement, aEvent.mUpstream), aEvent.mCredits, aNow);
+  const auto n = placement::FindOrAddUpstream(placement, aEvent.mUpstream);
+  placement::SetCredits(placement, n, aEvent.mCredits, aNow);
+  aState.mBorrowed.resize(std::max<std::size_t>(aState.mBorrowed.size(), n + 1));
+  auto& service = ServiceOf(aState, placement.mUpstreams[n].mService);
+  service.mBorrowed += aEvent.mBorrowed - aState.mBorrowed[n];
+  aState.mBorrowed[n] = aEvent.mBorrowed;
 }
 
 void Apply(State& aState, const UpstreamSign& aEvent, const Now& aNow, Actions&)
--- a/src/libdispatch/queries.cpp
+++ b/src/libdispatch/queries.cpp
@@ -110,7 +110,8 @@
   }
   for (ServiceIndex n = 0; n < aState.mServices.size(); ++n) {
     const auto credits = aState.mPlacement.mPools[n].mHealthyCredits;
-    const auto work = aState.mServices[n].mQueue.mWork;
+    const auto& byClass = aState.mServices[n].mQueue.mWork;
+    const auto work = byClass[0] + byClass[1];
     const auto wait = Duration{ credits == 0 ? 0 : work / credits };
     load.mEstimatedWait =
       std::max(load.mEstimatedWait, std::chrono::duration_cast<std::chrono::milliseconds>(wait));
@@ -149,15 +150,32 @@
   return aState.mQueuedTasks;
 }
 
+std::size_t WaitingTasks(const State& aState, std::string_view aService)
+{
+  const auto it = aState.mPlacement.mServices.find(aService);
+  return it == aState.mPlacement.mServices.end() || it->second >= aState.mServices.size()
+           ? 0
+           : aState.mServices[it->second].mQueue.mTasks;
+}
+
 std::size_t UnservedTasks(const State& aState, std::string_view aService)
 {
   const auto it = aState.mPlacement.mServices.find(aService);
   if (it == aState.mPlacement.mServices.end() || it->second >= aState.mServices.size()) {
     return 0;
   }
-  // A task that a free slot could serve is never left queued at the end of Handle; what is queued
-  // waits for a slot, or for the long class's share, which grows with the number of slots.
-  return aState.mServices[it->second].mQueue.mTasks;
+  // A task that a free slot could serve is never left queued at the end of Handle. Tasks that wait
+  // for the long
+  // class's share are left out: another slot would not start them.
+  const auto& service = aState.mServices[it->second];
+  std::size_t shortTasks = 0;
+  std::size_t longTasks = 0;
+  for (std::size_t n = 0; n < service.mQueue.mLanes.size(); ++n) {
+    (n % 2 == 0 ? shortTasks : longTasks) += service.mQueue.mLanes[n].mTasks;
+  }
+  const auto limit = LongLimit(aState, it->second);
+  const auto running = service.mRunning[1];
+  return shortTasks + std::min(longTasks, limit - std::min<std::size_t>(limit, running));
 }
 
 std::vector<std::pair<std::string, double>> TeamDemands(const State& aState, const Now& aNow)
@@ -245,7 +263,8 @@
     const auto& pool = aState.mPlacement.mPools[n];
     services.push_back({ { "name", pool.mName },
                          { "queued", service.mQueue.mTasks },
-                         { "queued_work_ms", service.mQueue.mWork / 1000 },
+                         { "queued_work_ms", service.mQueue.mWork[0] / 1000 },
+                         { "queued_long_work_ms", service.mQueue.mWork[1] / 1000 },
                          { "running_short", service.mRunning[0] },
                          { "running_long", service.mRunning[1] },
                          { "long_limit", LongLimit(aState, n) },
@@ -279,7 +298,7 @@
                      { "queued", job.mQueued },
                      { "delayed", job.mDelayed },
                      { "ran", job.mRan },
-                     { "queued_work_ms", job.mQueuedWork / 1000 },
+                     { "queued_work_ms", (job.mQueuedWork[0] + job.mQueuedWork[1]) / 1000 },
                      { "age_ms", milliseconds(aNow.mTime - job.mAccepted) },
                      { "deadline_in_ms", milliseconds(job.mDeadline - aNow.mTime) },
                      { "waits_for", ReasonOf(aState, job) } });
--- a/src/libdispatch/state.h
+++ b/src/libdispatch/state.h
@@ -77,7 +77,7 @@
   std::vector<queue::SliceIndex> mSlices;
   std::vector<std::pair<std::uint32_t, std::uint32_t>> mRacks; ///< Rack, tasks started there.
   std::vector<RequestId> mWaiters;
-  std::int64_t mQueuedWork = 0; ///< Microseconds.
+  queue::WorkByClass mQueuedWork{};
   bool mUrgent = false;
   Duration mLongest{ 0 }; ///< Of its tasks, as far as learned; 95% are shorter.
   std::uint32_t mQueued = 0;
@@ -98,6 +98,7 @@
 
 struct Service
 {
+  std::uint32_t mBorrowed = 0; ///< Credits that may be recalled.
   bool mConfigured = false;
   configuration::Service mSettings;
   queue::Queue mQueue; ///< Lane 2 * group is the group's short class, 2 * group + 1 its long one.
@@ -181,6 +182,7 @@
   std::vector<std::uint32_t> mFreeAttempts;
   std::size_t mAttemptCursor = 0; ///< Where the sweep over attempts goes on.
   JobTimers mDeadlines;
+  std::vector<std::uint32_t> mBorrowed; ///< Credits that may be recalled, by upstream.
   JobTimers mUrgencies; ///< When a job that still waits has to go first to meet its deadline.
   JobTimers mDelays;
   std::deque<JobTimer> mKept;        ///< Ended jobs, in the order of their end.
--- a/src/libnode/quota.cpp
+++ b/src/libnode/quota.cpp
@@ -11,9 +11,15 @@
 constexpr std::chrono::milliseconds kQuotaPeriod{ 250 };
 /// Smaller changes are not sent, and do not change a share.
 constexpr double kChange = 0.1;
-/// Each entry keeps this part of an equal share, so that new demand is admitted before the other
-/// entries have heard of it.
-constexpr double kReserve = 0.1;
+
+/// This entry's part of a team's quota. As long as the demand is small against the quota the parts
+/// are equal, so that an entry that has not seen the team for a while admits a whole job; a demand
+/// above the quota divides it.
+double PartOf(double aOwn, double aTotal, double aQuota, double aEntries)
+{
+  const double demand = aTotal + aQuota;
+  return demand <= 0 ? 1 / aEntries : (aOwn + aQuota / aEntries) / demand;
+}
 
 bool IsChange(double aOld, double aNew)
 {
@@ -75,8 +81,11 @@
   for (const auto& [team, demand] : total) {
     const auto it = own.find(team);
     const auto mine = it == own.end() ? 0 : it->second;
-    const auto part = demand <= 0 ? 1 / entries : mine / demand;
-    const auto share = kReserve / entries + (1 - kReserve) * part;
+    const auto configured = aState.mConfiguration.mConfiguration->mTeams.find(team);
+    if (configured == aState.mConfiguration.mConfiguration->mTeams.end()) {
+      continue;
+    }
+    const auto share = PartOf(mine, demand, configured->second.mStartsPerSecond, entries);
     const auto [set, isNew] = aState.mShareSet.try_emplace(team, 1.0);
     if (IsChange(set->second, share)) {
       set->second = share;
--- a/src/libnode/slots.cpp
+++ b/src/libnode/slots.cpp
@@ -23,6 +23,7 @@
 constexpr std::chrono::milliseconds kLoanMemory{ 10000 };
 constexpr std::chrono::milliseconds kBorrowTime{ 500 };
 constexpr std::uint32_t kMaxBorrow = 64;
+constexpr std::chrono::milliseconds kLongBorrowInterval{ 250 };
 /// A peer with fewer idle credits, as last heard, has probably none left by the time that a request
 /// arrives.
 constexpr std::uint64_t kLeastIdleToAsk = 4;
@@ -48,7 +49,7 @@
     return;
   }
   aSlots.mCredits = credits;
-  Dispatch(aState, dispatch::SetCredits{ aKey, credits }, aNow, aActions);
+  Dispatch(aState, dispatch::SetCredits{ aKey, credits, aSlots.mBorrowed }, aNow, aActions);
 }
 
 /// Learns the dispatch numbers of upstreams that dispatch has been told of.
@@ -330,8 +331,8 @@
     if (loan.mRecalled || aNow.mTime >= loan.mExpires || !IsLinkUp(aState, loan.mPeer)) {
       EndLoan(aState, it->first, loan, aLoads, aNow, aActions);
     } else if (!loan.mCredits.empty() &&
-               dispatch::UnservedTasks(*aState.mDispatch,
-                                       ServiceOf(loan.mCredits.begin()->first)) == 0) {
+               dispatch::WaitingTasks(*aState.mDispatch, ServiceOf(loan.mCredits.begin()->first)) ==
+                 0) {
       ReturnIdle(aState, it->first, loan, aLoads, aNow, aActions);
     }
     ++it;
@@ -396,6 +397,14 @@
     if (unserved > 0) {
       Recall(aState, name, aActions);
       Borrow(aState, name, unserved, aActions, aNow);
+      continue;
+    }
+    // More slots raise the share of the long class. Its tasks can wait a little, so peers are asked
+    // rarely.
+    const auto waiting = dispatch::WaitingTasks(*aState.mDispatch, name);
+    if (waiting > 0 && aNow.mTime >= aState.mLongBorrowAt) {
+      aState.mLongBorrowAt = aNow.mTime + kLongBorrowInterval;
+      Borrow(aState, name, 2 * waiting, aActions, aNow);
     }
   }
 }
--- a/src/libnode/state.h
+++ b/src/libnode/state.h
@@ -224,6 +224,7 @@
   std::map<std::string, Time, std::less<>> mLeavingNotes; ///< Refusals "leaving", by upstream.
   std::set<std::string> mKeysTold; ///< Upstreams that dispatch has been told of.
   Time mSlotsAt{};
+  Time mLongBorrowAt{};
   Time mQuotaAt{};
   std::map<std::string, double, std::less<>> mDemandSent;
   std::map<std::string, double, std::less<>> mShareSet;
--- a/src/pollenwall-bench/node_policy.cpp
+++ b/src/pollenwall-bench/node_policy.cpp
@@ -244,6 +244,7 @@
     return;
   }
   const auto& error = *aAnswer.mError;
+  ++aPolicy.mExperiment->mRefusalsByCode[std::string(ToString(error.mCode))];
   if (error.mVerdict == Verdict::NotRun) {
     for (const auto started : aPolicy.mExperiment->mPlatform.mStarts[call.mJob]) {
       aPolicy.mExperiment->mWrongVerdicts += started;
--- a/src/pollenwall-bench/policy.h
+++ b/src/pollenwall-bench/policy.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -47,6 +48,7 @@
   Cost mCost;
   std::uint32_t mServices = 1; ///< Services beyond the one that gets load cost state only.
   std::uint64_t mWrongVerdicts = 0;
+  std::map<std::string, std::uint64_t> mRefusalsByCode;
   std::vector<TaskRef> mSaidNotRun; ///< By final answers; none of these may ever start.
   double mQuotaPerTeam = 1e6;       ///< Task starts per second.
   Micros mListLag = 5 * kSecond;
--- a/src/pollenwall-bench/report.cpp
+++ b/src/pollenwall-bench/report.cpp
@@ -145,6 +145,9 @@
     { "heartbeats", static_cast<double>(aExperiment.mHeartbeats) },
     { "seed", static_cast<double>(aExperiment.mSeed) },
   };
+  for (const auto& [code, count] : aExperiment.mRefusalsByCode) {
+    numbers.emplace_back("refusals_" + code, static_cast<double>(count));
+  }
   numbers.insert(numbers.end(), aExtras.begin(), aExtras.end());
   std::string line = "{\"scenario\":\"" + aScenario + "\",\"policy\":\"" + aPolicy + "\"";
   for (const auto& [name, value] : numbers) {
