--- a/src/libconfiguration/configuration_log.cpp
+++ b/src/libconfiguration/configuration_log.cpp
@@ -519,8 +519,14 @@
       AddProblem(aReport, std::string_view(key), json::serialize(value), "a YAML text");
       continue;
     }
-    if (auto item = ParseOne(aReport, key, value.get_string())) {
-      items.emplace(key, std::move(*item));
+    // Printing an item costs a small part of parsing it, and most items are known to a reader that
+    // missed a few records.
+    auto known = FindItem(*aLog.mConfiguration, key);
+    if (!known || PrintItem(*known) != std::string_view(value.get_string())) {
+      known = ParseOne(aReport, key, value.get_string());
+    }
+    if (known) {
+      items.emplace(key, std::move(*known));
     }
   }
   ConfigurationLog fresh;
