--- a/src/include/pollenwall/configuration_log.h
+++ b/src/include/pollenwall/configuration_log.h
@@ -24,11 +24,19 @@
 /// A change record is accepted only when its base is the version in force at its place in the log.
 /// A reader can judge this only while it is *exact*: it has folded every record up to mNext, either
 /// from the stream's first record (offset 0) or from a snapshot. A snapshot therefore names the
-/// place
-/// (`through`) up to which it holds all records. A reader that missed records keeps its version,
-/// defers changes, and becomes exact again by a snapshot whose place it has read on from. Without
-/// this rule a snapshot of a process that slept would make a new reader accept a change that lost
-/// its race, and two readers would disagree on a version's content.
+/// place (`through`) up to which it holds all records. A reader that missed records keeps its
+/// version, defers changes, and becomes exact again by a snapshot whose place it has read on from.
+/// Without this rule a snapshot of a process that slept would make a new reader accept a change
+/// that lost its race, and two readers would disagree on a version's content.
+///
+/// Records are JSON objects with a type:
+///
+///     {"type": "change", "id", "base", "puts": {KEY: YAML, ...}, "deletes": [KEY, ...]}
+///     {"type": "snapshot", "version", "through", "through_ms", "ids": [...], "items": {KEY: YAML}}
+///     {"type": "restore", "id", "at", "items": {KEY: YAML, ...}}
+///
+/// Large puts and items are packed instead: `puts_packed` or `items_packed` holds the object's text
+/// as raw deflate (RFC 1951) in base64.
 ///
 /// When the log has dropped every record from which a reader could start, and no process holds the
 /// configuration, an operator appends a restore record. It names the offset that it must have and
--- a/src/libconfiguration/configuration_log.cpp
+++ b/src/libconfiguration/configuration_log.cpp
@@ -7,6 +7,8 @@
 
 #include <pollenwall/configuration_yaml.h>
 
+#include "packed.h"
+
 namespace pollenwall::configuration {
 namespace {
 
@@ -27,22 +29,71 @@
 
 using Items = std::map<std::string, Item, std::less<>>;
 
+void AddProblem(yaml::Report& aReport, std::string_view aKey, std::string aFound, std::string aWant)
+{
+  aReport.mProblems.push_back(
+    { aReport.mFile, 0, std::string(aKey), std::move(aFound), std::move(aWant) });
+}
+
+/// The key of a value that is packed, see kPackAboveBytes.
+std::string PackedKey(std::string_view aKey)
+{
+  return std::string(aKey).append("_packed");
+}
+
+/// Adds an object under a key, packed when its text is large.
+void AddObject(json::object& aRecord, std::string_view aKey, json::object aValue)
+{
+  const auto text = json::serialize(aValue);
+  if (text.size() > kPackAboveBytes) {
+    aRecord[PackedKey(aKey)] = Pack(text);
+  } else {
+    aRecord[aKey] = std::move(aValue);
+  }
+}
+
+/// The object under a key, plain or packed. Empty when the key is absent; a value of another form
+/// is a problem.
+json::object GetObject(yaml::Report& aReport, const json::object& aRecord, std::string_view aKey)
+{
+  if (const auto* plain = aRecord.if_contains(aKey)) {
+    if (plain->is_object()) {
+      return plain->get_object();
+    }
+    AddProblem(aReport, aKey, "no object", "an object of YAML texts");
+    return {};
+  }
+  const auto key = PackedKey(aKey);
+  const auto* packed = aRecord.if_contains(key);
+  if (!packed) {
+    return {};
+  }
+  const auto text =
+    packed->is_string() ? Unpack(packed->get_string(), kMaxRecordBytes) : std::nullopt;
+  json::error_code ec;
+  auto value = text ? json::parse(*text, ec) : json::value();
+  if (ec || !value.is_object()) {
+    AddProblem(aReport, key, "no packed object", "a packed object of YAML texts");
+    return {};
+  }
+  return std::move(value.get_object());
+}
+
+bool HasObject(const json::object& aRecord, std::string_view aKey)
+{
+  return aRecord.contains(aKey) || aRecord.contains(PackedKey(aKey));
+}
+
 /// A decoded snapshot or restore record; the items are parsed only when it is adopted.
 struct Snapshot
 {
   Version mVersion = 0;
   std::uint64_t mThrough = 0;
   UnixMs mThroughMs = 0;
-  std::vector<std::string> mIds; ///< Of the latest versions, oldest first.
-  const json::object* mItems = nullptr;
+  std::vector<std::string> mIds;         ///< Of the latest versions, oldest first.
+  const json::object* mRecord = nullptr; ///< Holds the items.
 };
 
-void AddProblem(yaml::Report& aReport, std::string_view aKey, std::string aFound, std::string aWant)
-{
-  aReport.mProblems.push_back(
-    { aReport.mFile, 0, std::string(aKey), std::move(aFound), std::move(aWant) });
-}
-
 Outcome Reject(yaml::Report& aReport, std::string aId, Version aVersion)
 {
   if (aReport.mProblems.size() > kMaxProblems) {
@@ -104,18 +155,12 @@
     AddProblem(aReport, "id", Quoted(change.mId), "1 to 128 characters");
   }
   change.mBase = NumberOf(aReport, aObject, "base").value_or(0);
-  if (const auto* puts = aObject.if_contains("puts")) {
-    if (!puts->is_object()) {
-      AddProblem(aReport, "puts", "no object", "an object of YAML texts");
-    } else {
-      for (const auto& [key, value] : puts->get_object()) {
-        if (!value.is_string()) {
-          AddProblem(aReport, std::string_view(key), json::serialize(value), "a YAML text");
-          continue;
-        }
-        change.mPuts.emplace(key, value.get_string());
-      }
+  for (const auto& [key, value] : GetObject(aReport, aObject, "puts")) {
+    if (!value.is_string()) {
+      AddProblem(aReport, std::string_view(key), json::serialize(value), "a YAML text");
+      continue;
     }
+    change.mPuts.emplace(key, value.get_string());
   }
   if (const auto* deletes = aObject.if_contains("deletes")) {
     if (!deletes->is_array()) {
@@ -142,7 +187,6 @@
   snapshot.mThrough = NumberOf(aReport, aObject, "through").value_or(0);
   snapshot.mThroughMs = static_cast<UnixMs>(NumberOf(aReport, aObject, "through_ms").value_or(0));
   const auto* ids = aObject.if_contains("ids");
-  const auto* items = aObject.if_contains("items");
   if (!ids || !ids->is_array()) {
     AddProblem(aReport, "ids", "no list", "a list of texts");
   } else {
@@ -158,10 +202,9 @@
       AddProblem(aReport, "ids", std::to_string(snapshot.mIds.size()), "one for each version");
     }
   }
-  if (!items || !items->is_object()) {
-    AddProblem(aReport, "items", "no object", "an object of YAML texts");
-  } else {
-    snapshot.mItems = &items->get_object();
+  snapshot.mRecord = &aObject;
+  if (!HasObject(aObject, "items")) {
+    AddProblem(aReport, "items", "nothing", "an object of YAML texts");
   }
   if (snapshot.mVersion > snapshot.mThrough) {
     AddProblem(aReport,
@@ -169,9 +212,6 @@
                std::to_string(snapshot.mVersion),
                "at most one for each record, " + std::to_string(snapshot.mThrough));
   }
-  if (snapshot.mVersion == 0 && snapshot.mItems && !snapshot.mItems->empty()) {
-    AddProblem(aReport, "items", "items of version 0", "none");
-  }
   return aReport.mProblems.empty() ? std::optional(std::move(snapshot)) : std::nullopt;
 }
 
@@ -228,7 +268,7 @@
   const auto unknown = [&](std::string_view aField, const std::string& aName) {
     AddProblem(aReport,
                std::string(aKey).append(".").append(aField),
-               "unknown '" + aName + "'",
+               "unknown " + Quoted(aName),
                "a name that the configuration holds after the change");
   };
   if (const auto* worker = std::get_if<Worker>(&aItem)) {
@@ -514,7 +554,7 @@
 bool Load(ConfigurationLog& aLog, const Snapshot& aSnapshot, yaml::Report& aReport)
 {
   Items items;
-  for (const auto& [key, value] : *aSnapshot.mItems) {
+  for (const auto& [key, value] : GetObject(aReport, *aSnapshot.mRecord, "items")) {
     if (!value.is_string()) {
       AddProblem(aReport, std::string_view(key), json::serialize(value), "a YAML text");
       continue;
@@ -632,12 +672,11 @@
   const auto version = VersionOf(aLog);
   const auto id = TextOf(aObject, "id");
   const auto at = NumberOf(aReport, aObject, "at");
-  const auto* items = aObject.if_contains("items");
   if (!IsId(id)) {
     AddProblem(aReport, "id", Quoted(id), "1 to 128 characters");
   }
-  if (!items || !items->is_object()) {
-    AddProblem(aReport, "items", "no object", "an object of YAML texts");
+  if (!HasObject(aObject, "items")) {
+    AddProblem(aReport, "items", "nothing", "an object of YAML texts");
   }
   if (!aReport.mProblems.empty()) {
     return Reject(aReport, id, version);
@@ -645,7 +684,7 @@
   if (*at != aOffset) {
     return { OutcomeKind::LostRace, id, version, {} };
   }
-  const Snapshot snapshot{ aOffset + 1, aOffset + 1, aAtMs, { id }, &items->get_object() };
+  const Snapshot snapshot{ aOffset + 1, aOffset + 1, aAtMs, { id }, &aObject };
   if (!Load(aLog, snapshot, aReport)) {
     return Reject(aReport, id, version);
   }
@@ -795,19 +834,21 @@
   for (const auto& key : aChange.mDeletes) {
     deletes.emplace_back(key);
   }
-  return json::serialize(json::object{ { "type", "change" },
-                                       { "id", aChange.mId },
-                                       { "base", aChange.mBase },
-                                       { "puts", std::move(puts) },
-                                       { "deletes", std::move(deletes) } });
+  json::object record{ { "type", "change" },
+                       { "id", aChange.mId },
+                       { "base", aChange.mBase },
+                       { "deletes", std::move(deletes) } };
+  AddObject(record, "puts", std::move(puts));
+  return json::serialize(record);
 }
 
 std::string RestoreRecord(const Configuration& aConfiguration,
                           std::string_view aId,
                           std::uint64_t aOffset)
 {
-  return json::serialize(json::object{
-    { "type", "restore" }, { "id", aId }, { "at", aOffset }, { "items", PutsOf(aConfiguration) } });
+  json::object record{ { "type", "restore" }, { "id", aId }, { "at", aOffset } };
+  AddObject(record, "items", PutsOf(aConfiguration));
+  return json::serialize(record);
 }
 
 std::string SnapshotRecord(const ConfigurationLog& aLog)
@@ -816,12 +857,13 @@
   for (const auto& [version, id] : aLog.mRecentIds) {
     ids.emplace_back(id);
   }
-  return json::serialize(json::object{ { "type", "snapshot" },
-                                       { "version", VersionOf(aLog) },
-                                       { "through", aLog.mThrough },
-                                       { "through_ms", aLog.mThroughMs },
-                                       { "ids", std::move(ids) },
-                                       { "items", PutsOf(*aLog.mConfiguration) } });
+  json::object record{ { "type", "snapshot" },
+                       { "version", VersionOf(aLog) },
+                       { "through", aLog.mThrough },
+                       { "through_ms", aLog.mThroughMs },
+                       { "ids", std::move(ids) } };
+  AddObject(record, "items", PutsOf(*aLog.mConfiguration));
+  return json::serialize(record);
 }
 
 Outcome AdoptSnapshot(ConfigurationLog& aLog, std::string_view aText)
--- a/src/libconfiguration/configuration_log_test.cpp
+++ b/src/libconfiguration/configuration_log_test.cpp
@@ -5,6 +5,8 @@
 
 #include <rapidcheck.h>
 
+#include "packed.h"
+
 using namespace pollenwall;
 using namespace pollenwall::configuration;
 
@@ -274,6 +276,54 @@
   });
 }
 
+/// Guards against large records that the log service refuses, that lose items, or that a reader
+/// unpacks without a limit.
+bool LargeRecordsArePacked()
+{
+  constexpr std::size_t kServices = 10000;
+  constexpr std::size_t kMebibyte = 1024 * 1024;
+  ConfigurationLog log;
+  auto wanted = Small();
+  for (std::size_t n = 0; n < kServices; ++n) {
+    PutItem(wanted, Service{ "service-" + std::to_string(n) });
+  }
+  const auto record = ChangeRecord(MakeChange(*log.mConfiguration, wanted, "a"));
+  bool passed = Expect(record.size() < kMebibyte, "a large change fits into a record");
+  passed &= Expect(ApplyRecord(log, 0, 1, record).mKind == OutcomeKind::Accepted, "accepted");
+  wanted.mVersion = 1;
+  passed &= Expect(*log.mConfiguration == wanted, "no item is lost");
+  ConfigurationLog reader;
+  NoteFirst(reader, 1);
+  passed &=
+    Expect(ApplyRecord(reader, 1, 2, SnapshotRecord(log)).mKind == OutcomeKind::SnapshotAdopted &&
+             *reader.mConfiguration == wanted,
+           "a packed snapshot is adopted");
+  ConfigurationLog restored;
+  passed &= Expect(ApplyRecord(restored, 0, 1, RestoreRecord(wanted, "r", 0)).mVersion == 1 &&
+                     *restored.mConfiguration == wanted,
+                   "a packed restore takes effect");
+  const auto packed = Pack(std::string(kMebibyte, 'a'));
+  passed &= Expect(!Unpack(packed, kMebibyte - 1), "a text over the limit is refused");
+  passed &=
+    Expect(Unpack(packed, kMebibyte + 1) == std::string(kMebibyte, 'a'), "one within is not");
+  return passed;
+}
+
+/// Guards against packed bytes that end the process.
+bool DamagedPacksAreRefused()
+{
+  return rc::check("packed texts are kept, damaged ones refused or read", [] {
+    const auto text = *rc::gen::container<std::string>(rc::gen::element('a', 'b', '{', '"'));
+    const auto packed = Pack(text);
+    RC_ASSERT(Unpack(packed, text.size() + 1) == text);
+    const auto damaged = Unpack(Damaged(packed), 1000);
+    RC_ASSERT(!damaged || damaged->size() <= 1000);
+    const auto noise = *rc::gen::container<std::string>(
+      rc::gen::elementOf(std::string("ABCDEFabcdef0123456789+/=")));
+    (void)Unpack(noise, 1000);
+  });
+}
+
 } // namespace
 
 int main()
@@ -283,6 +333,8 @@
   passed &= ReferencesAreThoseAfterTheChange();
   passed &= EndpointsFollowAddresses();
   passed &= AHeldConfigurationNeverChanges();
+  passed &= LargeRecordsArePacked();
+  passed &= DamagedPacksAreRefused();
   passed &= DamagedRecordsAreJudged();
   passed &= DamagedDocumentsAreReported();
   return passed ? 0 : 1;
