--- a/testsuite/entry_stub.py
+++ b/testsuite/entry_stub.py
@@ -1,8 +1,11 @@
 """Serves the operators' calls of an entry that holds a given version.
-Usage: entry_stub.py READY VERSION [SNAPSHOT_FILE]; prints its own port."""
+Usage: entry_stub.py READY VERSION [SNAPSHOT_FILE]; prints its own port. With $TLS_FOLDER set it
+speaks TLS with the files entry.pem, entry.key and ca.pem there, and asks for a certificate."""
 
 import http.server
 import json
+import os
+import ssl
 import sys
 
 ready = sys.argv[1] == "ready"
@@ -38,6 +41,16 @@
 
 server = http.server.HTTPServer(("127.0.0.1", 0), Handler)
 server.draining = False
+if "TLS_FOLDER" in os.environ:
+    folder = os.environ["TLS_FOLDER"]
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(folder + "/entry.pem", folder + "/entry.key")
+    context.load_verify_locations(folder + "/ca.pem")
+    context.verify_mode = ssl.CERT_REQUIRED
+    server.socket = context.wrap_socket(server.socket, server_side=True)
 print(server.server_address[1], flush=True)
 while not server.draining:
-    server.handle_request()
+    try:
+        server.handle_request()
+    except OSError:
+        pass  # A client without a valid certificate.
