Detect a gap in the offsets that a reader applies

Cause: a caller that reads on from a later offset than mNext, or forgets NoteFirst, would skip records silently and judge changes against the wrong version. Change: a record beyond mNext shows that others were missed, as NoteFirst does.

--- a/src/include/pollenwall/configuration_log.h
+++ b/src/include/pollenwall/configuration_log.h
@@ -137,6 +137,7 @@
 bool NoteFirst(ConfigurationLog& aLog, std::uint64_t aFirst);
 
 /// Applies the record at an offset. Records below mNext are ignored, so a read may be repeated.
+/// Offsets are consecutive: a record beyond mNext shows that others were missed.
 Outcome ApplyRecord(ConfigurationLog& aLog,
                     std::uint64_t aOffset,
                     UnixMs aAtMs,
--- a/src/libconfiguration/configuration_log.cpp
+++ b/src/libconfiguration/configuration_log.cpp
@@ -771,6 +771,7 @@
   if (aOffset < aLog.mNext) {
     return { OutcomeKind::Ignored, {}, VersionOf(aLog), {} };
   }
+  NoteFirst(aLog, aOffset);
   aLog.mNext = aOffset + 1;
   ++aLog.mRecordsSinceSnapshot;
   if (aLog.mSnapshotMs == 0) {
