--- a/src/pollenwalld/callers.cpp
+++ b/src/pollenwalld/callers.cpp
@@ -18,7 +18,9 @@
 constexpr std::size_t kMaxRequestIdBytes = 128;
 /// A longer wait holds a connection that the caller may have forgotten.
 constexpr std::int64_t kMaxWaitMs = 300'000;
-constexpr std::chrono::milliseconds kStopLimit{ 5000 };
+constexpr std::chrono::milliseconds kStopLimit{ 10000 };
+/// Balancers commonly look at readiness about once a second.
+constexpr std::chrono::milliseconds kQuietBeforeStop{ 1500 };
 
 net::HttpResponse Refusal(ErrorCode aCode, std::string aMessage)
 {
@@ -243,6 +245,7 @@
   options.mMaxHeaderBytes = settings.mHttp.mMaxHeaderBytes;
   options.mMaxConnections = settings.mHttp.mMaxConnections;
   options.mRequestTimeout = settings.mHttp.mReadTimeout;
+  options.mQuietBeforeStop = kQuietBeforeStop;
   aCallers.mLimits.mMaxTasks = settings.mNode.mDispatch.mMaxTasksPerJob;
   BOOST_LEAF_ASSIGN(aCallers.mServer,
                     net::StartHttpServer(
@@ -265,6 +268,10 @@
   std::string id(aRequest[kRequestIdHeader.data()].data(),
                  aRequest[kRequestIdHeader.data()].size());
   auto response = Route(aCallers, aRequest, aConnection);
+  if (aCallers.mLoop.mStopping) {
+    // Callers then reconnect through the balancer to an entry that stays.
+    net::CloseAfterAnswers(*aCallers.mServer);
+  }
   if (!id.empty() && id.size() <= kMaxRequestIdBytes) {
     response.set(kRequestIdHeader.data(), id);
   }
