--- a/src/include/pollenwall/configuration_log.h
+++ b/src/include/pollenwall/configuration_log.h
@@ -24,11 +24,19 @@
 /// A change record is accepted only when its base is the version in force at its place in the log.
 /// A reader can judge this only while it is *exact*: it has folded every record up to mNext, either
 /// from the stream's first record (offset 0) or from a snapshot. A snapshot therefore names the
-/// place
-/// (`through`) up to which it holds all records. A reader that missed records keeps its version,
-/// defers changes, and becomes exact again by a snapshot whose place it has read on from. Without
-/// this rule a snapshot of a process that slept would make a new reader accept a change that lost
-/// its race, and two readers would disagree on a version's content.
+/// place (`through`) up to which it holds all records. A reader that missed records keeps its
+/// version, defers changes, and becomes exact again by a snapshot whose place it has read on from.
+/// Without this rule a snapshot of a process that slept would make a new reader accept a change
+/// that lost its race, and two readers would disagree on a version's content.
+///
+/// Records are JSON objects with a type:
+///
+///     {"type": "change", "id", "base", "puts": {KEY: YAML, ...}, "deletes": [KEY, ...]}
+///     {"type": "snapshot", "version", "through", "through_ms", "ids": [...], "items": {KEY: YAML}}
+///     {"type": "restore", "id", "at", "items": {KEY: YAML, ...}}
+///
+/// Large puts and items are packed instead: `puts_packed` or `items_packed` holds the object's text
+/// as raw deflate (RFC 1951) in base64.
 ///
 /// When the log has dropped every record from which a reader could start, and no process holds the
 /// configuration, an operator appends a restore record. It names the offset that it must have and
@@ -97,6 +105,8 @@
   std::map<std::string, std::size_t, std::less<>> mUpstreamsOfService;
   std::map<std::string, std::set<std::string>, std::less<>> mUpstreamsOfWorker; ///< Upstream keys.
   std::map<std::string, std::string, std::less<>> mEndpoints; ///< "IP:PORT" to the upstream's key.
+
+  friend bool operator==(const References&, const References&) = default;
 };
 
 struct ConfigurationLog
@@ -127,6 +137,7 @@
 bool NoteFirst(ConfigurationLog& aLog, std::uint64_t aFirst);
 
 /// Applies the record at an offset. Records below mNext are ignored, so a read may be repeated.
+/// Offsets are consecutive: a record beyond mNext shows that others were missed.
 Outcome ApplyRecord(ConfigurationLog& aLog,
                     std::uint64_t aOffset,
                     UnixMs aAtMs,
@@ -152,10 +163,10 @@
 /// move forward, or stay; a record below it needs no reading.
 Outcome AdoptSnapshot(ConfigurationLog& aLog, std::string_view aText);
 
-/// Whether a snapshot should be appended now. True only for an exact reader of a version above 0,
-/// when the newest snapshot in the log has reached 40% to 60% of the retention time, or after 1,000
-/// records. The share (0 to 1) is drawn by each process when the newest snapshot changes, so that
-/// one process is early and its snapshot keeps the others from writing one too.
+/// Whether a snapshot should be appended now. True only for an exact reader that knows of
+/// a record, when the newest snapshot in the log has reached 40% to 60% of the retention time, or
+/// after 1,000 records. The share (0 to 1) is drawn by each process when the newest snapshot
+/// changes, so that one process is early and its snapshot keeps the others from writing one too.
 bool SnapshotDue(const ConfigurationLog& aLog,
                  UnixMs aNowMs,
                  std::chrono::milliseconds aRetention,
--- a/src/libnode/state.h
+++ b/src/libnode/state.h
@@ -98,7 +98,7 @@
   Incarnation mPeer;
   std::map<std::string, std::uint32_t, std::less<>> mCredits;
   Time mExpires{};
-  bool mExpired = false;
+  bool mExpired = false; ///< Nothing starts on it; mCredits are those whose tasks still run.
   bool mRecalled = false;
 };
 
@@ -227,6 +227,7 @@
   std::map<std::string, Time, std::less<>> mLeavingNotes; ///< Refusals "leaving", by upstream.
   std::set<std::string> mKeysTold; ///< Upstreams that dispatch has been told of.
   Time mSlotsAt{};
+  Time mLongBorrowAt{};
   Time mQuotaAt{};
   std::map<std::string, double, std::less<>> mDemandSent;
   std::map<std::string, double, std::less<>> mShareSet;
@@ -351,6 +352,12 @@
 /// new to this entry are held back until their earlier holders are done with them.
 void FollowView(State& aState, const ownership::View* aOld, const Now& aNow, Actions& aActions);
 
+/// Asks for credits when tasks wait: lent ones back, others from peers with idle ones.
+void SeekCredits(State& aState, const Now& aNow, Actions& aActions);
+
+/// Returns a credit of an ended loan once its task has ended.
+void ReturnAfterTask(State& aState, dispatch::UpstreamIndex aUpstream, Actions& aActions);
+
 /// Tells peers that a worker refuses because it is leaving.
 void NoteRefusal(State& aState, const UpstreamAnswered& aEvent, const Now& aNow);
 void OnSlotsAnswered(State& aState,
