Stop without cutting off callers, bound the stop, test TLS between peers

Change: the callers' listener serves on until nothing has arrived for 0.5 s (at most 5 s), answers then close their connections. The stop waits up to 1 s for queued peer messages and log appends, and ends with code 1 when the core does not report within its drain limit plus 5 s. Upstream connections move to a file of their own.

--- a/src/include/pollenwall/net/http_server.h
+++ b/src/include/pollenwall/net/http_server.h
@@ -30,7 +30,10 @@
   std::chrono::milliseconds mIdleTimeout{ 75000 };    ///< Between two requests.
   std::chrono::milliseconds mRequestTimeout{ 10000 }; ///< From a request's first byte to its last.
   std::chrono::milliseconds mWriteTimeout{ 10000 };   ///< For the caller to read an answer.
-  std::shared_ptr<TlsKeys> mTls;                      ///< Null: no TLS.
+  /// A stop goes on serving until no connection or request has arrived for this long, so that a
+  /// balancer which still sends callers here has seen that the process is not ready.
+  std::chrono::milliseconds mQuietBeforeStop{ 0 };
+  std::shared_ptr<TlsKeys> mTls; ///< Null: no TLS.
 };
 
 /// One connection as the request handler sees it.
@@ -64,8 +67,9 @@
 /// The address in use, with the port that the system chose when port 0 was asked for.
 Tcp::endpoint LocalEndpoint(const HttpServer& aServer);
 
-/// Stops listening, lets requests that have begun end, closes idle connections, and returns when
-/// all connections are closed or the limit has passed. Returns the number of connections cut off.
+/// Waits for quiet for at most half of the limit, stops listening, lets requests that have begun
+/// end, closes idle connections, and returns when all connections are closed or the limit has
+/// passed. Returns the number of connections cut off.
 std::size_t StopHttpServer(HttpServer& aServer, std::chrono::milliseconds aLimit);
 
 /// Answers from now on tell callers to close their connections, so that they reconnect elsewhere.
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -59,6 +59,7 @@
   asio::basic_waitable_timer<Clock, asio::wait_traits<Clock>, Executor> mSweep;
   std::string mLabel; ///< Of this listener's metrics.
   std::list<HttpConnection*> mConnections;
+  Clock::time_point mLastArrival; ///< Of a connection or a request.
   bool mSweeping = false;
   bool mCloseAfterAnswers = false;
 };
@@ -70,6 +71,7 @@
 constexpr std::chrono::milliseconds kSweepInterval{ 250 };
 /// A closing connection discards input this long, so that a reset does not overtake the answer.
 constexpr std::chrono::milliseconds kLingerTime{ 2000 };
+constexpr std::chrono::milliseconds kStopPoll{ 20 };
 
 Error InputError(ErrorCode aCode, std::string aMessage)
 {
@@ -167,6 +169,7 @@
     }
     aConnection.mBuffer.commit(n);
   }
+  aServer.mLastArrival = Clock::now();
   aConnection.mCloseAt = Clock::now() + aServer.mOptions.mRequestTimeout;
   aParser.header_limit(static_cast<std::uint32_t>(aServer.mOptions.mMaxHeaderBytes));
   aParser.body_limit(aServer.mOptions.mMaxBodyBytes);
@@ -266,6 +269,7 @@
       continue;
     }
     ConfigureSocket(socket);
+    aServer->mLastArrival = Clock::now();
     if (aServer->mConnections.size() >= aServer->mOptions.mMaxConnections) {
       metrics::Add(aServer->mMetrics, "http_connections_refused_total" + aServer->mLabel);
       if (!aServer->mOptions.mTls) {
@@ -357,10 +361,16 @@
 
 std::size_t StopHttpServer(HttpServer& aServer, std::chrono::milliseconds aLimit)
 {
-  const auto end = Clock::now() + aLimit;
+  const auto start = Clock::now();
+  const auto end = start + aLimit;
+  aServer.mCloseAfterAnswers = true;
+  const auto quiet = aServer.mOptions.mQuietBeforeStop;
+  while (Clock::now() < start + std::min(quiet, aLimit / 2) ||
+         (Clock::now() < aServer.mLastArrival + quiet && Clock::now() < start + aLimit / 2)) {
+    SleepFor(aServer.mContext, kStopPoll);
+  }
   boost::system::error_code ec;
   aServer.mAcceptor.close(ec);
-  aServer.mCloseAfterAnswers = true;
   for (;;) {
     for (auto* connection : aServer.mConnections) {
       // A request that has already arrived is still read and answered.
@@ -371,7 +381,7 @@
     if (aServer.mConnections.empty() || Clock::now() >= end) {
       break;
     }
-    SleepFor(aServer.mContext, std::chrono::milliseconds(20));
+    SleepFor(aServer.mContext, kStopPoll);
   }
   const auto left = aServer.mConnections.size();
   for (auto* connection : aServer.mConnections) {
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -280,6 +280,30 @@
   return passed;
 }
 
+/// Guards against a stop that resets callers whom the balancer still sends here.
+bool StopServesUntilQuiet(boost::asio::io_context& aContext)
+{
+  // The stop never ends within the test, so the fixture lives until the process ends.
+  static Fixture fixture(aContext);
+  fixture.mOptions.mQuietBeforeStop = std::chrono::hours(1);
+  if (!Expect(fixture.Start(), "the server starts")) {
+    return false;
+  }
+  auto kept = fixture.Connect();
+  net::OneShot<bool> begun;
+  net::Spawn([&begun] {
+    begun.Set(true);
+    net::StopHttpServer(*fixture.mServer, std::chrono::hours(3));
+  });
+  begun.Wait();
+  bool passed = Expect(fixture.Works(), "a new connection is served");
+  kept.Write("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nok");
+  const auto answer = kept.ReadResponse();
+  passed &= Expect(answer && answer->body() == "ok" && !answer->keep_alive(),
+                   "a kept connection is served once more and told to close");
+  return passed;
+}
+
 /// Guards against a kept connection that the server has closed meanwhile, and against a server that
 /// never answers.
 bool ClientReconnectsAndTimesOut(boost::asio::io_context& aContext)
@@ -315,6 +339,7 @@
   passed &= HalfClosedAndGoneCallers(aContext);
   passed &= ConnectionsAreLimited(aContext);
   passed &= StopAnswersWhatHasBegun(aContext);
+  passed &= StopServesUntilQuiet(aContext);
   passed &= ClientReconnectsAndTimesOut(aContext);
   return passed;
 }
--- a/src/pollenwalld/callers.cpp
+++ b/src/pollenwalld/callers.cpp
@@ -18,7 +18,10 @@
 constexpr std::size_t kMaxRequestIdBytes = 128;
 /// A longer wait holds a connection that the caller may have forgotten.
 constexpr std::int64_t kMaxWaitMs = 300'000;
-constexpr std::chrono::milliseconds kStopLimit{ 5000 };
+constexpr std::chrono::milliseconds kStopLimit{ 10000 };
+/// The core has gone on for a second since the process turned unready, so callers that still come
+/// are few; each one extends the wait.
+constexpr std::chrono::milliseconds kQuietBeforeStop{ 500 };
 
 net::HttpResponse Refusal(ErrorCode aCode, std::string aMessage)
 {
@@ -243,6 +246,7 @@
   options.mMaxHeaderBytes = settings.mHttp.mMaxHeaderBytes;
   options.mMaxConnections = settings.mHttp.mMaxConnections;
   options.mRequestTimeout = settings.mHttp.mReadTimeout;
+  options.mQuietBeforeStop = kQuietBeforeStop;
   aCallers.mLimits.mMaxTasks = settings.mNode.mDispatch.mMaxTasksPerJob;
   BOOST_LEAF_ASSIGN(aCallers.mServer,
                     net::StartHttpServer(
@@ -265,6 +269,10 @@
   std::string id(aRequest[kRequestIdHeader.data()].data(),
                  aRequest[kRequestIdHeader.data()].size());
   auto response = Route(aCallers, aRequest, aConnection);
+  if (aCallers.mLoop.mStopping) {
+    // Callers then reconnect through the balancer to an entry that stays.
+    net::CloseAfterAnswers(*aCallers.mServer);
+  }
   if (!id.empty() && id.size() <= kMaxRequestIdBytes) {
     response.set(kRequestIdHeader.data(), id);
   }
--- a/src/pollenwalld/log_client.cpp
+++ b/src/pollenwalld/log_client.cpp
@@ -1,5 +1,7 @@
 #include "log_client.h"
 
+#include <algorithm>
+
 #include <pollenwall/log.h>
 
 #include "log_protocol.h"
@@ -16,6 +18,7 @@
 constexpr std::chrono::milliseconds kTimeout{ 2000 };
 /// Appends queued for one stream beyond this fail at once; the core repeats what it needs.
 constexpr std::size_t kMaxQueuedAppends = 1000;
+constexpr std::chrono::milliseconds kStopLimit{ 1000 };
 
 LogStream& StreamOf(LogClient& aClient, const std::string& aName)
 {
@@ -102,15 +105,32 @@
   return {};
 }
 
+/// The journal's last records are written before the process ends, unless the service is down.
+void WaitForAppends(const LogClient& aClient)
+{
+  const auto end = std::chrono::steady_clock::now() + kStopLimit;
+  const auto appending = [&aClient] {
+    return std::any_of(aClient.mStreams.begin(), aClient.mStreams.end(), [](const auto& aEntry) {
+      return aEntry.second.mAppending;
+    });
+  };
+  while (appending() && std::chrono::steady_clock::now() < end) {
+    net::SleepFor(aClient.mShell.mContext, std::chrono::milliseconds(10));
+  }
+}
+
 } // namespace
 
 void RegisterLogClient(Shell& aShell)
 {
   auto& loop = *kernel::Find<NodeLoop>(aShell.mKernel, "node");
   auto client = std::make_shared<LogClient>(aShell, loop);
-  kernel::Register(
-    aShell.mKernel,
-    { "log", { "node" }, [client] { return Start(*client); }, [client] {}, client.get() });
+  kernel::Register(aShell.mKernel,
+                   { "log",
+                     { "node" },
+                     [client] { return Start(*client); },
+                     [client] { WaitForAppends(*client); },
+                     client.get() });
 }
 
 } // namespace pollenwall::daemon
--- a/src/pollenwalld/main.cpp
+++ b/src/pollenwalld/main.cpp
@@ -50,8 +50,6 @@
 
 constexpr int kExitFailure = 1;
 constexpr int kExitInvalid = 2;
-/// The core reports that it has stopped within its drain limit; past this the process ends anyway.
-constexpr std::chrono::milliseconds kDrainMargin{ 5000 };
 
 /// Prints every problem to standard error. Nothing is returned when there are any.
 std::optional<settings::Settings> ReadSettingsFile(const std::string& aFile)
@@ -157,11 +155,14 @@
               { "data_centre", options.mDataCentre },
               { "incarnation", ToString(options.mIncarnation) },
               { "version", std::string(POLLENWALL_VERSION) } });
-  loop.mStopped.Wait();
+  const bool inTime = loop.mStopped.Wait();
+  if (!inTime) {
+    log::LogError("drain_limit_exceeded");
+  }
   log::Info("stopping_services");
   kernel::Stop(shell.mKernel);
   log::Info("stopped");
-  return 0;
+  return inTime ? 0 : kExitFailure;
 }
 
 } // namespace
--- a/src/pollenwalld/node_loop.cpp
+++ b/src/pollenwalld/node_loop.cpp
@@ -7,6 +7,8 @@
 
 /// The core expects a tick every 10 to 50 ms.
 constexpr std::chrono::milliseconds kTickInterval{ 20 };
+/// The core keeps the drain limit itself; this only bounds the stop when it does not.
+constexpr std::chrono::milliseconds kDrainMargin{ 5000 };
 
 template<typename Action>
 void Carry(const std::function<void(Action&)>& aFunction, Action& aAction)
@@ -85,6 +87,8 @@
   : mShell(aShell)
   , mState(node::MakeState(aOptions, ReadClocks()))
   , mTick(aShell.mContext)
+  , mDrainLimit(aOptions.mDrainLimit)
+  , mDrainTimer(aShell.mContext)
 {
 }
 
@@ -99,6 +103,12 @@
   if (!aLoop.mStopping) {
     aLoop.mStopping = true;
     Post(aLoop, node::Drain{});
+    aLoop.mDrainTimer.expires_after(aLoop.mDrainLimit + kDrainMargin);
+    aLoop.mDrainTimer.async_wait([&aLoop](const boost::system::error_code& aEc) {
+      if (!aEc) {
+        aLoop.mStopped.Set(false);
+      }
+    });
   }
 }
 
--- a/src/pollenwalld/node_loop.h
+++ b/src/pollenwalld/node_loop.h
@@ -40,14 +40,17 @@
   net::Wakeup mWakeup;
   boost::asio::steady_timer mTick;
   bool mStopping = false;      ///< A drain has begun.
-  net::OneShot<bool> mStopped; ///< Set when the node has reported Stopped.
+  net::OneShot<bool> mStopped; ///< Whether the node has reported Stopped; false past the limit.
+  std::chrono::milliseconds mDrainLimit;
+  boost::asio::steady_timer mDrainTimer;
   dispatch::RequestId mLastRequest = 0;
 };
 
 /// Queues an event; it is handled after the caller's fiber has suspended.
 void Post(NodeLoop& aLoop, node::Event aEvent);
 
-/// Begins a planned stop. Later calls do nothing.
+/// Begins a planned stop. Later calls do nothing. The node reports Stopped within its drain limit;
+/// if it does not, mStopped becomes false some seconds later.
 void BeginDrain(NodeLoop& aLoop);
 
 void RegisterNodeLoop(Shell& aShell, const node::Options& aOptions);
--- a/src/pollenwalld/peers.cpp
+++ b/src/pollenwalld/peers.cpp
@@ -1,5 +1,7 @@
 #include "peers.h"
 
+#include <algorithm>
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <boost/leaf/error.hpp>
@@ -15,6 +17,7 @@
 constexpr std::chrono::milliseconds kFirstBackoff{ 100 };
 constexpr std::chrono::milliseconds kLastBackoff{ 2000 };
 constexpr std::chrono::milliseconds kConnectTimeout{ 1000 };
+constexpr std::chrono::milliseconds kStopLimit{ 1000 };
 /// A flood of connections from one misconfigured host must not use up all descriptors.
 constexpr std::size_t kMaxLinks = 400;
 
@@ -48,7 +51,7 @@
     CloseAfterWrites(*old);
     return true;
   }
-  log::Info("peer_up",
+  log::Info("peer_connected",
             { { "peer", aLink->mHello->mName }, { "address", aLink->mHello->mPeerAddress } });
   Post(aPeers.mLoop, node::PeerUp{ *aLink->mHello });
   return true;
@@ -127,7 +130,7 @@
   const auto it = aPeers.mUp.find(aLink->mHello->mIncarnation.mValue);
   if (it != aPeers.mUp.end() && it->second == aLink) {
     aPeers.mUp.erase(it);
-    log::Info("peer_down", { { "peer", aLink->mHello->mName } });
+    log::Info("peer_disconnected", { { "peer", aLink->mHello->mName } });
     Post(aPeers.mLoop, node::PeerDown{ aLink->mHello->mIncarnation });
   }
   return true;
@@ -270,6 +273,24 @@
   }
 }
 
+namespace {
+
+/// Last messages, for example the answers to handed over jobs, leave before the process does.
+void WaitForWrites(const Peers& aPeers)
+{
+  const auto end = std::chrono::steady_clock::now() + kStopLimit;
+  const auto unwritten = [&aPeers] {
+    return std::any_of(aPeers.mLinks.begin(), aPeers.mLinks.end(), [](const auto& aLink) {
+      return !aLink->mClosed && !(aLink->mOut.empty() && aLink->mWriting.empty());
+    });
+  };
+  while (unwritten() && std::chrono::steady_clock::now() < end) {
+    net::SleepFor(aPeers.mShell.mContext, std::chrono::milliseconds(10));
+  }
+}
+
+} // namespace
+
 Peers::Peers(Shell& aShell, NodeLoop& aLoop, const node::Options& aOptions)
   : mShell(aShell)
   , mLoop(aLoop)
@@ -289,7 +310,10 @@
                    { "peers",
                      { "node" },
                      [peers] { return StartPeers(*peers); },
-                     [peers] { StopPeers(*peers); },
+                     [peers] {
+                       StopPeers(*peers);
+                       WaitForWrites(*peers);
+                     },
                      peers.get() });
 }
 
--- a/src/pollenwalld/peers_test.cpp
+++ b/src/pollenwalld/peers_test.cpp
@@ -5,6 +5,8 @@
 
 #include <pollenwall/net/frame.h>
 
+#include <tls_test_files.h>
+
 #include "daemon_test.h"
 
 namespace pollenwall::test {
@@ -15,7 +17,10 @@
 /// An entry's peer service whose events are kept instead of handled.
 struct Entry
 {
-  Entry(boost::asio::io_context& aContext, std::uint64_t aIncarnation, std::uint16_t aPort = 0)
+  Entry(boost::asio::io_context& aContext,
+        std::uint64_t aIncarnation,
+        std::uint16_t aPort,
+        std::shared_ptr<net::TlsKeys> aTls)
     : mShell(aContext)
     , mOptions(MakeOptions(aIncarnation))
     , mLoop(mShell, mOptions)
@@ -23,6 +28,7 @@
     mShell.mSettings.mPeers = { "127.0.0.1", aPort };
     mShell.mSettings.mMaxFrameBytes = 1000;
     mPeers = std::make_unique<Peers>(mShell, mLoop, mOptions);
+    mPeers->mTls = std::move(aTls);
     mStarted = boost::leaf::try_handle_all(
       [this]() -> Result<bool> {
         BOOST_LEAF_CHECK(StartPeers(*mPeers));
@@ -100,10 +106,11 @@
 /// Entries are used by fibers that outlive a test, so they live until the process ends.
 Entry& MakeEntry(boost::asio::io_context& aContext,
                  std::uint64_t aIncarnation,
-                 std::uint16_t aPort = 0)
+                 std::uint16_t aPort = 0,
+                 std::shared_ptr<net::TlsKeys> aTls = nullptr)
 {
   static std::vector<std::unique_ptr<Entry>> entries;
-  entries.push_back(std::make_unique<Entry>(aContext, aIncarnation, aPort));
+  entries.push_back(std::make_unique<Entry>(aContext, aIncarnation, aPort, std::move(aTls)));
   return *entries.back();
 }
 
@@ -254,6 +261,63 @@
   return passed;
 }
 
+/// Guards against peers that talk without a certificate of their authority, and against reads and
+/// writes that disturb each other on one TLS connection.
+bool PeersNeedACertificate(boost::asio::io_context& aContext)
+{
+  auto authority = MakePair("authority", nullptr);
+  auto other = MakePair("other authority", nullptr);
+  auto pair = MakePair("entry", &authority);
+  auto strangerPair = MakePair("stranger", &other);
+  const Files files("peer");
+  const Files strangerFiles("peer-stranger");
+  files.Write(pair, authority);
+  strangerFiles.Write(strangerPair, authority);
+  const auto keys = ValueOf([&] { return net::LoadTls(files.mFiles); });
+  const auto strangerKeys = ValueOf([&] { return net::LoadTls(strangerFiles.mFiles); });
+  for (auto* it : { &authority, &other, &pair, &strangerPair }) {
+    Free(*it);
+  }
+  if (!Expect(keys && strangerKeys, "keys load")) {
+    return false;
+  }
+  auto& one = MakeEntry(aContext, 41, 0, *keys);
+  auto& two = MakeEntry(aContext, 42, 0, *keys);
+  one.Connect(two.Address());
+  one.Take<node::PeerUp>();
+  two.Take<node::PeerUp>();
+  // Frames of several TLS records, both ways at once.
+  node::SendPeer large{ { 42 }, message::ConfigItems{ 1, std::string(100000, 'x') } };
+  bool passed = true;
+  one.mPeers->mLimits.mMaxFrameBytes = two.mPeers->mLimits.mMaxFrameBytes = 1000000;
+  for (int n = 0; n < 20; ++n) {
+    large.mTo = { 42 };
+    one.mLoop.mTable.mSendPeer(large);
+    large.mTo = { 41 };
+    two.mLoop.mTable.mSendPeer(large);
+  }
+  for (int n = 0; n < 20; ++n) {
+    passed &= Expect(one.Take<node::PeerMessage>().mMessage == large.mMessage, "arrives whole");
+    passed &= Expect(two.Take<node::PeerMessage>().mMessage == large.mMessage, "arrives whole");
+  }
+  // The stranger, and a peer without TLS, are refused; then the good peer is still connected.
+  auto& stranger = MakeEntry(aContext, 43, 0, *strangerKeys);
+  stranger.Connect(one.Address());
+  Client plain(aContext, one.mPeers->mAcceptor.local_endpoint());
+  plain.Write(Frame(HelloOf(44)));
+  plain.ReadAll();
+  while (one.Counter("tls_failures_total{listener=\"peers\"}") < 2) {
+    net::SleepFor(aContext, std::chrono::milliseconds(1));
+  }
+  one.Send(42, 9);
+  passed &= Expect(two.TakeNumber() == 9, "the good peer is still connected");
+  passed &= Expect(one.Pending<node::PeerUp>() == 0, "nobody else came up");
+  for (auto* it : { &one, &two, &stranger }) {
+    StopPeers(*it->mPeers);
+  }
+  return passed;
+}
+
 } // namespace
 
 bool PeersTests(boost::asio::io_context& aContext)
@@ -262,6 +326,7 @@
   passed &= ReconnectsToANewIncarnation(aContext);
   passed &= BadFramesCloseOnlyTheirConnection(aContext);
   passed &= FuzzedFramesDoNoHarm(aContext);
+  passed &= PeersNeedACertificate(aContext);
   return passed;
 }
 
--- /dev/null
+++ b/src/pollenwalld/upstream_connection.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+
+#include "upstream_pool.h"
+
+/// One connection of an upstream pool. For the pool's own use.
+namespace pollenwall::daemon {
+
+enum class ConnectionState
+{
+  Connecting,
+  Idle,
+  Busy,
+  Closed,
+};
+
+struct UpstreamConnection : std::enable_shared_from_this<UpstreamConnection>
+{
+  explicit UpstreamConnection(const std::shared_ptr<UpstreamPool>& aPool)
+    : mPool(aPool)
+    , mSocket(aPool->mContext)
+  {
+  }
+
+  std::weak_ptr<UpstreamPool> mPool;
+  net::Socket mSocket;
+  std::string mAddress;
+  ConnectionState mState = ConnectionState::Connecting;
+  std::optional<UpstreamRequest> mRequest;
+  std::string mHeader;
+  bool mWritten = false; ///< At least one byte of the request was handed to the kernel.
+  bool mWriting = false; ///< An asynchronous write is outstanding.
+  std::chrono::steady_clock::time_point mSentAt;
+  std::chrono::steady_clock::time_point mCloseAt = std::chrono::steady_clock::time_point::max();
+  boost::beast::flat_buffer mBuffer;
+  std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> mParser;
+};
+
+using ConnectionPtr = std::shared_ptr<UpstreamConnection>;
+
+/// Opens a connection and writes the request as soon as it is connected.
+void OpenConnection(const std::shared_ptr<UpstreamPool>& aPool, UpstreamRequest aRequest);
+
+/// Writes the request on a free connection, unless its start window has passed meanwhile.
+void BeginRequest(const ConnectionPtr& aConnection, UpstreamRequest aRequest);
+
+/// Closes a connection and ends its request with what is true of it.
+void CloseConnection(const ConnectionPtr& aConnection);
+
+/// The outcome of a start request of which nothing was written.
+TaskOutcome UnsentOutcome(ErrorCode aCode);
+
+void Finish(const UpstreamRequest& aRequest, TaskOutcome aOutcome);
+
+/// Ends a request without calling back from within the caller.
+void FinishLater(boost::asio::io_context& aContext, UpstreamRequest aRequest, TaskOutcome aOutcome);
+
+/// Sends requests that wait, as far as there are connections for them.
+void SendNext(const std::shared_ptr<UpstreamPool>& aPool);
+
+} // namespace pollenwall::daemon
