--- a/src/pollenwall/entries.cpp
+++ b/src/pollenwall/entries.cpp
@@ -3,6 +3,39 @@
 #include <iostream>
 
 namespace pollenwall::tool {
+namespace {
+
+namespace json = boost::json;
+
+std::string TextOf(const json::object& aObject, std::string_view aKey)
+{
+  const auto* value = aObject.if_contains(aKey);
+  return value && value->is_string() ? std::string(value->get_string()) : std::string();
+}
+
+std::vector<PeerStatus> PeersOf(const json::object& aStatus)
+{
+  std::vector<PeerStatus> peers;
+  const auto* list = aStatus.if_contains("peers");
+  if (!list || !list->is_array()) {
+    return peers;
+  }
+  for (const auto& value : list->get_array()) {
+    const auto* peer = value.if_object();
+    const auto* version = peer ? peer->if_contains("configuration_version") : nullptr;
+    json::error_code ec;
+    const auto n = version ? version->to_number<std::uint64_t>(ec) : 0;
+    if (version && !ec) {
+      peers.push_back({ TextOf(*peer, "name"),
+                        TextOf(*peer, "incarnation"),
+                        TextOf(*peer, "state") == "ready",
+                        n });
+    }
+  }
+  return peers;
+}
+
+} // namespace
 
 void PrintFailure(const std::string& aMessage)
 {
@@ -42,6 +75,8 @@
   }
   status.mReady = ready->get_bool();
   status.mVersion = version->to_number<std::uint64_t>(ec);
+  status.mIncarnation = TextOf(*object, "incarnation");
+  status.mPeers = PeersOf(*object);
   return status;
 }
 
--- a/src/pollenwall/entries.h
+++ b/src/pollenwall/entries.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/json.hpp>
 #include <boost/leaf/handle_errors.hpp>
@@ -45,11 +46,22 @@
                std::string aMethod,
                std::string aTarget);
 
+/// What an entry's heartbeats told the entry that was asked.
+struct PeerStatus
+{
+  std::string mName;
+  std::string mIncarnation;
+  bool mReady = false;
+  configuration::Version mVersion = 0;
+};
+
 /// What GET /v1/status says.
 struct EntryStatus
 {
   bool mReady = false;
   configuration::Version mVersion = 0;
+  std::string mIncarnation;
+  std::vector<PeerStatus> mPeers;
   boost::json::value mWhole;
 };
 
--- a/src/pollenwall/publish.cpp
+++ b/src/pollenwall/publish.cpp
@@ -1,5 +1,7 @@
 #include <iostream>
+#include <map>
 #include <random>
+#include <set>
 #include <thread>
 
 #include <pollenwall/configuration_yaml.h>
@@ -125,39 +127,71 @@
   }
 }
 
-/// Waits until every ready entry, and at least one, reports the version. An entry that cannot be
-/// reached may be ready, so it is waited for.
+/// What the entries say about a version at one moment.
+struct Progress
+{
+  std::string mBehind;   ///< One line for each entry to wait for.
+  std::string mNotReady; ///< One line for each entry that is not ready and so not waited for.
+  std::size_t mInForce = 0;
+};
+
+/// Asks the entries. An entry that cannot be reached may be ready, so it is waited for. Ready
+/// entries that were not asked are judged by the heartbeats that those asked received.
+Progress AskEntries(const Arguments& aArguments, Version aVersion)
+{
+  Progress progress;
+  std::set<std::string> asked;
+  std::map<std::string, PeerStatus> heard;
+  for (const auto& entry : aArguments.mEntries) {
+    const auto name = settings::ToString(entry);
+    const auto status = Try<EntryStatus>(
+      [&] { return GetStatus(aArguments, entry); },
+      [&](const Error& aError) {
+        progress.mBehind.append("pollenwall: ").append(aError.mMessage).append("\n");
+      });
+    if (!status) {
+      continue;
+    }
+    asked.insert(status->mIncarnation);
+    for (const auto& peer : status->mPeers) {
+      auto& last = heard.emplace(peer.mIncarnation, peer).first->second;
+      last.mVersion = std::max(last.mVersion, peer.mVersion);
+    }
+    if (status->mVersion >= aVersion && status->mReady) {
+      ++progress.mInForce;
+      continue;
+    }
+    (status->mReady ? progress.mBehind : progress.mNotReady)
+      .append("pollenwall: " + name + " is " + (status->mReady ? "" : "not ") +
+              "ready and has version " + std::to_string(status->mVersion) + "\n");
+  }
+  for (const auto& [incarnation, peer] : heard) {
+    if (!peer.mReady || asked.contains(incarnation)) {
+      continue;
+    }
+    if (peer.mVersion >= aVersion) {
+      ++progress.mInForce;
+      continue;
+    }
+    progress.mBehind.append("pollenwall: entry " + peer.mName +
+                            ", by its heartbeats, has version " + std::to_string(peer.mVersion) +
+                            "\n");
+  }
+  return progress;
+}
+
+/// Waits until every ready entry, and at least one, reports the version.
 int WaitUntilInForce(const Arguments& aArguments, Version aVersion, Clock::time_point aUntil)
 {
   for (;;) {
-    std::string behind;
-    std::string notReady;
-    std::size_t reached = 0;
-    for (const auto& entry : aArguments.mEntries) {
-      const auto name = settings::ToString(entry);
-      const auto status =
-        Try<EntryStatus>([&] { return GetStatus(aArguments, entry); },
-                         [&](const Error& aError) {
-                           behind.append("pollenwall: ").append(aError.mMessage).append("\n");
-                         });
-      if (!status) {
-        continue;
-      }
-      const auto line = "pollenwall: " + name + " is " + (status->mReady ? "" : "not ") +
-                        "ready and has version " + std::to_string(status->mVersion) + "\n";
-      if (status->mVersion >= aVersion && status->mReady) {
-        ++reached;
-      } else {
-        (status->mReady ? behind : notReady) += line;
-      }
-    }
-    if (behind.empty() && reached > 0) {
-      std::cerr << notReady;
-      std::cout << "version " << aVersion << " is in force at " << reached << " entries\n";
+    const auto progress = AskEntries(aArguments, aVersion);
+    if (progress.mBehind.empty() && progress.mInForce > 0) {
+      std::cerr << progress.mNotReady;
+      std::cout << "version " << aVersion << " is in force, entries: " << progress.mInForce << "\n";
       return kDone;
     }
     if (Clock::now() + kPollInterval > aUntil) {
-      std::cerr << behind << notReady;
+      std::cerr << progress.mBehind << progress.mNotReady;
       PrintFailure("version " + std::to_string(aVersion) +
                    " is accepted but not in force everywhere at the end of --timeout");
       return kNotInForce;
--- a/testsuite/entry_stub.py
+++ b/testsuite/entry_stub.py
@@ -1,5 +1,6 @@
 """Serves the operators' calls of an entry that holds a given version.
-Usage: entry_stub.py READY VERSION [SNAPSHOT_FILE]; prints its own port. With $TLS_FOLDER set it
+Usage: entry_stub.py READY VERSION [SNAPSHOT_FILE]; prints its own port. $PEERS is the list of peers
+in its status. With $TLS_FOLDER set it
 speaks TLS with the files entry.pem, entry.key and ca.pem there, and asks for a certificate."""
 
 import http.server
@@ -10,6 +11,7 @@
 
 ready = sys.argv[1] == "ready"
 version = int(sys.argv[2])
+peers = json.loads(os.environ.get("PEERS", "[]"))
 snapshot = open(sys.argv[3], "rb").read() if len(sys.argv) > 3 else None
 
 
@@ -22,6 +24,8 @@
 
     def do_GET(self):
         status = {"ready": ready, "configuration_version": version}
+        if peers:
+            status["peers"] = peers
         if self.path == "/v1/status":
             self.answer(200, json.dumps(status).encode())
         elif self.path == "/dump":
