Let a peer's note speed up the exclusion of slow upstreams

Cause: a note from a peer entry counted only with a high failure rate, so each entry had to find a straggler by itself. Change: any UpstreamNote for 10 s lowers the outcomes needed to one failure or two slow run times. A stale comment names the right constant. Measured: placement_test and dispatch_test pass. libnode sends and passes on no health notes yet.

--- a/src/include/pollenwall/dispatch.h
+++ b/src/include/pollenwall/dispatch.h
@@ -114,7 +114,9 @@
   UnixMs mAsOfMs = 0;
 };
 
-/// A peer's heartbeat says that the upstream fails its tasks.
+/// A peer has found the upstream unhealthy (UnhealthyUpstreams there): it fails its tasks, or, with
+/// a low failure rate, it is slow. For 10 s few own outcomes of the same kind suffice to exclude
+/// it.
 struct UpstreamNote
 {
   std::string mUpstream;
--- a/src/include/pollenwall/placement.h
+++ b/src/include/pollenwall/placement.h
@@ -48,7 +48,7 @@
   bool mFailing = false;
   bool mSlow = false;
   std::uint32_t mGoodProbes = 0;         ///< In a row.
-  Time mPeerNoteUntil{};                 ///< A peer saw it fail; fewer own outcomes suffice.
+  Time mPeerNoteUntil{};                 ///< A peer found it unhealthy; fewer own outcomes suffice.
   std::chrono::milliseconds mProbe{ 0 }; ///< Interval; 0 when there was no probe recently.
   Time mNextProbe{};
 };
@@ -155,8 +155,9 @@
 /// (aAsOfMs): the platform's list lags and names a worker live for seconds after its first refusal.
 void MarkLive(State& aState, UpstreamIndex aUpstream, UnixMs aAsOfMs, const Now& aNow);
 
-/// A peer saw the upstream fail. For a while a single failure seen here is enough to exclude it.
-void NotePeerFailure(State& aState, UpstreamIndex aUpstream, const Now& aNow);
+/// A peer found the upstream unhealthy. For a while one own failure, or two slow run times, are
+/// enough to exclude it.
+void NotePeer(State& aState, UpstreamIndex aUpstream, const Now& aNow);
 
 /// Applies what is due: signs that lapse, blocks that end, probes.
 void Advance(State& aState, const Now& aNow);
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -42,7 +42,6 @@
 /// A job goes first once no more than this many times its longest task is left to its deadline.
 constexpr int kUrgentSlack = 2;
 constexpr double kLeastWeight = 0.001;
-constexpr double kLeastNotedFailureRate = 0.5;
 
 Error MakeError(ErrorCode aCode, Verdict aVerdict, std::string aMessage)
 {
@@ -980,8 +979,8 @@
 void Apply(State& aState, const UpstreamNote& aEvent, const Now& aNow, Actions&)
 {
   const auto it = aState.mPlacement.mByKey.find(aEvent.mUpstream);
-  if (it != aState.mPlacement.mByKey.end() && aEvent.mFailureRate >= kLeastNotedFailureRate) {
-    placement::NotePeerFailure(aState.mPlacement, it->second, aNow);
+  if (it != aState.mPlacement.mByKey.end()) {
+    placement::NotePeer(aState.mPlacement, it->second, aNow);
   }
 }
 
--- a/src/libplacement/placement.cpp
+++ b/src/libplacement/placement.cpp
@@ -15,8 +15,9 @@
 /// Failures and successes needed for a verdict on an upstream. A healthy upstream of a service that
 /// fails one task in 20 shows four failures in a row about once in 160,000 starts.
 constexpr std::uint32_t kOutcomesForVerdict = 4;
-/// Run times vary by their nature; eight of them bound the mean's error well below kSlowRatio.
+/// Run times vary by their nature; eight of them bound the mean's error well below kSlowLogRatio.
 constexpr std::uint32_t kRatiosForVerdict = 8;
+constexpr std::uint32_t kRatiosWithNote = 2;
 constexpr double kRatioStep = 0.1;
 constexpr double kPoolRatioStep = 0.01;
 /// Natural logarithms of 3 and 2: slower than this against the pool is a straggler; a probe faster
@@ -275,8 +276,9 @@
   health.mLogRatioWeight += kRatioStep * (1 - health.mLogRatioWeight);
   ++health.mRatios;
   const double mean = health.mLogRatio / health.mLogRatioWeight;
-  if (health.mRatios < kRatiosForVerdict || mean - pool.mLogRatio <= kSlowLogRatio ||
-      pool.mServiceFault || health.mFailing || pool.mAvailable <= 1) {
+  const auto needed = aNow.mTime < health.mPeerNoteUntil ? kRatiosWithNote : kRatiosForVerdict;
+  if (health.mRatios < needed || mean - pool.mLogRatio <= kSlowLogRatio || pool.mServiceFault ||
+      health.mFailing || pool.mAvailable <= 1) {
     return;
   }
   health.mSlow = true;
@@ -471,7 +473,7 @@
   Refresh(aState, aUpstream, aNow);
 }
 
-void NotePeerFailure(State& aState, UpstreamIndex aUpstream, const Now& aNow)
+void NotePeer(State& aState, UpstreamIndex aUpstream, const Now& aNow)
 {
   aState.mUpstreams[aUpstream].mHealth.mPeerNoteUntil = aNow.mTime + kPeerNoteLife;
 }
--- a/src/libplacement/placement_test.cpp
+++ b/src/libplacement/placement_test.cpp
@@ -277,11 +277,23 @@
     return !IsUsable(fixture.mState, aUpstream);
   };
   bool passed = Expect(!failOnce(0), "one failure alone is no verdict");
-  NotePeerFailure(fixture.mState, 1, fixture.mNow);
+  NotePeer(fixture.mState, 1, fixture.mNow);
   passed &= Expect(failOnce(1), "one failure and a peer's note are");
-  NotePeerFailure(fixture.mState, 2, fixture.mNow);
+  NotePeer(fixture.mState, 2, fixture.mNow);
   Step(fixture, seconds(11));
-  return Expect(!failOnce(2), "an old note counts for nothing") && passed;
+  passed &= Expect(!failOnce(2), "an old note counts for nothing");
+  const auto slowRuns = [&](UpstreamIndex aUpstream) {
+    int runs = 0;
+    for (; IsUsable(fixture.mState, aUpstream) && runs < 20; ++runs) {
+      CountStart(fixture.mState, aUpstream, fixture.mNow);
+      End(fixture, aUpstream, Report::RanWell, 10);
+    }
+    return runs;
+  };
+  passed &= Expect(slowRuns(2) == 8, "eight slow run times are a verdict");
+  NotePeer(fixture.mState, 3, fixture.mNow);
+  passed &= Expect(slowRuns(3) == 2, "two and a peer's note are");
+  return passed;
 }
 
 /// Guards against tasks that go to workers without what they need, or that use up scarce workers.
