--- a/src/libdispatch/queries.cpp
+++ b/src/libdispatch/queries.cpp
@@ -165,8 +165,7 @@
     return 0;
   }
   // A task that a free slot could serve is never left queued at the end of Handle. Tasks that wait
-  // for the long
-  // class's share are left out: another slot would not start them.
+  // for the long class's share are left out: another slot would not start them.
   const auto& service = aState.mServices[it->second];
   std::size_t shortTasks = 0;
   std::size_t longTasks = 0;
