--- a/src/libnode/state.h
+++ b/src/libnode/state.h
@@ -131,6 +131,7 @@
   std::map<std::string, double, std::less<>> mDemands;
   std::map<std::string, double, std::less<>> mDemandsSent; ///< On this link.
   std::string mLastDemand;                                 ///< The team sent last.
+  std::uint64_t mVotedVersion = 0;   ///< Of the view of its data centre, the latest voted for.
   std::optional<Time> mAskedForVote; ///< Its heartbeats are answered while it asks.
 };
 
@@ -162,6 +163,7 @@
   dispatch::Actions mDispatchActions; ///< Reused between events.
   Time mStarted{};
   std::optional<Now> mLastEvent;
+  std::int64_t mWallUs = 0; ///< The wall clock, except that it never steps back.
 
   // Configuration.
   configuration::ConfigurationLog mConfiguration;
@@ -207,6 +209,7 @@
   Time mHeartbeatAt{};
   std::uint64_t mHeartbeatSequence = 0;
   Append mViewAppend;
+  std::optional<Time> mAloneSince;  ///< No member that could confirm a tentative view.
   std::optional<Time> mProposalDue; ///< When this entry proposes if the view still differs.
   Time mControlAt{};
 
@@ -224,6 +227,7 @@
   std::map<std::string, Time, std::less<>> mLeavingNotes; ///< Refusals "leaving", by upstream.
   std::set<std::string> mKeysTold; ///< Upstreams that dispatch has been told of.
   Time mSlotsAt{};
+  Time mLongBorrowAt{};
   Time mQuotaAt{};
   std::map<std::string, double, std::less<>> mDemandSent;
   std::map<std::string, double, std::less<>> mShareSet;
@@ -240,6 +244,7 @@
   std::map<std::uint64_t, PendingHandover> mHandovers;
   std::unordered_map<std::string, Incarnation> mMoved; ///< Jobs handed over, and to whom.
   std::optional<Time> mDrainStarted;
+  Time mHandoverAt{}; ///< Jobs are not offered before.
   bool mKnownHandedOver = false;
   bool mStopped = false;
 
--- a/src/libplacement/placement_test.cpp
+++ b/src/libplacement/placement_test.cpp
@@ -229,6 +229,30 @@
   return Expect(IsUsable(single.mState, 0), "the only upstream is never left on a sign") && passed;
 }
 
+/// Guards against a burst of refusals from a worker that is still leaving when its sign lapses,
+/// which happens when the platform's list lags longer than signs last.
+bool OneTaskTriesAnUpstreamAfterItsSign()
+{
+  auto fixture = MakeFixture(2);
+  auto& state = fixture.mState;
+  MarkLeaving(state, 1, fixture.mNow);
+  Suspect(state, 0, fixture.mNow);
+  const auto starts = [&] {
+    int count = 0;
+    while (Next(fixture)) {
+      CountStart(state, 0, fixture.mNow);
+      ++count;
+    }
+    return count;
+  };
+  bool passed = Expect(starts() == 0, "none while the sign counts");
+  Step(fixture, seconds(11));
+  passed &= Expect(starts() == 1, "one when it has lapsed");
+  End(fixture, 0, Report::RanWell);
+  passed &= Expect(starts() == 4, "all slots once a task has run");
+  return passed;
+}
+
 /// Guards against a pool that loses healthy upstreams because a caller's tasks fail everywhere.
 bool SomeFailuresEverywhereExcludeNobody()
 {
@@ -253,11 +277,23 @@
     return !IsUsable(fixture.mState, aUpstream);
   };
   bool passed = Expect(!failOnce(0), "one failure alone is no verdict");
-  NotePeerFailure(fixture.mState, 1, fixture.mNow);
+  NotePeer(fixture.mState, 1, fixture.mNow);
   passed &= Expect(failOnce(1), "one failure and a peer's note are");
-  NotePeerFailure(fixture.mState, 2, fixture.mNow);
+  NotePeer(fixture.mState, 2, fixture.mNow);
   Step(fixture, seconds(11));
-  return Expect(!failOnce(2), "an old note counts for nothing") && passed;
+  passed &= Expect(!failOnce(2), "an old note counts for nothing");
+  const auto slowRuns = [&](UpstreamIndex aUpstream) {
+    int runs = 0;
+    for (; IsUsable(fixture.mState, aUpstream) && runs < 20; ++runs) {
+      CountStart(fixture.mState, aUpstream, fixture.mNow);
+      End(fixture, aUpstream, Report::RanWell, 10);
+    }
+    return runs;
+  };
+  passed &= Expect(slowRuns(2) == 8, "eight slow run times are a verdict");
+  NotePeer(fixture.mState, 3, fixture.mNow);
+  passed &= Expect(slowRuns(3) == 2, "two and a peer's note are");
+  return passed;
 }
 
 /// Guards against tasks that go to workers without what they need, or that use up scarce workers.
@@ -327,6 +363,7 @@
   std::cerr.clear();
   passed &= Expect(noticed, "a change behind the sums' back is noticed");
   passed &= SignsAreBoundedAndLapse();
+  passed &= OneTaskTriesAnUpstreamAfterItsSign();
   passed &= SomeFailuresEverywhereExcludeNobody();
   passed &= APeersNoteSpeedsTheVerdict();
   passed &= NeedsAreMet();
