Avoid a false compiler warning on quoted names

Cause: g++ 12 warns of overlapping copies (-Wrestrict) where a literal and a string are added with operator+. Change: quoted names are built by one function. Conclusion: libconfiguration builds without warnings; no output changed.

--- a/src/libconfiguration/configuration_yaml.cpp
+++ b/src/libconfiguration/configuration_yaml.cpp
@@ -34,6 +34,11 @@
          aCharacter == '-';
 }
 
+std::string Quoted(std::string_view aText)
+{
+  return std::string("'").append(aText).append("'");
+}
+
 /// Plain when YAML reads the text as a string, quoted otherwise.
 std::string Quote(const std::string& aText)
 {
@@ -138,7 +143,7 @@
   auto text = aRequired ? yaml::GetString(aSection, aKey) : yaml::GetString(aSection, aKey, "");
   const bool present = yaml::Has(aSection, aKey);
   if (present && !IsName(text) && (aRequired || !text.empty())) {
-    yaml::AddProblem(aSection, aKey, "'" + text + "'", std::string(kNameAllowed));
+    yaml::AddProblem(aSection, aKey, Quoted(text), std::string(kNameAllowed));
   }
   return text;
 }
@@ -158,7 +163,7 @@
   in6_addr buf{};
   if (yaml::Has(aSection, "address") && inet_pton(AF_INET, aItem.mAddress.c_str(), &buf) != 1 &&
       inet_pton(AF_INET6, aItem.mAddress.c_str(), &buf) != 1) {
-    yaml::AddProblem(aSection, "address", "'" + aItem.mAddress + "'", "an IP number");
+    yaml::AddProblem(aSection, "address", Quoted(aItem.mAddress), "an IP number");
   }
   aItem.mCores = yaml::GetInteger(aSection, "cores", 1, kMaxCores, aItem.mCores);
   aItem.mMemoryBytes = yaml::GetInteger(aSection, "memory_bytes", 0, kMaxMemoryBytes, 0);
@@ -171,9 +176,9 @@
   std::set<std::string> seen;
   for (const auto& kind : aItem.mKinds) {
     if (!IsName(kind)) {
-      yaml::AddProblem(aSection, "kinds", "'" + kind + "'", std::string(kNameAllowed));
+      yaml::AddProblem(aSection, "kinds", Quoted(kind), std::string(kNameAllowed));
     } else if (!seen.insert(kind).second) {
-      yaml::AddProblem(aSection, "kinds", "'" + kind + "' twice", "each kind once");
+      yaml::AddProblem(aSection, "kinds", Quoted(kind) + " twice", "each kind once");
     }
   }
   const auto milliseconds = [&aSection](std::string_view aKey, std::chrono::milliseconds aDefault) {
@@ -315,7 +320,7 @@
     if (!inserted) {
       const bool isUpstream = std::is_same_v<typename Map::mapped_type, Upstream>;
       yaml::AddProblem(
-        section, isUpstream ? "worker" : "name", "'" + it->first + "' twice", "each item once");
+        section, isUpstream ? "worker" : "name", Quoted(it->first) + " twice", "each item once");
     }
   }
 }
@@ -329,7 +334,7 @@
   if (IsName(aName) && !aMap.contains(aName)) {
     yaml::AddProblem(aSection,
                      aKey,
-                     "unknown '" + aName + "'",
+                     "unknown " + Quoted(aName),
                      "one of the " + std::to_string(aMap.size()) + " defined in this document");
   }
 }
