--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -35,14 +35,13 @@
 constexpr std::size_t kMostTasksToProbe = 4;
 /// Jobs are refused when this many times their estimated wait does not fit before the deadline. The
 /// slots do the same work with a shorter queue, and a job that misses its deadline wastes what was
-/// done for it; a queue of half a deadline is also gone soon after a burst.
+/// done for it; a queue of a third of a deadline is also gone soon after a burst.
 constexpr double kWaitMargin = 3;
 /// A few long tasks among many short ones of the same kind do not make all of its jobs hopeless.
 constexpr int kMostHighRatio = 4;
 /// A job goes first once no more than this many times its longest task is left to its deadline.
 constexpr int kUrgentSlack = 2;
 constexpr double kLeastWeight = 0.001;
-constexpr double kLeastNotedFailureRate = 0.5;
 
 Error MakeError(ErrorCode aCode, Verdict aVerdict, std::string aMessage)
 {
@@ -980,8 +979,8 @@
 void Apply(State& aState, const UpstreamNote& aEvent, const Now& aNow, Actions&)
 {
   const auto it = aState.mPlacement.mByKey.find(aEvent.mUpstream);
-  if (it != aState.mPlacement.mByKey.end() && aEvent.mFailureRate >= kLeastNotedFailureRate) {
-    placement::NotePeerFailure(aState.mPlacement, it->second, aNow);
+  if (it != aState.mPlacement.mByKey.end()) {
+    placement::NotePeer(aState.mPlacement, it->second, aNow);
   }
 }
 
--- a/src/libplacement/placement.cpp
+++ b/src/libplacement/placement.cpp
@@ -15,8 +15,9 @@
 /// Failures and successes needed for a verdict on an upstream. A healthy upstream of a service that
 /// fails one task in 20 shows four failures in a row about once in 160,000 starts.
 constexpr std::uint32_t kOutcomesForVerdict = 4;
-/// Run times vary by their nature; eight of them bound the mean's error well below kSlowRatio.
+/// Run times vary by their nature; eight of them bound the mean's error well below kSlowLogRatio.
 constexpr std::uint32_t kRatiosForVerdict = 8;
+constexpr std::uint32_t kRatiosWithNote = 2;
 constexpr double kRatioStep = 0.1;
 constexpr double kPoolRatioStep = 0.01;
 /// Natural logarithms of 3 and 2: slower than this against the pool is a straggler; a probe faster
@@ -63,6 +64,9 @@
       aNow.mTime < aUpstream.mBlockedUntil) {
     return false;
   }
+  if (aUpstream.mOnTrial && aUpstream.mRunning > 0) {
+    return false;
+  }
   return aPool.mServiceFault || !IsUnhealthy(aUpstream) ||
          (aUpstream.mRunning == 0 && aNow.mTime >= aUpstream.mHealth.mNextProbe);
 }
@@ -272,8 +276,9 @@
   health.mLogRatioWeight += kRatioStep * (1 - health.mLogRatioWeight);
   ++health.mRatios;
   const double mean = health.mLogRatio / health.mLogRatioWeight;
-  if (health.mRatios < kRatiosForVerdict || mean - pool.mLogRatio <= kSlowLogRatio ||
-      pool.mServiceFault || health.mFailing || pool.mAvailable <= 1) {
+  const auto needed = aNow.mTime < health.mPeerNoteUntil ? kRatiosWithNote : kRatiosForVerdict;
+  if (health.mRatios < needed || mean - pool.mLogRatio <= kSlowLogRatio || pool.mServiceFault ||
+      health.mFailing || pool.mAvailable <= 1) {
     return;
   }
   health.mSlow = true;
@@ -461,13 +466,14 @@
 {
   auto& upstream = aState.mUpstreams[aUpstream];
   upstream.mLeaving = false;
+  upstream.mOnTrial = upstream.mOnTrial && aAsOfMs <= upstream.mSuspectedAtMs;
   if (aAsOfMs > upstream.mSuspectedAtMs) {
     ClearSuspicion(aState, aUpstream, aNow);
   }
   Refresh(aState, aUpstream, aNow);
 }
 
-void NotePeerFailure(State& aState, UpstreamIndex aUpstream, const Now& aNow)
+void NotePeer(State& aState, UpstreamIndex aUpstream, const Now& aNow)
 {
   aState.mUpstreams[aUpstream].mHealth.mPeerNoteUntil = aNow.mTime + kPeerNoteLife;
 }
@@ -479,6 +485,7 @@
     aState.mTimers.pop();
     if (aState.mUpstreams[n].mSuspected && aNow.mTime >= aState.mUpstreams[n].mSuspectedUntil) {
       ClearSuspicion(aState, n, aNow);
+      aState.mUpstreams[n].mOnTrial = true;
     }
     Refresh(aState, n, aNow);
   }
@@ -565,6 +572,7 @@
   }
   if (aReport == Report::RanWell || aReport == Report::Failed) {
     upstream.mBusyInRow = 0;
+    upstream.mOnTrial = false;
   }
   milliseconds block{ 0 };
   if (aReport == Report::Busy || aReport == Report::Stale) {
--- a/src/pollenwalld/peers.cpp
+++ b/src/pollenwalld/peers.cpp
@@ -51,7 +51,7 @@
     CloseAfterWrites(*old);
     return true;
   }
-  log::Info("peer_up",
+  log::Info("peer_connected",
             { { "peer", aLink->mHello->mName }, { "address", aLink->mHello->mPeerAddress } });
   Post(aPeers.mLoop, node::PeerUp{ *aLink->mHello });
   return true;
@@ -130,7 +130,7 @@
   const auto it = aPeers.mUp.find(aLink->mHello->mIncarnation.mValue);
   if (it != aPeers.mUp.end() && it->second == aLink) {
     aPeers.mUp.erase(it);
-    log::Info("peer_down", { { "peer", aLink->mHello->mName } });
+    log::Info("peer_disconnected", { { "peer", aLink->mHello->mName } });
     Post(aPeers.mLoop, node::PeerDown{ aLink->mHello->mIncarnation });
   }
   return true;
