--- a/src/libnode/handover.cpp
+++ b/src/libnode/handover.cpp
@@ -9,7 +9,7 @@
 
 using membership::MemberState;
 
-/// Time for peers to learn of the stop, and for the view to name the new owners.
+/// The balancer still sends callers for a while; their jobs are handed over too.
 constexpr std::chrono::milliseconds kHandoverAfter{ 500 };
 constexpr std::chrono::milliseconds kHandoverTime{ 3000 };
 /// Time for the view to leave this entry out before it exits, so that its ranges move sooner.
--- a/src/libnode/routing.cpp
+++ b/src/libnode/routing.cpp
@@ -12,6 +12,9 @@
 /// How long a peer may take for an answer that needs no waiting.
 constexpr std::chrono::milliseconds kReplyTime{ 1000 };
 
+/// Callers that the balancer still sends after a planned stop began are served for this long.
+constexpr std::chrono::milliseconds kDrainGrace{ 1000 };
+
 /// Refusals kept; beyond it a refusal says "may have run", because a later copy could run.
 constexpr std::size_t kMaxRefusals = 200000;
 
@@ -588,12 +591,12 @@
         aState, ErrorCode::NotReady, Verdict::NotRun, "This entry has no configuration yet."),
       aActions);
   }
-  if (aState.mDrainStarted) {
-    // Without a time to wait: another entry takes the job at once.
-    return AnswerOrigin(aState,
-                        origin,
-                        MakeError(ErrorCode::Stopping, Verdict::NotRun, "This entry is stopping."),
-                        aActions);
+  if (aState.mDrainStarted && aNow.mTime >= *aState.mDrainStarted + kDrainGrace) {
+    return AnswerOrigin(
+      aState,
+      origin,
+      RetryLater(aState, ErrorCode::Stopping, Verdict::NotRun, "This entry is stopping."),
+      aActions);
   }
   auto job = std::move(aEvent.mJob);
   job.mId = ToString(
