--- a/src/include/pollenwall/node.h
+++ b/src/include/pollenwall/node.h
@@ -264,6 +264,10 @@
 /// Where to reach an upstream.
 dispatch::UpstreamAddress AddressOf(const State& aState, dispatch::UpstreamIndex aUpstream);
 
+/// The configuration that this entry holds, as the text of a snapshot record; nothing before there
+/// is one.
+std::optional<std::string> ConfigurationSnapshot(const State& aState);
+
 /// What `pollenwall status` shows, as JSON text: versions, members, leases, log and cut-off state.
 std::string StatusText(const State& aState, const Now& aNow);
 
--- a/src/libnode/control.cpp
+++ b/src/libnode/control.cpp
@@ -248,6 +248,20 @@
     aState, aState.mViewAppend, OwnViewStream(aState), ownership::ViewRecord(*next), aActions);
 }
 
+/// Notes that this member has come to accept caller-chosen ids, so that the balancer may send
+/// callers.
+void NoteSettled(State& aState, const Now& aNow)
+{
+  const auto* view = ownership::CurrentView(aState.mViews);
+  if (aState.mHasSettled || view == nullptr ||
+      !ownership::Contains(view->mMembers, aState.mOptions.mIncarnation)) {
+    return;
+  }
+  const auto read = aState.mViews.mViews.find(aState.mViews.mVersion);
+  aState.mHasSettled = read != aState.mViews.mViews.end() && read->second.mSettled.has_value() &&
+                       ownership::HoldsLease(aState.mLease, aNow);
+}
+
 void AdvanceViews(State& aState, const Now& aNow, Actions& aActions)
 {
   auto& known = aState.mAcknowledged;
@@ -817,6 +831,7 @@
     }
     ConfirmAlone(aState, aNow, aActions);
     AdvanceViews(aState, aNow, aActions);
+    NoteSettled(aState, aNow);
     ProposeView(aState, aNow, aActions);
     FetchConfiguration(aState, aNow, aActions);
     RepublishSnapshot(aState, aNow, aActions);
--- a/src/libnode/node.cpp
+++ b/src/libnode/node.cpp
@@ -441,7 +441,7 @@
   const bool hasPeer = std::any_of(aState.mMembers.mPeers.begin(),
                                    aState.mMembers.mPeers.end(),
                                    [](const auto& aPeer) { return aPeer.second.mLinkUp; });
-  return IsMember(aState) || (IsLogDown(aState) && hasPeer);
+  return (IsMember(aState) && aState.mHasSettled) || (IsLogDown(aState) && hasPeer);
 }
 
 dispatch::UpstreamAddress AddressOf(const State& aState, dispatch::UpstreamIndex aUpstream)
@@ -449,6 +449,14 @@
   return dispatch::AddressOf(*aState.mDispatch, aUpstream);
 }
 
+std::optional<std::string> ConfigurationSnapshot(const State& aState)
+{
+  if (aState.mAppliedVersion == 0) {
+    return std::nullopt;
+  }
+  return configuration::SnapshotRecord(aState.mConfiguration);
+}
+
 std::string StatusText(const State& aState, const Now& aNow)
 {
   return boost::json::serialize(StatusObject(aState, aNow));
--- a/src/libnode/state.h
+++ b/src/libnode/state.h
@@ -205,6 +205,8 @@
   ownership::Acknowledgements mAcknowledged;                   ///< Of this data centre's views.
   std::map<std::string, std::uint64_t, std::less<>> mPromised; ///< No vote below, by data centre.
   ownership::Lease mLease;
+  bool mHasSettled =
+    false;            ///< Once in its life this entry could accept caller-chosen ids as a member.
   Time mLeasesFrom{}; ///< A read begun before the last pause renews nothing.
   Time mHeartbeatAt{};
   std::uint64_t mHeartbeatSequence = 0;
--- a/src/pollenwalld/operators.cpp
+++ b/src/pollenwalld/operators.cpp
@@ -85,7 +85,8 @@
   if (path.starts_with("/v1/jobs")) {
     return Refusal(http::status::forbidden, "this call is available on the callers' port only");
   }
-  if (path != "/metrics" && path != "/dump" && path != "/v1/status" && path != "/healthz") {
+  if (path != "/metrics" && path != "/dump" && path != "/v1/status" && path != "/healthz" &&
+      path != "/v1/configuration") {
     return Refusal(http::status::not_found, "there is no such path");
   }
   if (aRequest.method() != http::verb::get) {
@@ -99,6 +100,12 @@
   if (path == "/dump") {
     return net::JsonResponse(http::status::ok, DumpText(aOperators.mShell));
   }
+  if (path == "/v1/configuration") {
+    auto snapshot = node::ConfigurationSnapshot(*aOperators.mLoop.mState);
+    return snapshot
+             ? net::JsonResponse(http::status::ok, std::move(*snapshot))
+             : Refusal(http::status::service_unavailable, "the entry has no configuration yet");
+  }
   if (path == "/healthz") {
     return net::JsonResponse(http::status::ok, "{\"alive\":true}");
   }
--- a/src/pollenwalld/vm_list.cpp
+++ b/src/pollenwalld/vm_list.cpp
@@ -1,5 +1,7 @@
 #include "vm_list.h"
 
+#include <algorithm>
+#include <cmath>
 #include <random>
 
 #include <pollenwall/net/http_client.h>
@@ -12,6 +14,8 @@
 
 constexpr std::chrono::milliseconds kTimeout{ 2000 };
 constexpr std::size_t kMaxListBytes = 32 * 1024 * 1024;
+/// Of the 28 KB/s that control may use; heartbeats need most of the rest at the design size.
+constexpr double kBytesPerSecond = 6000;
 
 struct VmListPoller
 {
@@ -22,7 +26,16 @@
   bool mStopped = false;
 };
 
-/// About once a second, with jitter so that the entries do not ask all at once.
+/// Time between two reads: about a second, with jitter so that the entries do not ask all at once,
+/// and longer for a long list, so that its bytes stay within the budget. Refusals and closed
+/// connections are earlier signs of a leaving upstream than the list, which lags anyway.
+std::chrono::milliseconds Interval(VmListPoller& aPoller, std::size_t aBytes)
+{
+  std::uniform_real_distribution<double> jitter(0.8, 1.2);
+  const double seconds = std::max(1.0, static_cast<double>(aBytes) / kBytesPerSecond);
+  return std::chrono::milliseconds(std::llround(1000 * seconds * jitter(aPoller.mRandom)));
+}
+
 void Poll(VmListPoller& aPoller)
 {
   while (!aPoller.mStopped) {
@@ -36,8 +49,7 @@
       metrics::Add(aPoller.mShell.mMetrics, "vm_list_failures_total");
     }
     Post(aPoller.mLoop, std::move(list));
-    std::uniform_int_distribution<int> wait(800, 1200);
-    net::SleepFor(aPoller.mShell.mContext, std::chrono::milliseconds(wait(aPoller.mRandom)));
+    net::SleepFor(aPoller.mShell.mContext, Interval(aPoller, reply.mBody.size()));
   }
 }
 
