--- a/src/libnode/control.cpp
+++ b/src/libnode/control.cpp
@@ -601,6 +601,11 @@
       ownership::NoteSealed(aState.mViews, ack.mSealed, aNow);
     }
     // A version that a peer has read exists, so no vote for an earlier one is given from now on.
+    if (ack.mDataCentre != own && ack.mAcknowledged > promised) {
+      // A member may wait for this entry's acknowledgement as an outside witness, so it is sent at
+      // once.
+      aState.mHeartbeatAt = aNow.mTime;
+    }
     promised = std::max(promised, ack.mAcknowledged);
   }
   auto& notes = aState.mPeers[aFrom];
--- a/src/libnode/state.h
+++ b/src/libnode/state.h
@@ -354,18 +354,25 @@
 /// new to this entry are held back until their earlier holders are done with them.
 void FollowView(State& aState, const ownership::View* aOld, const Now& aNow, Actions& aActions);
 
-/// Asks for credits when tasks wait: lent ones back, others from peers with idle ones.
-void SeekCredits(State& aState, const Now& aNow, Actions& aActions);
-
-/// Returns a credit of an ended loan once its task has ended.
-void ReturnAfterTask(State& aState, dispatch::UpstreamIndex aUpstream, Actions& aActions);
-
 /// Tells peers that a worker refuses because it is leaving.
 void NoteRefusal(State& aState, const UpstreamAnswered& aEvent, const Now& aNow);
 void OnSlotsAnswered(State& aState,
                      const SlotsAnswered& aEvent,
                      const Now& aNow,
                      Actions& aActions);
+void TickSlots(State& aState, const Now& aNow, Actions& aActions);
+
+/// Upstreams where more runs than this entry's credits allow.
+std::vector<std::string> OccupiedUpstreams(const State& aState);
+
+// lending.cpp
+
+/// Asks for credits when tasks wait: lent ones back, others from peers with idle ones.
+void SeekCredits(State& aState, const Now& aNow, Actions& aActions);
+
+/// Returns a credit of an ended loan once its task has ended.
+void ReturnAfterTask(State& aState, dispatch::UpstreamIndex aUpstream, Actions& aActions);
+
 void OnBorrow(State& aState,
               Incarnation aFrom,
               const message::Borrow& aMessage,
@@ -381,10 +388,6 @@
                      const message::ReturnCredits& aMessage,
                      const Now& aNow,
                      Actions& aActions);
-void TickSlots(State& aState, const Now& aNow, Actions& aActions);
-
-/// Upstreams where more runs than this entry's credits allow.
-std::vector<std::string> OccupiedUpstreams(const State& aState);
 
 // quota.cpp
 
