Serve urgent jobs before other teams' jobs

Cause: with several teams, accepted jobs of a burst's first second missed their deadline behind teams that had nothing queued when the jobs were accepted. Change: the place of a team in a lane says whether its first job is urgent; the work is charged to the team as before.

--- a/src/include/pollenwall/task_queue.h
+++ b/src/include/pollenwall/task_queue.h
@@ -15,6 +15,8 @@
 /// one *slice* for each lane in which it has queued tasks. In a lane, teams take turns by
 /// start-time fair queueing (Goyal, Vin and Cheng 1996) with one virtual time a team over all
 /// lanes; within a team the slice of the job with least remaining work goes first.
+/// A job that would otherwise miss its deadline goes before other teams' jobs; its work is charged
+/// to its team, which then waits for the others.
 namespace pollenwall::queue {
 
 using TeamIndex = std::uint32_t;
@@ -29,11 +31,13 @@
   std::int64_t mWork = 0; ///< Remaining work in microseconds plus a term that grows with the
                           ///< arrival time, so that older jobs gain without being reordered.
   std::uint64_t mSequence = 0;
+  bool mCalm = true; ///< False for a job that has to start now to meet its deadline; it goes before
+                     ///< all others.
 
   friend bool operator<(const JobKey& aOne, const JobKey& aOther)
   {
-    return std::tie(aOne.mOrdinary, aOne.mWork, aOne.mSequence) <
-           std::tie(aOther.mOrdinary, aOther.mWork, aOther.mSequence);
+    return std::tie(aOne.mCalm, aOne.mOrdinary, aOne.mWork, aOne.mSequence) <
+           std::tie(aOther.mCalm, aOther.mOrdinary, aOther.mWork, aOther.mSequence);
   }
 };
 
@@ -41,10 +45,12 @@
 {
   double mVirtualTime = 0;
   TeamIndex mTeam = 0;
+  bool mCalm = true; ///< Of the team's first job.
 
   friend bool operator<(const TeamKey& aOne, const TeamKey& aOther)
   {
-    return std::tie(aOne.mVirtualTime, aOne.mTeam) < std::tie(aOther.mVirtualTime, aOther.mTeam);
+    return std::tie(aOne.mCalm, aOne.mVirtualTime, aOne.mTeam) <
+           std::tie(aOther.mCalm, aOther.mVirtualTime, aOther.mTeam);
   }
 };
 
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -86,9 +86,10 @@
     2 * started >= tasks && started > 0 && aJob.mQueued <= std::max(1U, tasks / 10);
   const double ageing =
     aState.mOptions.mAgeing * static_cast<double>(aJob.mAccepted.time_since_epoch().count());
-  return { !nearlyComplete && !aJob.mUrgent,
+  return { !nearlyComplete,
            aJob.mQueuedWork[0] + aJob.mQueuedWork[1] + std::llround(ageing),
-           aJob.mSequence };
+           aJob.mSequence,
+           !aJob.mUrgent };
 }
 
 /// Gives the job's slices its present place in the queue.
@@ -444,8 +445,9 @@
   }
 }
 
-/// Moves waiting jobs to the front of their team when their slack runs out. Least remaining work
-/// first would otherwise let large jobs wait past their deadline behind a stream of small ones.
+/// Moves waiting jobs to the front when their slack runs out. Least remaining work
+/// first would otherwise let large jobs wait past their deadline behind a stream of small ones, or
+/// of other teams that had nothing queued when the job was accepted.
 void RaiseUrgentJobs(State& aState, const Now& aNow)
 {
   while (!aState.mUrgencies.empty() && aState.mUrgencies.top().mAt <= aNow.mTime) {
--- a/src/libdispatch/queue_test.cpp
+++ b/src/libdispatch/queue_test.cpp
@@ -143,6 +143,29 @@
   return Expect(second >= 49 && second <= 51, "a team that was idle gets its share and no more");
 }
 
+/// Guards against an accepted job that misses its deadline behind teams that had nothing queued
+/// when it was accepted, and against one whose team does not pay for going first.
+bool UrgentJobsGoBeforeOtherTeams()
+{
+  queue::Queue queue;
+  queue::SetWeight(queue, 0, 1);
+  queue::SetWeight(queue, 1, 1);
+  queue::Charge(queue, 0, 1000);
+  const auto late = queue::AddSlice(queue, 0, 0, 0, { true, 5000, 0 }, { 0, 1 });
+  const auto other = queue::AddSlice(queue, 0, 1, 1, { true, 1, 1 }, { 0, 1 });
+  bool passed = Expect(queue::Head(queue, 0) == other, "the team served least goes first");
+  queue::SetKey(queue, late, { true, 5000, 0, false });
+  passed &= Expect(queue::Head(queue, 0) == late, "an urgent job goes before another team's");
+  queue::TakeTask(queue, late);
+  queue::Charge(queue, 0, 1000);
+  passed &= Expect(queue::Head(queue, 0) == late, "also when its team has been charged");
+  queue::TakeTask(queue, late);
+  passed &= Expect(queue::Head(queue, 0) == other, "then the others follow");
+  const auto next = queue::AddSlice(queue, 0, 0, 2, { true, 1, 2 }, { 0 });
+  passed &= Expect(queue::Head(queue, 0) == other && next != other, "its team waits for its share");
+  return passed;
+}
+
 /// Guards against a wait estimate that counts long tasks, for which a short one does not wait.
 bool WorkIsCountedByClass()
 {
@@ -224,6 +247,7 @@
   passed &= Expect(Fails([] { return HeapMatchesAnOrderedMap(true); }), "a lost change is noticed");
   passed &= QueueServesEachTaskOnce();
   passed &= IdleTeamsSaveNothing();
+  passed &= UrgentJobsGoBeforeOtherTeams();
   passed &= WorkIsCountedByClass();
   passed &= SketchIsNearTheExactQuantile();
   passed &= EstimatesFollowAChange();
--- a/src/libdispatch/task_queue.cpp
+++ b/src/libdispatch/task_queue.cpp
@@ -36,6 +36,20 @@
   }
 }
 
+/// Gives a team with slices in a lane its present place among the teams.
+void PlaceTeam(Queue& aQueue, Lane& aLane, TeamIndex aTeam)
+{
+  auto& line = aLane.mTeams[aTeam];
+  const TeamKey key{ aQueue.mTeams[aTeam].mVirtualTime,
+                     aTeam,
+                     line.mSlices.mItems.front().mKey.mCalm };
+  if (line.mPosition == heap::kNotInHeap) {
+    heap::Push(aLane.mActive, key, aTeam, TeamPosition(aLane));
+  } else {
+    heap::Change(aLane.mActive, line.mPosition, key, TeamPosition(aLane));
+  }
+}
+
 /// Puts a slice with tasks into the heaps.
 void Enter(Queue& aQueue, SliceIndex aSlice, const JobKey& aKey)
 {
@@ -46,10 +60,7 @@
   }
   auto& line = lane.mTeams[slice.mTeam];
   heap::Push(line.mSlices, aKey, aSlice, SlicePosition(aQueue));
-  if (line.mPosition == heap::kNotInHeap) {
-    const TeamKey key{ aQueue.mTeams[slice.mTeam].mVirtualTime, slice.mTeam };
-    heap::Push(lane.mActive, key, slice.mTeam, TeamPosition(lane));
-  }
+  PlaceTeam(aQueue, lane, slice.mTeam);
 }
 
 void Leave(Queue& aQueue, SliceIndex aSlice)
@@ -63,6 +74,8 @@
   heap::Remove(line.mSlices, slice.mPosition, SlicePosition(aQueue));
   if (line.mSlices.mItems.empty()) {
     heap::Remove(lane.mActive, line.mPosition, TeamPosition(lane));
+  } else {
+    PlaceTeam(aQueue, lane, slice.mTeam);
   }
 }
 
@@ -147,8 +160,9 @@
   if (slice.mPosition == heap::kNotInHeap) {
     return;
   }
-  auto& line = aQueue.mLanes[slice.mLane].mTeams[slice.mTeam];
-  heap::Change(line.mSlices, slice.mPosition, aKey, SlicePosition(aQueue));
+  auto& lane = aQueue.mLanes[slice.mLane];
+  heap::Change(lane.mTeams[slice.mTeam].mSlices, slice.mPosition, aKey, SlicePosition(aQueue));
+  PlaceTeam(aQueue, lane, slice.mTeam);
 }
 
 void DropSlice(Queue& aQueue, SliceIndex aSlice)
@@ -168,10 +182,7 @@
     if (aTeam >= lane.mTeams.size() || lane.mTeams[aTeam].mPosition == heap::kNotInHeap) {
       continue;
     }
-    heap::Change(lane.mActive,
-                 lane.mTeams[aTeam].mPosition,
-                 TeamKey{ team.mVirtualTime, aTeam },
-                 TeamPosition(lane));
+    PlaceTeam(aQueue, lane, aTeam);
   }
 }
 
