Move acceptance of jobs to its own file

Change: accept.cpp holds what decides whether a job is accepted; kDemandSeconds stands once, in state.h.

--- a/src/libdispatch/queries.cpp
+++ b/src/libdispatch/queries.cpp
@@ -8,7 +8,6 @@
 namespace pollenwall::dispatch {
 namespace {
 
-constexpr double kDemandSeconds = 5;
 constexpr double kLeastDemand = 0.1;
 
 std::size_t FreeCredits(const placement::Upstream& aUpstream)
--- a/src/libdispatch/state.h
+++ b/src/libdispatch/state.h
@@ -195,6 +195,33 @@
   Counts mCounts;
 };
 
+/// Time constant with which a team's demand decays.
+inline constexpr double kDemandSeconds = 5;
+
+Error MakeError(ErrorCode aCode, Verdict aVerdict, std::string aMessage);
+double Seconds(Duration aDuration);
+
+// accept.cpp
+
+/// Counts a submission in the team's demand, whether it is accepted or not.
+void CountDemand(Team& aTeam, std::size_t aTasks, const Now& aNow);
+
+/// What is wrong with a job regardless of load.
+std::optional<Error> CheckSpec(const State& aState, const JobSpec& aSpec);
+
+/// The job with its tasks' estimates; nothing when a task needs more than any worker of the service
+/// has.
+std::optional<Job> BuildJob(State& aState, const Submit& aEvent, const Now& aNow);
+
+/// What speaks against accepting the job now. Takes the job's starts from the team's quota when
+/// nothing does.
+std::optional<Error> CheckLoad(State& aState,
+                               const Job& aJob,
+                               const JobSpec& aSpec,
+                               const Now& aNow);
+
+// dispatch.cpp
+
 /// The largest number of running long tasks of a service at this moment.
 std::size_t LongLimit(const State& aState, ServiceIndex aService);
 
