Do not wait for leases when every member has moved on

Cause: in a planned stop the successor of the stopping member's ids waited for lease and drift margin, although the member was still there and had a later view in force. Change: a view of which every member has acknowledged a later one is sealed at once. A member with a later view in force accepts nothing under the earlier one, whatever lease it held; processes that are only listed as gone do not count.

--- a/src/include/pollenwall/ownership.h
+++ b/src/include/pollenwall/ownership.h
@@ -128,7 +128,8 @@
   std::set<Incarnation> mGone; ///< Processes that the platform shows to have ended.
 };
 
-/// Seals earlier views as far as acknowledgements and the wait of lease + drift margin allow.
+/// Seals earlier views as far as acknowledgements and the wait of lease + drift margin allow. The
+/// wait is left out for a view of which every member has acknowledged a later one.
 void Advance(ViewLog& aLog, const Acknowledgements& aKnown, const Now& aNow);
 
 /// Takes over a statement by a peer or a record that all views up to this one hold no lease.
--- a/src/libownership/ownership.cpp
+++ b/src/libownership/ownership.cpp
@@ -264,6 +264,18 @@
   return true;
 }
 
+namespace {
+
+bool HaveAllMembersMovedOn(const View& aView, const Acknowledgements& aKnown)
+{
+  return std::all_of(aView.mMembers.begin(), aView.mMembers.end(), [&](const Member& aMember) {
+    const auto known = aKnown.mVersions.find(aMember.mIncarnation);
+    return known != aKnown.mVersions.end() && known->second > aView.mVersion;
+  });
+}
+
+} // namespace
+
 void Advance(ViewLog& aLog, const Acknowledgements& aKnown, const Now& aNow)
 {
   while (aLog.mSealed + 1 < aLog.mVersion) {
@@ -278,6 +290,13 @@
       continue;
     }
     auto& read = it->second;
+    // A member that has a later view in force accepts nothing under this one, whatever lease it
+    // held. So after a planned stop, in which the stopping member is still there, nobody has to
+    // wait.
+    if (HaveAllMembersMovedOn(read.mView, aKnown)) {
+      NoteSealed(aLog, version, aNow);
+      continue;
+    }
     if (!read.mSealSeen) {
       const auto& witnesses = read.mView.mWitnesses;
       const auto n = std::count_if(witnesses.begin(), witnesses.end(), [&](const Member& aWitness) {
--- a/src/libownership/ownership_test.cpp
+++ b/src/libownership/ownership_test.cpp
@@ -180,6 +180,18 @@
   passed &= Expect(claim.mOwnedSince == 2, "the key is owned since the second view");
   passed &= Expect(PreviousOwner(log, moved, self) != self, "the earlier owner is another one");
 
+  // In a planned stop the stopping member is still there and says that it has moved on.
+  ViewLog stopping;
+  Append(stopping, ViewOf(0, { 1, 2, 3 }), At(0ms));
+  Append(stopping, ViewOf(1, { 1, 2 }), At(1000ms));
+  known.mVersions = { { self, 2 }, { Incarnation{ 2 }, 2 }, { Incarnation{ 3 }, 1 } };
+  Advance(stopping, known, At(1100ms));
+  passed &= Expect(!ClaimOf(stopping, moved, self).mSettled, "a member may still hold a lease");
+  known.mVersions[Incarnation{ 3 }] = 2;
+  Advance(stopping, known, At(1200ms));
+  passed &= Expect(ClaimOf(stopping, moved, self).mSettled.has_value(),
+                   "nobody waits when every member has moved on");
+
   ViewLog ended;
   Append(ended, ViewOf(0, { 3 }), At(0ms));
   Append(ended, ViewOf(1, { 1 }), At(100ms));
