Publish the example deployments in quickstart

Cause: the printed example files were used by tests only. Change: after the load, quickstart publishes both files and waits until they are in force at all entries. Conclusion: the real sizes of the deployments go through the whole path of a change.

--- a/scripts/harness/cluster.py
+++ b/scripts/harness/cluster.py
@@ -308,10 +308,14 @@
         return "\n".join(lines) + "\n"
 
     def publish(self, weight=1, wait=True, timeout="20s"):
-        """Publishes the configuration; returns the tool's output."""
+        """Publishes the configuration of this cluster; returns the tool's output."""
         path = os.path.join(self.directory, "configuration.yaml")
         with open(path, "w", encoding="utf-8") as file:
             file.write(self.configuration(weight))
+        return self.publish_file(path, wait, timeout)
+
+    def publish_file(self, path, wait=True, timeout="20s"):
+        """Publishes a file; returns the tool's output."""
         argv = [binary("pollenwall"), "publish", path, f"--log=127.0.0.1:{self.log_port}",
                 f"--timeout={timeout}"]
         if wait:
--- a/scripts/harness/quickstart.py
+++ b/scripts/harness/quickstart.py
@@ -1,5 +1,6 @@
 """Two data centres with two entries each, one published configuration, real jobs."""
 
+import os
 import shutil
 import signal
 import sys
@@ -31,6 +32,14 @@
         print(f"starts          {name}: {' '.join(str(n) for n in own)}")
 
 
+def publish_examples(cluster):
+    """Publishes the two example deployments at their real size, one after the other."""
+    examples = os.path.join(os.path.dirname(__file__), "..", "..", "examples")
+    for name in ("pressed-and-collected.yaml", "ngata-whitcombe.yaml"):
+        note(f"publishing examples/{name}")
+        print(cluster.publish_file(os.path.join(examples, name)))
+
+
 def make_cluster():
     return Cluster([("north", 2, 6), ("south", 2, 6)], teams=["pickups", "quotes", "routing"])
 
@@ -55,6 +64,8 @@
                               slots=cluster.total_slots(), caller_ids=0.5, homes="north,south",
                               scenario="quickstart")
         report(result, cluster)
+        if not stay:
+            publish_examples(cluster)
         passed = result["jobs"] > 0 and result["complete"] == result["jobs"] and not any(
             result[it] for it in ("lost_answers", "wrong_answers", "duplicate_starts",
                                   "wrong_verdicts"))
