Seek credits for the service of a job only

Cause: read-through. Each submission with tasks queued walked all services, thousands at the design size, to find which of them wait for credits; the same walk followed each grant. Change: SeekCredits looks at one service; the walk over all stays in the 50 ms tick. Conclusion: no change of behaviour with one service; a submission no longer costs in proportion to the services.

--- a/src/libnode/lending.cpp
+++ b/src/libnode/lending.cpp
@@ -260,28 +260,28 @@
     TickBorrowed(aState, {}, aNow, aActions);
   }
   TickLent(aState, aNow, aActions);
-  SeekCredits(aState, aNow, aActions);
+  if (dispatch::QueuedTasks(*aState.mDispatch) == 0) {
+    return;
+  }
+  for (const auto& [name, service] : aState.mConfiguration.mConfiguration->mServices) {
+    SeekCredits(aState, name, aNow, aActions);
+  }
 }
 
-void SeekCredits(State& aState, const Now& aNow, Actions& aActions)
+void SeekCredits(State& aState, const std::string& aService, const Now& aNow, Actions& aActions)
 {
-  if (dispatch::QueuedTasks(*aState.mDispatch) == 0) {
+  const auto unserved = dispatch::UnservedTasks(*aState.mDispatch, aService);
+  if (unserved > 0) {
+    Recall(aState, aService, aActions);
+    Borrow(aState, aService, unserved, aActions, aNow);
     return;
   }
-  for (const auto& [name, service] : aState.mConfiguration.mConfiguration->mServices) {
-    const auto unserved = dispatch::UnservedTasks(*aState.mDispatch, name);
-    if (unserved > 0) {
-      Recall(aState, name, aActions);
-      Borrow(aState, name, unserved, aActions, aNow);
-      continue;
-    }
-    // More slots raise the share of the long class. Its tasks can wait a little, so peers are asked
-    // rarely.
-    const auto waiting = dispatch::WaitingTasks(*aState.mDispatch, name);
-    if (waiting > 0 && aNow.mTime >= aState.mLongBorrowAt) {
-      aState.mLongBorrowAt = aNow.mTime + kLongBorrowInterval;
-      Borrow(aState, name, 2 * waiting, aActions, aNow);
-    }
+  // More slots raise the share of the long class. Its tasks can wait a little, so peers are asked
+  // rarely.
+  const auto waiting = dispatch::WaitingTasks(*aState.mDispatch, aService);
+  if (waiting > 0 && aNow.mTime >= aState.mLongBorrowAt) {
+    aState.mLongBorrowAt = aNow.mTime + kLongBorrowInterval;
+    Borrow(aState, aService, 2 * waiting, aActions, aNow);
   }
 }
 
@@ -353,6 +353,7 @@
     }
     return;
   }
+  const auto service = asked->second.mService;
   aState.mBorrowing.erase(asked);
   if (const auto lender = aState.mMembers.mPeers.find(aFrom);
       lender != aState.mMembers.mPeers.end()) {
@@ -376,7 +377,7 @@
   for (const auto& [key, count] : credits) {
     UpdateCredits(aState, key, aState.mSlots[key], aNow, aActions);
   }
-  SeekCredits(aState, aNow, aActions);
+  SeekCredits(aState, service, aNow, aActions);
 }
 
 void OnReturnCredits(State& aState,
--- a/src/libnode/node.cpp
+++ b/src/libnode/node.cpp
@@ -201,8 +201,9 @@
 
 void Apply(State& aState, CallerSubmit& aEvent, const Now& aNow, Actions& aActions)
 {
+  const auto service = aEvent.mJob.mService;
   OnCallerSubmit(aState, aEvent, aNow, aActions);
-  SeekCredits(aState, aNow, aActions);
+  SeekCredits(aState, service, aNow, aActions);
 }
 
 void Apply(State& aState, const CallerStatus& aEvent, const Now& aNow, Actions& aActions)
--- a/src/libnode/state.h
+++ b/src/libnode/state.h
@@ -367,8 +367,9 @@
 
 // lending.cpp
 
-/// Asks for credits when tasks wait: lent ones back, others from peers with idle ones.
-void SeekCredits(State& aState, const Now& aNow, Actions& aActions);
+/// Asks for credits when tasks of the service wait: lent ones back, others from peers with idle
+/// ones.
+void SeekCredits(State& aState, const std::string& aService, const Now& aNow, Actions& aActions);
 
 /// Returns a credit of an ended loan once its task has ended.
 void ReturnAfterTask(State& aState, dispatch::UpstreamIndex aUpstream, Actions& aActions);
