--- a/scripts/harness/cluster.py
+++ b/scripts/harness/cluster.py
@@ -2,10 +2,8 @@
 
 import http.client
 import json
-import mmap
 import os
 import signal
-import struct
 import subprocess
 import sys
 import tempfile
@@ -97,13 +95,13 @@
         self.operators = f"127.0.0.1:{port + 1}"
         self.peers = f"127.0.0.1:{port + 2}"
         self.process = None
-        self.bytes_file = None
+        self.network = None
+        self.forwarders = {}  # Address: address of the forwarder before it.
 
     def socket_bytes(self):
-        """Bytes received and sent through sockets since the start, counted by standin-network."""
-        with open(self.bytes_file, "rb") as file:
-            with mmap.mmap(file.fileno(), 16, access=mmap.ACCESS_READ) as memory:
-                return sum(struct.unpack("QQ", memory[:16]))
+        """Bytes that passed the forwarders from and to this entry: all that it exchanges with
+        other entries, the log and the VM list, and with workers of other data centres."""
+        return self.network.bytes_of(self.name)
 
 
 class Cluster:
@@ -224,12 +222,15 @@
     def settings(self, entry):
         seeds = [it.peers for it in self.entries if it is not entry]
         names = [it[0] for it in self.data_centres]
-        log = self.log_address(entry.data_centre)
+        platform = self.log_address(entry.data_centre)
+        log = entry.forwarders.get(f"{platform}:{self.log_port}", f"{platform}:{self.log_port}")
+        vms = entry.forwarders.get(f"{platform}:{self.vm_port}", f"{platform}:{self.vm_port}")
+        forwarders = ", ".join(f'"{it}={to}"' for it, to in entry.forwarders.items())
         return (f"name: {entry.name}\ndata_centre: {entry.data_centre}\n"
                 f"data_centres: [{', '.join(names)}]\n"
                 f"listen:\n  callers: {entry.callers}\n  operators: {entry.operators}\n"
                 f"  peers: {entry.peers}\nseeds: [{', '.join(seeds)}]\n"
-                f"log_service: {log}:{self.log_port}\nvm_list: {log}:{self.vm_port}\n"
+                f"log_service: {log}\nvm_list: {vms}\nforwarders: [{forwarders}]\n"
                 f"tls: off\n{self.extra_settings}")
 
     def start_entries(self):
@@ -244,32 +245,26 @@
         path = os.path.join(self.directory, entry.name + ".yaml")
         with open(path, "w", encoding="utf-8") as file:
             file.write(self.settings(entry))
-        environment = {}
-        if self.use_network:
-            entry.bytes_file = os.path.join(self.directory, entry.name + ".bytes")
-            environment = {
-                "LD_PRELOAD": os.path.join(BUILD, "lib", "libstandin-network.so"),
-                "POLLENWALL_BYTES_FILE": entry.bytes_file,
-                "POLLENWALL_CONNECT_MAP": self.connect_maps[entry.data_centre]}
-        entry.process = self._start(entry.name, [binary("pollenwalld"), f"--settings={path}"],
-                                    environment)
+        entry.process = self._start(entry.name, [binary("pollenwalld"), f"--settings={path}"])
 
     def _start_network(self):
-        """Places one forwarder for each data centre before each entry and worker of another."""
+        """Places a forwarder for each entry before each other entry, before the workers of other
+        data centres, and before the log and the VM list."""
         self.network = Network()
-        self.connect_maps = {}
-        for source, _, _ in self.data_centres:
-            pairs = []
-            for target, _, _ in self.data_centres:
-                if source == target:
-                    continue
-                addresses = [it.peers for it in self.entries_of(target)]
-                addresses += [f"{ip}:{number}" for _, ip, number in self.workers[target]]
-                for address in addresses:
-                    host, number = address.rsplit(":", 1)
-                    port = self.network.forward(source, target, (host, int(number)))
-                    pairs.append(f"{address}=127.0.0.1:{port}")
-            self.connect_maps[source] = ",".join(pairs)
+        for entry in self.entries:
+            entry.network = self.network
+            entry.forwarders = {}
+            targets = [(it.data_centre, it.peers, it.name) for it in self.entries
+                       if it is not entry]
+            targets += [(name, f"{ip}:{port}", None) for name, workers in self.workers.items()
+                        if name != entry.data_centre for _, ip, port in workers]
+            platform = self.log_address(entry.data_centre)
+            targets += [(None, f"{platform}:{port}", None) for port in (self.log_port, self.vm_port)]
+            for data_centre, address, name in targets:
+                host, number = address.rsplit(":", 1)
+                port = self.network.forward(entry.data_centre, data_centre, (host, int(number)),
+                                            [entry.name] + ([name] if name else []))
+                entry.forwarders[address] = f"127.0.0.1:{port}"
 
     def cut(self, data_centre, stalled):
         """Cuts a data centre off from the others and from the platform, or joins it again."""
--- a/scripts/harness/forwarder.py
+++ b/scripts/harness/forwarder.py
@@ -24,18 +24,22 @@
         self.thread.start()
         self.links = {}
         self.servers = []
+        self.bytes = {}  # Forwarded bytes by the names of those they belong to.
 
     def _call(self, coroutine):
         return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(10)
 
-    def forward(self, source, target, address):
+    def bytes_of(self, name):
+        return self.bytes.get(name, 0)
+
+    def forward(self, source, target, address, owners=()):
         """Forwards a free port of 127.0.0.1 to the address (IP, PORT) as part of the link of two
-        names. Returns the port."""
+        names. The bytes are counted for each owner. Returns the port."""
 
         async def add():
             link = self.links.setdefault((source, target), Link())
             server = await asyncio.start_server(
-                lambda reader, writer: self._serve(link, reader, writer, address),
+                lambda reader, writer: self._serve(link, reader, writer, address, owners),
                 "127.0.0.1", 0, backlog=512)
             self.servers.append(server)
             return server.sockets[0].getsockname()[1]
@@ -47,7 +51,7 @@
 
         async def change():
             for (source, target), link in self.links.items():
-                if name in (source, target):
+                if source != target and name in (source, target):
                     if stalled:
                         link.open.clear()
                     else:
@@ -55,23 +59,24 @@
 
         self._call(change())
 
-    async def _serve(self, link, reader, writer, address):
+    async def _serve(self, link, reader, writer, address, owners):
         try:
             await link.open.wait()
             up_reader, up_writer = await asyncio.open_connection(*address)
-            await asyncio.gather(self._pump(link, reader, up_writer),
-                                 self._pump(link, up_reader, writer))
+            await asyncio.gather(self._pump(link, reader, up_writer, owners),
+                                 self._pump(link, up_reader, writer, owners))
         except (OSError, asyncio.CancelledError):
             writer.close()
 
-    @staticmethod
-    async def _pump(link, reader, writer):
+    async def _pump(self, link, reader, writer, owners):
         try:
             while True:
                 data = await reader.read(CHUNK_BYTES)
                 await link.open.wait()
                 if not data:
                     break
+                for owner in owners:
+                    self.bytes[owner] = self.bytes.get(owner, 0) + len(data)
                 writer.write(data)
                 await writer.drain()
         except OSError:
--- a/src/include/pollenwall/configuration.h
+++ b/src/include/pollenwall/configuration.h
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <vector>
 
+#include <pollenwall/needs.h>
+
 /// The operators' configuration: data centres, workers, services, upstreams and teams. Values are
 /// immutable once published; a new version is a new Configuration.
 namespace pollenwall::configuration {
@@ -28,7 +30,7 @@
   std::string mDataCentre;
   std::string mRack;
   std::string mAddress; ///< IP number.
-  std::uint32_t mCores = 1;
+  std::uint32_t mMilliCores = kMilliCoresPerCore; ///< Thousandths of a core.
   std::uint64_t mMemoryBytes = 0;
   std::uint32_t mAccelerators = 0;
 
--- a/src/include/pollenwall/dispatch.h
+++ b/src/include/pollenwall/dispatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <random>
@@ -12,6 +13,7 @@
 
 #include <pollenwall/configuration.h>
 #include <pollenwall/job.h>
+#include <pollenwall/placement.h>
 #include <pollenwall/time.h>
 
 /// The scheduling core of one entry: admission, queueing, placement, outcomes, retries and
@@ -45,6 +47,10 @@
   /// Results of ended jobs held for resubmissions. Beyond it the oldest results are dropped and
   /// their jobs answer that they ran, without results.
   std::size_t mMaxKeptResultBytes = std::size_t{ 256 } << 20;
+  /// Jobs known at once at 3,000 jobs a second and the default retention of answers, rounded up.
+  /// The table of jobs has room for these from the start.
+  std::size_t mExpectedJobs = std::size_t{ 1 } << 18;
+  bool mHoldsWholeUpstreams = false; ///< See placement::Options.
 
   friend bool operator==(const Options&, const Options&) = default;
 };
@@ -235,6 +241,15 @@
 };
 UpstreamAddress AddressOf(const State& aState, UpstreamIndex aUpstream);
 
+/// The number of an upstream; nothing when it was never configured and never had credits.
+std::optional<UpstreamIndex> FindUpstream(const State& aState, std::string_view aKey);
+
+/// Thousandths of a core on the usable upstreams of a service; zero for an unknown one.
+placement::Room RoomOf(const State& aState, std::string_view aService);
+
+/// Thousandths of a core that the waiting tasks of a service ask for.
+std::uint64_t QueuedMilliCores(const State& aState, std::string_view aService);
+
 /// Load of this entry, for heartbeats and lending.
 struct Load
 {
@@ -275,6 +290,8 @@
 /// that is only slow has a low one).
 std::vector<std::pair<std::string, double>> UnhealthyUpstreams(const State& aState);
 
+inline constexpr std::size_t kAllJobs = std::numeric_limits<std::size_t>::max();
+
 /// Ids of running jobs of which no task has ever been sent, oldest first.
 std::vector<std::string> UnstartedJobs(const State& aState, std::size_t aMost);
 
--- a/src/include/pollenwall/job.h
+++ b/src/include/pollenwall/job.h
@@ -7,22 +7,13 @@
 #include <vector>
 
 #include <pollenwall/ids.h>
+#include <pollenwall/needs.h>
 #include <pollenwall/time.h>
 #include <pollenwall/verdict.h>
 
 /// Jobs as callers submit them, and their answers.
 namespace pollenwall {
 
-/// What a task declares to need on one worker. Declarations may be wrong.
-struct Needs
-{
-  std::uint32_t mCores = 0;
-  std::uint64_t mMemoryBytes = 0;
-  std::uint32_t mAccelerators = 0;
-
-  friend bool operator==(const Needs&, const Needs&) = default;
-};
-
 struct TaskSpec
 {
   std::string mPayload; ///< Opaque to the dispatcher.
@@ -43,6 +34,12 @@
   UnixMs mBornMs = 0;        ///< Caller-chosen ids: the caller's clock at the first submission.
   std::chrono::milliseconds mDeadline{ 0 }; ///< From acceptance to the answer.
   std::uint64_t mBodyHash = 0;              ///< Of all that must be equal in a resubmission.
+  std::uint32_t mPriority = 0;              ///< 0 is served first.
+  /// Runs of one task that may fail before the job fails.
+  std::uint32_t mMostFailures = 1;
+  /// A task whose run is certainly over without success may be started again. Otherwise a task that
+  /// may have run is never started again.
+  bool mRestartable = false;
   std::vector<TaskSpec> mTasks;
 
   friend bool operator==(const JobSpec&, const JobSpec&) = default;
--- a/src/include/pollenwall/messages.h
+++ b/src/include/pollenwall/messages.h
@@ -222,6 +222,42 @@
   friend bool operator==(const ConfigItems&, const ConfigItems&) = default;
 };
 
+/// What an entry that holds upstreams can take of one service, in thousandths of a core.
+struct ServiceLoad
+{
+  std::string mService;
+  std::uint64_t mMilliCores = 0;       ///< Of the usable upstreams that it holds.
+  std::uint64_t mFreeMilliCores = 0;   ///< Of these, not in use.
+  std::uint64_t mQueuedMilliCores = 0; ///< Asked for by tasks that wait.
+
+  friend bool operator==(const ServiceLoad&, const ServiceLoad&) = default;
+};
+
+/// How long ago an entry last heard another.
+struct Heard
+{
+  Incarnation mIncarnation;
+  std::chrono::milliseconds mAge{ 0 };
+
+  friend bool operator==(const Heard&, const Heard&) = default;
+};
+
+/// What an entry that works with fencing tokens says of itself several times a second.
+struct Presence
+{
+  Incarnation mIncarnation;
+  std::string mName;
+  std::string mDataCentre;
+  std::string mPeerAddress;
+  bool mLeaving = false;
+  configuration::Version mConfigurationVersion = 0;
+  std::vector<std::uint64_t> mHeld; ///< Hash64 of the keys of the upstreams that it holds.
+  std::vector<ServiceLoad> mLoads;
+  std::vector<Heard> mHeard;
+
+  friend bool operator==(const Presence&, const Presence&) = default;
+};
+
 using Message = std::variant<Hello,
                              Heartbeat,
                              Submit,
@@ -234,7 +270,8 @@
                              Handover,
                              HandoverReply,
                              ConfigFetch,
-                             ConfigItems>;
+                             ConfigItems,
+                             Presence>;
 
 /// Encodes a message as a msgpack map with the key "type". The frame's length prefix is not part of
 /// it.
--- /dev/null
+++ b/src/include/pollenwall/needs.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+
+namespace pollenwall {
+
+inline constexpr std::uint32_t kMilliCoresPerCore = 1000;
+
+/// What a task declares to need on one worker, or what a worker has. Declarations may be wrong.
+struct Needs
+{
+  std::uint32_t mMilliCores = 0; ///< Thousandths of a core.
+  std::uint64_t mMemoryBytes = 0;
+  std::uint32_t mAccelerators = 0;
+
+  friend bool operator==(const Needs&, const Needs&) = default;
+};
+
+} // namespace pollenwall
--- a/src/include/pollenwall/net/http_server.h
+++ b/src/include/pollenwall/net/http_server.h
@@ -39,11 +39,19 @@
 /// One connection as the request handler sees it.
 struct HttpConnection;
 
-/// Calls the function once if the caller resets its connection before the watch ends. A caller that
-/// only closed its sending side still waits for its answer and is not reported.
+/// What tells that a caller is gone.
+enum class GoneSign
+{
+  Reset,  ///< Its connection was reset. A caller that closed its sending side may still wait.
+  Closed, ///< It closed its sending side or was reset: for callers that never half-close.
+};
+
+/// Calls the function once if the caller goes before the watch ends.
 struct GoneWatch
 {
-  GoneWatch(HttpConnection& aConnection, std::function<void()> aFunction);
+  GoneWatch(HttpConnection& aConnection,
+            std::function<void()> aFunction,
+            GoneSign aSign = GoneSign::Reset);
   ~GoneWatch();
   GoneWatch(const GoneWatch&) = delete;
   GoneWatch& operator=(const GoneWatch&) = delete;
--- a/src/include/pollenwall/placement.h
+++ b/src/include/pollenwall/placement.h
@@ -33,6 +33,10 @@
   /// Probes are callers' tasks, and a probe that fails fails its job, so the interval doubles up to
   /// this.
   std::chrono::milliseconds mMostProbe{ 30000 };
+  /// This entry alone starts tasks on the upstreams that it has credits for, so the needs of what
+  /// runs on one are kept within its worker's capacity. Otherwise other entries' tasks run there
+  /// too, unknown to this one, and only credits bound what it starts.
+  bool mHoldsWholeUpstreams = false;
 };
 
 /// What is known of one upstream from its outcomes. Counts decay by a tenth with each outcome, so
@@ -64,6 +68,7 @@
   bool mConfigured = false;
   std::uint32_t mCredits = 0;
   std::uint32_t mRunning = 0;
+  Needs mUsed;                    ///< Sum over what runs.
   bool mLeaving = false;          ///< Confirmed.
   bool mSuspected = false;        ///< Has an unconfirmed sign that has not lapsed.
   bool mTreatedAsLeaving = false; ///< The sign counts; see SignPool.
@@ -167,25 +172,30 @@
 {
   ServiceIndex mService = 0;
   const std::vector<ShapeIndex>* mShapes = nullptr; ///< Those that suit the task.
-  bool mNeedsAccelerator = false;
+  Needs mNeeds;
   /// Racks with tasks of the job, and how many. May be null.
   const std::vector<std::pair<std::uint32_t, std::uint32_t>>* mRacks = nullptr;
   UpstreamIndex mAvoid = kNone;
   bool mMayProbe = true; ///< An upstream due for a probe goes first; otherwise last.
 };
 
-/// Whether any upstream of these shapes can take a task now.
-bool HasIdle(const State& aState, ServiceIndex aService, const std::vector<ShapeIndex>& aShapes);
+/// Whether any upstream of these shapes can take a task of these needs now.
+bool HasIdle(const State& aState,
+             ServiceIndex aService,
+             const std::vector<ShapeIndex>& aShapes,
+             const Needs& aNeeds);
 
 /// The best of a few free upstreams drawn at random (the power of d choices, Mitzenmacher 2001):
 /// own data centre, a rack that the job does not use yet, few failures, short run times. Nothing
-/// when none is free but the one to avoid.
+/// when none is free but the one to avoid. Among upstreams that are held whole, all with enough
+/// room are compared: the fastest first, and among similar ones the fullest (best fit), which keeps
+/// room for large tasks.
 std::optional<UpstreamIndex> Choose(const State& aState,
                                     const Request& aRequest,
                                     std::mt19937_64& aRandom);
 
 /// Counts a start. The upstream must have been chosen after the last change.
-void CountStart(State& aState, UpstreamIndex aUpstream, const Now& aNow);
+void CountStart(State& aState, UpstreamIndex aUpstream, const Needs& aNeeds, const Now& aNow);
 
 /// What one start request tells of its upstream.
 enum class Report
@@ -200,9 +210,11 @@
   Ignored, ///< Says nothing, for example the end of a task that was stopped.
 };
 
-/// Ends a start. The ratio of run time to expected run time is given when it is known.
+/// Ends a start of these needs. The ratio of run time to expected run time is given when it is
+/// known.
 void CountEnd(State& aState,
               UpstreamIndex aUpstream,
+              const Needs& aNeeds,
               Report aReport,
               std::optional<double> aRatio,
               std::mt19937_64& aRandom,
@@ -221,8 +233,19 @@
 /// Whether a worker of this capacity meets the needs.
 bool Suits(const Needs& aCapacity, const Needs& aNeeds);
 
-/// The needs with each part rounded up to the next capacity that a configured worker of the service
-/// has, so that few distinct values remain. Nothing when no configured worker meets them.
+/// Thousandths of a core still free on the usable upstreams of a service, and what they have.
+struct Room
+{
+  std::uint64_t mFreeMilliCores = 0;
+  std::uint64_t mMilliCores = 0;
+
+  friend bool operator==(const Room&, const Room&) = default;
+};
+Room RoomOf(const State& aState, ServiceIndex aService);
+
+/// The needs with each part rounded up, so that few distinct values remain: to the next capacity
+/// that a configured worker of the service has, or, for upstreams held whole, to the next multiple
+/// of a small step. Nothing when no configured worker meets them.
 std::optional<Needs> RoundUp(const State& aState, ServiceIndex aService, const Needs& aNeeds);
 
 } // namespace pollenwall::placement
--- a/src/include/pollenwall/settings.h
+++ b/src/include/pollenwall/settings.h
@@ -3,11 +3,13 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include <pollenwall/entry.h>
 #include <pollenwall/node.h>
 #include <pollenwall/yaml_reader.h>
 
@@ -34,7 +36,7 @@
 /// authority signed.
 struct Tls
 {
-  bool mOn = true; ///< Off only when every peer's and operators' address is loopback.
+  bool mOn = true; ///< Off only in a trusted network, or when all addresses are loopback.
   std::string mCertificateFile;
   std::string mKeyFile;
   std::string mAuthorityFile;
@@ -49,6 +51,17 @@
   std::chrono::milliseconds mReadTimeout{ 10000 }; ///< For one request to arrive completely.
 };
 
+/// Services of a platform whose upstreams run tasks under leases and fencing tokens. With this
+/// section the entry takes its configuration, the other entries and the upstreams from the
+/// platform's store.
+struct Platform
+{
+  Endpoint mReadiness; ///< Listens for the balancer's question whether this entry is ready.
+  Endpoint mStore;
+  Endpoint mMachines; ///< Port 0: there is no such service.
+  entry::Options mEntry;
+};
+
 struct Settings
 {
   /// Name, data centre, peer address, seeds, and every duration and limit of the core. The
@@ -61,8 +74,15 @@
   Endpoint mLogService;
   Endpoint mVmList;
   Tls mTls;
+  /// The network lets nobody but the entries and operators reach the ports of peers and operators,
+  /// so TLS may be off although they are not loopback.
+  bool mTrustedNetwork = false;
+  std::optional<Platform> mPlatform;
   HttpLimits mHttp;
   std::size_t mMaxFrameBytes = 16 * 1024 * 1024; ///< Of one message between peers.
+  /// Addresses of peers and upstreams, "IP:PORT", that this entry reaches only through a forwarder,
+  /// and the forwarder's address.
+  std::map<std::string, std::string, std::less<>> mForwarders;
 };
 
 struct ReadResult
@@ -71,6 +91,9 @@
   yaml::Report mReport; ///< Every problem of the text.
 };
 
+/// The address to connect to in order to reach aAddress: its forwarder's, or itself.
+const std::string& ConnectAddress(const Settings& aSettings, const std::string& aAddress);
+
 /// Reads settings. The file's name is used in problems only; no file is opened, so that whether the
 /// TLS files exist is not checked.
 ReadResult ReadSettings(std::string_view aFile, std::string_view aText);
--- a/src/include/pollenwall/task_queue.h
+++ b/src/include/pollenwall/task_queue.h
@@ -32,12 +32,15 @@
                           ///< arrival time, so that older jobs gain without being reordered.
   std::uint64_t mSequence = 0;
   bool mCalm = true; ///< False for a job that has to start now to meet its deadline; it goes before
-                     ///< all others.
+                     ///< all others of its priority.
+  std::uint32_t mPriority = 0; ///< 0 goes first.
 
   friend bool operator<(const JobKey& aOne, const JobKey& aOther)
   {
-    return std::tie(aOne.mCalm, aOne.mOrdinary, aOne.mWork, aOne.mSequence) <
-           std::tie(aOther.mCalm, aOther.mOrdinary, aOther.mWork, aOther.mSequence);
+    return std::tie(
+             aOne.mPriority, aOne.mCalm, aOne.mOrdinary, aOne.mWork, aOne.mSequence) <
+           std::tie(
+             aOther.mPriority, aOther.mCalm, aOther.mOrdinary, aOther.mWork, aOther.mSequence);
   }
 };
 
@@ -117,8 +120,9 @@
 /// The next slice of a lane.
 std::optional<SliceIndex> Head(const Queue& aQueue, LaneIndex aLane);
 
-/// The virtual time of the team that a lane serves next. The lane must not be empty.
-double HeadTime(const Queue& aQueue, LaneIndex aLane);
+/// Whether the head of one lane goes before that of another: by team, and within a team by job.
+/// Neither lane may be empty.
+bool GoesBefore(const Queue& aQueue, LaneIndex aOne, LaneIndex aOther);
 
 /// Takes a slice's next task out. The slice must not be empty; an empty one stays known.
 std::uint32_t TakeTask(Queue& aQueue, SliceIndex aSlice);
--- a/src/libconfiguration/configuration_builder.cpp
+++ b/src/libconfiguration/configuration_builder.cpp
@@ -61,7 +61,7 @@
     worker.mRack = Numbered(aGroup.mDataCentre, "-r%02u", n / aGroup.mPerRack + 1);
     worker.mAddress =
       mLoopbackPort ? std::string(kLoopback) : AddressAfter(aGroup.mFirstAddress, n);
-    worker.mCores = aGroup.mCores;
+    worker.mMilliCores = aGroup.mCores * kMilliCoresPerCore;
     worker.mMemoryBytes = aGroup.mMemoryBytes;
     worker.mAccelerators = aGroup.mAccelerators;
     for (const auto& service : aGroup.mServices) {
--- a/src/libconfiguration/configuration_yaml.cpp
+++ b/src/libconfiguration/configuration_yaml.cpp
@@ -97,7 +97,7 @@
   Add(aFields, "data_centre", Quote(aItem.mDataCentre));
   Add(aFields, "rack", Quote(aItem.mRack));
   Add(aFields, "address", Quote(aItem.mAddress));
-  Add(aFields, "cores", aItem.mCores);
+  Add(aFields, "cores", aItem.mMilliCores / kMilliCoresPerCore);
   Add(aFields, "memory_bytes", aItem.mMemoryBytes);
   Add(aFields, "accelerators", aItem.mAccelerators);
 }
@@ -165,7 +165,8 @@
       inet_pton(AF_INET6, aItem.mAddress.c_str(), &buf) != 1) {
     yaml::AddProblem(aSection, "address", Quoted(aItem.mAddress), "an IP number");
   }
-  aItem.mCores = yaml::GetInteger(aSection, "cores", 1, kMaxCores, aItem.mCores);
+  aItem.mMilliCores = kMilliCoresPerCore *
+    static_cast<std::uint32_t>(yaml::GetInteger(aSection, "cores", 1, kMaxCores, aItem.mMilliCores / kMilliCoresPerCore));
   aItem.mMemoryBytes = yaml::GetInteger(aSection, "memory_bytes", 0, kMaxMemoryBytes, 0);
   aItem.mAccelerators = yaml::GetInteger(aSection, "accelerators", 0, kMaxAccelerators, 0);
 }
--- a/src/libdispatch/accept.cpp
+++ b/src/libdispatch/accept.cpp
@@ -14,6 +14,8 @@
 constexpr double kWaitMargin = 3;
 /// A few long tasks among many short ones of the same kind do not make all of its jobs hopeless.
 constexpr int kMostHighRatio = 4;
+/// Tasks of a third to a half of a worker's size leave about this part of it in use.
+constexpr double kPackedPart = 0.85;
 
 /// The group for needs that a configured worker meets.
 std::uint32_t GroupOf(State& aState, ServiceIndex aService, const Needs& aRounded)
@@ -35,6 +37,20 @@
   return static_cast<std::uint32_t>(groups.size() - 1);
 }
 
+/// Tasks like the job's that can run at once. Where tasks are bounded by their needs, places are
+/// counted in processor time; part of it stays free because tasks do not fill a worker exactly.
+double Places(const State& aState, const Job& aJob)
+{
+  const auto& pool = aState.mPlacement.mPools[aJob.mService];
+  if (!aState.mOptions.mHoldsWholeUpstreams || aJob.mMilliCores == 0) {
+    return pool.mHealthyCredits;
+  }
+  const auto room = placement::RoomOf(aState.mPlacement, aJob.mService);
+  const double each =
+    static_cast<double>(aJob.mMilliCores) / static_cast<double>(aJob.mTasks.size());
+  return kPackedPart * static_cast<double>(room.mMilliCores) / each;
+}
+
 /// The estimated wait of a job's tasks of one class, for the queued work of that class and the
 /// job's own as far as it is known from outcomes.
 Duration WaitOf(const State& aState, const Job& aJob, bool aLong)
@@ -52,7 +68,7 @@
   }
   const auto n = aLong ? 1 : 0;
   const auto& service = aState.mServices[aJob.mService];
-  const double healthy = aState.mPlacement.mPools[aJob.mService].mHealthyCredits;
+  const double healthy = Places(aState, aJob);
   // An entry that has no slots of its own lives on borrowed ones.
   const double credits = std::max(healthy - service.mBorrowed, healthy / 2);
   const auto longRunning = static_cast<double>(service.mRunning[1]);
@@ -122,6 +138,9 @@
   job.mService = aState.mPlacement.mServices.find(spec.mService)->second;
   job.mTeam = aState.mTeamByName.find(spec.mTeam)->second;
   job.mBodyHash = spec.mBodyHash;
+  job.mPriority = spec.mPriority;
+  job.mMostFailures = spec.mMostFailures;
+  job.mRestartable = spec.mRestartable;
   job.mAccepted = aNow.mTime;
   job.mDeadline = aNow.mTime + spec.mDeadline;
   auto& service = aState.mServices[job.mService];
@@ -134,6 +153,7 @@
     if (!rounded) {
       return std::nullopt;
     }
+    job.mMilliCores += needs.mMilliCores;
     const auto estimate = run_times::EstimateOf(*job.mKind,
                                                 spec.mTasks[n].mDeclaredRun,
                                                 service.mSettings.mExpectedRun,
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -27,14 +27,14 @@
 constexpr std::size_t kSweep = 256;
 constexpr double kOverdueRatio = 4;
 constexpr milliseconds kLeastOverdue{ 50 };
-/// Jobs known at once at 3,000 jobs a second and an answer retention of 60 s, rounded up.
-constexpr std::size_t kExpectedJobs = std::size_t{ 1 } << 18;
 constexpr milliseconds kLeastKept{ 1000 };
 /// A failed probe fails its job, so probes are tasks of small jobs as far as there are any.
 constexpr std::size_t kMostTasksToProbe = 4;
 /// A job goes first once no more than this many times its longest task is left to its deadline.
 constexpr int kUrgentSlack = 2;
 constexpr double kLeastWeight = 0.001;
+/// A stop takes some tens of milliseconds to show.
+constexpr milliseconds kStoppingRetryAfter{ 100 };
 
 Duration Jittered(State& aState, Duration aDuration)
 {
@@ -72,7 +72,8 @@
   return { !nearlyComplete,
            aJob.mQueuedWork[0] + aJob.mQueuedWork[1] + std::llround(ageing),
            aJob.mSequence,
-           !aJob.mUrgent };
+           !aJob.mUrgent,
+           aJob.mPriority };
 }
 
 /// Gives the job's slices its present place in the queue.
@@ -264,8 +265,10 @@
   }
   const auto slot = aState.mFreeAttempts.back();
   aState.mFreeAttempts.pop_back();
-  aState.mAttempts[slot] = { aIndex, aTask, aUpstream, aNow.mTime, task.mLong, false, false };
-  placement::CountStart(aState.mPlacement, aUpstream, aNow);
+  const auto& needs = job.mSpec->mTasks[aTask].mNeeds;
+  aState.mAttempts[slot] = { aIndex,     aTask, aUpstream, needs, aNow.mTime,
+                             task.mLong, false, false };
+  placement::CountStart(aState.mPlacement, aUpstream, needs, aNow);
   CountQueued(aState, job, 0, 1);
   ++aState.mRunningTasks;
   ++service.mRunning[task.mLong ? 1 : 0];
@@ -320,11 +323,11 @@
       const auto candidate = 2 * n + lane;
       if (candidate >= service.mQueue.mLanes.size() ||
           service.mQueue.mLanes[candidate].mTasks == 0 ||
-          !placement::HasIdle(aState.mPlacement, aIndex, service.mGroups[n].mShapes)) {
+          !placement::HasIdle(
+            aState.mPlacement, aIndex, service.mGroups[n].mShapes, service.mGroups[n].mNeeds)) {
         continue;
       }
-      if (!best ||
-          queue::HeadTime(service.mQueue, candidate) < queue::HeadTime(service.mQueue, *best)) {
+      if (!best || queue::GoesBefore(service.mQueue, candidate, *best)) {
         best = candidate;
       }
     }
@@ -363,7 +366,7 @@
     const auto& group = service.mGroups[*lane / 2];
     const placement::Request request{ aIndex,
                                       &group.mShapes,
-                                      group.mNeeds.mAccelerators > 0,
+                                      group.mNeeds,
                                       &job.mRacks,
                                       avoid ? task.mAvoid : kNone,
                                       job.mTasks.size() <= kMostTasksToProbe };
@@ -458,6 +461,9 @@
   while (!aState.mKept.empty() && aState.mKept.front().mAt <= aNow.mTime) {
     auto timer = aState.mKept.front();
     aState.mKept.pop_front();
+    if (aState.mJobs[timer.mJob].mGeneration != timer.mGeneration) {
+      continue; // Forgotten already, because it was submitted again.
+    }
     // A task that was stopped but has not ended still holds its slot under the job's id.
     if (aState.mJobs[timer.mJob].mOutstanding > 0) {
       timer.mAt = aNow.mTime + std::max(aState.mOptions.mAnswerRetention, kLeastKept);
@@ -548,6 +554,13 @@
   aState.mJobByRequest[aRequest] = aIndex;
 }
 
+/// A restartable job that was called off or ran out of time runs again when it is submitted again.
+bool MayRunAgain(const Job& aJob)
+{
+  return aJob.mRestartable && aJob.mState == JobState::Failed && aJob.mAnswer.mError &&
+         aJob.mAnswer.mError->mCode != ErrorCode::TaskFailed;
+}
+
 void Apply(State& aState, const Submit& aEvent, const Now& aNow, Actions& aActions)
 {
   const auto& spec = aEvent.mJob;
@@ -555,6 +568,17 @@
     ++aState.mCounts.mJobsRefused;
     aActions.emplace_back(Refuse{ aEvent.mRequest, spec.mId, std::move(aError) });
   };
+  if (const auto it = aState.mJobByName.find(spec.mId);
+      it != aState.mJobByName.end() && MayRunAgain(aState.mJobs[it->second])) {
+    if (aState.mJobs[it->second].mOutstanding > 0) {
+      auto error = MakeError(ErrorCode::OwnerUnsettled,
+                             Verdict::MayHaveRun,
+                             "Runs of an earlier submission are being stopped.");
+      error.mRetryAfter = kStoppingRetryAfter;
+      return refuse(std::move(error));
+    }
+    ForgetJob(aState, it->second);
+  }
   if (const auto it = aState.mJobByName.find(spec.mId); it != aState.mJobByName.end()) {
     const auto& known = aState.mJobs[it->second];
     if (aState.mTeams[known.mTeam].mName != spec.mTeam || known.mBodyHash != spec.mBodyHash) {
@@ -649,6 +673,9 @@
   if (aOutcome.mVerdict == Verdict::Ran && !aOutcome.mCode) {
     return Report::RanWell;
   }
+  if (aOutcome.mCode == ErrorCode::OwnerUnsettled) {
+    return Report::Ignored; // Another entry holds the upstream now.
+  }
   if (aOutcome.mVerdict != Verdict::NotRun) {
     // A stopped task may end in any way without a fault of the upstream.
     return aStopped                            ? Report::Ignored
@@ -669,16 +696,18 @@
   }
 }
 
+/// Starts a task again after a run that is over. aVerdict says what is known of all runs so far.
 void Retry(State& aState,
            JobIndex aIndex,
            std::uint32_t aTask,
            UpstreamIndex aFrom,
+           Verdict aVerdict,
            const Now& aNow)
 {
   auto& job = aState.mJobs[aIndex];
   auto& task = job.mTasks[aTask];
-  ++aState.mCounts.mTaskRefusals;
-  task.mAnswer.mVerdict = Verdict::NotRun;
+  task.mAnswer.mVerdict = aVerdict;
+  task.mPastRuns = aVerdict;
   task.mAvoid = aFrom;
   task.mAvoidUntil = aNow.mTime + kAvoidFor;
   CountQueued(aState, job, 1, 0);
@@ -721,7 +750,8 @@
   if (task.mLearned && task.mMedian.count() > 0) {
     ratio = static_cast<double>(ranFor.count()) / static_cast<double>(task.mMedian.count());
   }
-  placement::CountEnd(aState.mPlacement, attempt.mUpstream, report, ratio, aState.mRandom, aNow);
+  placement::CountEnd(
+    aState.mPlacement, attempt.mUpstream, attempt.mNeeds, report, ratio, aState.mRandom, aNow);
   const auto used = outcome.mVerdict == Verdict::NotRun ? Duration{ 0 } : ranFor;
   queue::Charge(service.mQueue, job.mTeam, static_cast<double>((used - task.mMean).count()));
   // A slot or the long class's share has become free.
@@ -744,13 +774,21 @@
     }
     return;
   }
+  const auto verdict = Combine(task.mPastRuns, outcome.mVerdict);
   if (outcome.mVerdict == Verdict::NotRun) {
-    Retry(aState, index, aEvent.mTask.mIndex, attempt.mUpstream, aNow);
+    ++aState.mCounts.mTaskRefusals;
+    Retry(aState, index, aEvent.mTask.mIndex, attempt.mUpstream, verdict, aNow);
+    return;
+  }
+  task.mFailures += outcome.mVerdict == Verdict::Ran ? 1 : 0;
+  if (job.mRestartable && task.mFailures < job.mMostFailures) {
+    ++aState.mCounts.mTaskRestarts;
+    Retry(aState, index, aEvent.mTask.mIndex, attempt.mUpstream, verdict, aNow);
     return;
   }
   const auto code = outcome.mCode.value_or(ErrorCode::UpstreamLost);
   task.mPhase = Phase::Ended;
-  task.mAnswer = { outcome.mVerdict, code, "" };
+  task.mAnswer = { verdict, code, "" };
   FailJob(aState,
           index,
           code,
@@ -925,10 +963,12 @@
     std::unique_ptr<State, void (*)(State*)>(new State, [](State* aState) { delete aState; });
   state->mOptions = aOptions;
   state->mRandom.seed(aSeed);
-  state->mPlacement = placement::MakeState(
-    { .mDataCentre = aOptions.mDataCentre, .mSignExpiry = aOptions.mSignExpiry });
-  // Rehashing a table of this size takes about 10 ms, in which nothing else would be handled.
-  state->mJobByName.reserve(kExpectedJobs);
+  state->mPlacement =
+    placement::MakeState({ .mDataCentre = aOptions.mDataCentre,
+                           .mSignExpiry = aOptions.mSignExpiry,
+                           .mHoldsWholeUpstreams = aOptions.mHoldsWholeUpstreams });
+  // Rehashing a table of the default size takes about 10 ms, in which nothing else would be handled.
+  state->mJobByName.reserve(aOptions.mExpectedJobs);
   state->mRetryBudget.mRatio = aOptions.mRetryRatio;
   state->mRetryBudget.mBurst = aOptions.mRetryBurst;
   state->mRetryBudget.mTokens = aOptions.mRetryBurst;
--- a/src/libdispatch/dispatch_test.cpp
+++ b/src/libdispatch/dispatch_test.cpp
@@ -19,7 +19,7 @@
     worker.mDataCentre = "dc";
     worker.mRack = "rack" + std::to_string(n / 6);
     worker.mAddress = "127.0.0.1";
-    worker.mCores = 32;
+    worker.mMilliCores = 32 * kMilliCoresPerCore;
     worker.mMemoryBytes = std::uint64_t{ 64 } << 30;
     worker.mAccelerators = n % 4 == 0 ? aLayout.mAccelerators : 0;
     made->mWorkers[name] = worker;
--- a/src/libdispatch/invariants_test.cpp
+++ b/src/libdispatch/invariants_test.cpp
@@ -300,7 +300,7 @@
     task.mDeclaredRun = milliseconds((aB % 7) * 900);
     task.mNeeds.mAccelerators =
       model.mNeedsAccelerator && aModel.mBreak != Break::UseUnsuitable ? 1 : 0;
-    task.mNeeds.mCores = aB % 40;
+    task.mNeeds.mMilliCores = (aB % 40) * kMilliCoresPerCore;
     job.mTasks.push_back(model);
   }
   job.mDeadline = now + submit.mJob.mDeadline;
--- a/src/libdispatch/queries.cpp
+++ b/src/libdispatch/queries.cpp
@@ -42,8 +42,9 @@
     if (slice.mTasks.empty()) {
       continue;
     }
-    const bool free = placement::HasIdle(
-      aState.mPlacement, aJob.mService, service.mGroups[slice.mLane / 2].mShapes);
+    const auto& group = service.mGroups[slice.mLane / 2];
+    const bool free =
+      placement::HasIdle(aState.mPlacement, aJob.mService, group.mShapes, group.mNeeds);
     idle = idle || free;
     mayStart =
       mayStart ||
@@ -97,6 +98,33 @@
   return { upstream.mKey, upstream.mAddress };
 }
 
+std::optional<UpstreamIndex> FindUpstream(const State& aState, std::string_view aKey)
+{
+  const auto it = aState.mPlacement.mByKey.find(aKey);
+  return it == aState.mPlacement.mByKey.end() ? std::nullopt : std::optional(it->second);
+}
+
+placement::Room RoomOf(const State& aState, std::string_view aService)
+{
+  const auto it = aState.mPlacement.mServices.find(aService);
+  return it == aState.mPlacement.mServices.end() ? placement::Room{}
+                                                 : placement::RoomOf(aState.mPlacement, it->second);
+}
+
+std::uint64_t QueuedMilliCores(const State& aState, std::string_view aService)
+{
+  const auto it = aState.mPlacement.mServices.find(aService);
+  if (it == aState.mPlacement.mServices.end() || it->second >= aState.mServices.size()) {
+    return 0;
+  }
+  const auto& service = aState.mServices[it->second];
+  std::uint64_t sum = 0;
+  for (std::size_t n = 0; n < service.mQueue.mLanes.size(); ++n) {
+    sum += service.mQueue.mLanes[n].mTasks * service.mGroups[n / 2].mNeeds.mMilliCores;
+  }
+  return sum;
+}
+
 Load LoadOf(const State& aState)
 {
   Load load;
@@ -243,6 +271,7 @@
     { "service_faults_total", aState.mPlacement.mServiceFaults },
     { "task_refusals_total", counts.mTaskRefusals },
     { "task_retries_total", counts.mTaskRetries },
+    { "task_restarts_total", counts.mTaskRestarts },
     { "task_starts_total", counts.mTaskStarts },
     { "task_stops_total", counts.mTaskStops },
     { "tasks_reclassified_total", counts.mReclassified },
--- a/src/libdispatch/state.h
+++ b/src/libdispatch/state.h
@@ -39,6 +39,8 @@
   bool mRetryPaid = false;  ///< The retry budget has been charged for the next start.
   std::uint32_t mSlice = 0; ///< Position in the job's list of slices.
   std::uint32_t mAttempt = 0;
+  std::uint32_t mFailures = 0;          ///< Runs that ended as failed.
+  Verdict mPastRuns = Verdict::NotRun; ///< Of all runs that are over.
   std::uint32_t mSlot = kNone; ///< Of the attempt without an outcome yet.
   UpstreamIndex mAvoid = kNone;
   Time mAvoidUntil{};
@@ -54,6 +56,7 @@
   JobIndex mJob = kNone; ///< kNone: the slot of the table is free.
   std::uint32_t mTask = 0;
   UpstreamIndex mUpstream = kNone;
+  Needs mNeeds;
   Time mStarted{};
   bool mLong = false;
   bool mStopped = false;
@@ -79,6 +82,10 @@
   std::vector<RequestId> mWaiters;
   queue::WorkByClass mQueuedWork{};
   bool mUrgent = false;
+  std::uint32_t mPriority = 0;
+  std::uint32_t mMostFailures = 1;
+  bool mRestartable = false;
+  std::uint64_t mMilliCores = 0; ///< Asked for by all tasks together.
   Duration mLongest{ 0 }; ///< Of its tasks, as far as learned; 95% are shorter.
   std::uint32_t mQueued = 0;
   std::uint32_t mDelayed = 0;
@@ -155,6 +162,7 @@
   std::uint64_t mTaskStops = 0;
   std::uint64_t mTaskRefusals = 0;
   std::uint64_t mTaskRetries = 0;
+  std::uint64_t mTaskRestarts = 0; ///< Retries of tasks that had run.
   std::uint64_t mRetriesDeferred = 0;
   std::uint64_t mLateOutcomes = 0;
   std::uint64_t mUnknownOutcomes = 0;
--- a/src/libdispatch/task_queue.cpp
+++ b/src/libdispatch/task_queue.cpp
@@ -137,9 +137,17 @@
   return lane.mTeams[lane.mActive.mItems.front().mId].mSlices.mItems.front().mId;
 }
 
-double HeadTime(const Queue& aQueue, LaneIndex aLane)
+bool GoesBefore(const Queue& aQueue, LaneIndex aOne, LaneIndex aOther)
 {
-  return aQueue.mLanes[aLane].mActive.mItems.front().mKey.mVirtualTime;
+  const auto& one = aQueue.mLanes[aOne];
+  const auto& other = aQueue.mLanes[aOther];
+  const auto& team = one.mActive.mItems.front().mKey;
+  const auto& otherTeam = other.mActive.mItems.front().mKey;
+  if (team.mTeam != otherTeam.mTeam) {
+    return team < otherTeam;
+  }
+  return one.mTeams[team.mTeam].mSlices.mItems.front().mKey <
+         other.mTeams[team.mTeam].mSlices.mItems.front().mKey;
 }
 
 std::uint32_t TakeTask(Queue& aQueue, SliceIndex aSlice)
--- /dev/null
+++ b/src/libentry/calls.cpp
@@ -0,0 +1,344 @@
+#include <algorithm>
+
+#include <pollenwall/admission.h>
+
+#include "state.h"
+
+// The owner's side: jobs of callers that are connected to this entry.
+
+namespace pollenwall::entry {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/// A job is offered to this many holders before it is refused.
+constexpr std::size_t kMostRefusals = 2;
+/// A holder other than the own data centre's must have this much more of its room free, as a part
+/// of the room: about a network round trip in units of a short task.
+constexpr double kRemoteCost = 0.05;
+/// Pause before a job is offered again when no holder is known or one is about to change.
+constexpr milliseconds kForwardAgain{ 50 };
+/// A job that has waited this long for a holder is refused; the caller learns when to come back.
+constexpr milliseconds kMostWaitForHolder{ 400 };
+constexpr milliseconds kNoHolderRetryAfter{ 500 };
+
+std::uint64_t MilliCoresOf(const JobSpec& aJob)
+{
+  std::uint64_t sum = 0;
+  for (const auto& task : aJob.mTasks) {
+    sum += task.mNeeds.mMilliCores;
+  }
+  return sum;
+}
+
+const message::ServiceLoad* FindLoad(const std::vector<message::ServiceLoad>& aLoads,
+                                     std::string_view aService)
+{
+  const auto it = std::find_if(aLoads.begin(), aLoads.end(), [aService](const auto& aLoad) {
+    return aLoad.mService == aService;
+  });
+  return it == aLoads.end() || it->mMilliCores == 0 ? nullptr : &*it;
+}
+
+/// The part of a holder's room that is taken or asked for once the job is there. Above 1 the job
+/// waits.
+double Pressure(const message::ServiceLoad& aLoad, std::uint64_t aSent, std::uint64_t aJob)
+{
+  const auto used = aLoad.mMilliCores - std::min(aLoad.mMilliCores, aLoad.mFreeMilliCores);
+  return static_cast<double>(used + aLoad.mQueuedMilliCores + aSent + aJob) /
+         static_cast<double>(aLoad.mMilliCores);
+}
+
+bool HasRefused(const Call& aCall, Incarnation aHolder)
+{
+  return std::find(aCall.mRefusedBy.begin(), aCall.mRefusedBy.end(), aHolder) !=
+         aCall.mRefusedBy.end();
+}
+
+/// The holder with least pressure. Nothing when none is known that has not refused the job.
+std::optional<Incarnation> ChooseHolder(const State& aState, const Call& aCall, const Now& aNow)
+{
+  std::optional<Incarnation> best;
+  double least = 0;
+  const auto consider = [&](Incarnation aHolder, double aPressure) {
+    if (!HasRefused(aCall, aHolder) && (!best || aPressure < least)) {
+      best = aHolder;
+      least = aPressure;
+    }
+  };
+  if (!aState.mDraining) {
+    const auto loads = LoadsOf(aState);
+    if (const auto* load = FindLoad(loads, aCall.mJob.mService)) {
+      consider(aState.mOptions.mIncarnation, Pressure(*load, 0, aCall.mMilliCores));
+    }
+  }
+  for (const auto& [address, peer] : aState.mPeers) {
+    const auto* load = FindLoad(peer.mPresence.mLoads, aCall.mJob.mService);
+    if (load == nullptr || peer.mPresence.mLeaving || !IsLiving(aState, peer, aNow)) {
+      continue;
+    }
+    const auto sent = peer.mSentMilliCores.find(aCall.mJob.mService);
+    const bool isNear = peer.mPresence.mDataCentre == aState.mOptions.mDataCentre;
+    consider(peer.mIncarnation,
+             Pressure(*load,
+                      sent == peer.mSentMilliCores.end() ? 0 : sent->second,
+                      aCall.mMilliCores) +
+               (isNear ? 0 : kRemoteCost));
+  }
+  return best;
+}
+
+void Answer(State& aState,
+            CallNumber aNumber,
+            std::optional<JobAnswer> aAnswer,
+            std::optional<Error> aError,
+            Actions& aActions)
+{
+  const auto it = aState.mCalls.find(aNumber);
+  auto& call = it->second;
+  const auto verdict = aAnswer ? aAnswer->mVerdict : aError->mVerdict;
+  if (aError) {
+    aError->mVerdict = Combine(aError->mVerdict, call.mVerdict);
+    ++aState.mCounts.mRefused;
+  }
+  const auto& error = aError ? aError : aAnswer->mError;
+  AddReport(aActions,
+            "call_answered",
+            { { "job", call.mJob.mId },
+              { "state", aAnswer && aAnswer->mState == JobState::Complete ? "complete" : "failed" },
+              { "verdict", std::string(ToString(verdict)) },
+              { "code", error ? std::string(ToString(error->mCode)) : "" },
+              { "reason", error ? error->mMessage : "" } },
+            error.has_value());
+  aActions.emplace_back(AnswerCaller{ call.mRequest, std::move(aAnswer), std::move(aError) });
+  aState.mCallByRequest.erase(call.mRequest);
+  aState.mCalls.erase(it);
+}
+
+void Forward(State& aState, CallNumber aNumber, Call& aCall, const Now& aNow, Actions& aActions)
+{
+  const auto left = duration_cast<milliseconds>(aCall.mDeadline - aNow.mTime);
+  auto job = aCall.mJob;
+  job.mDeadline = std::max(left, milliseconds{ 1 });
+  const auto holder = *aCall.mHolder;
+  if (holder == aState.mOptions.mIncarnation) {
+    RunJob(aState, { std::nullopt, aNumber, job.mId }, std::move(job), aNow, aActions);
+    return;
+  }
+  auto* peer = FindPeer(aState, holder);
+  aActions.emplace_back(SendPeer{ peer->mAddress, message::Submit{ aNumber, true, std::move(job) } });
+}
+
+/// Offers a call to the best holder. Without one it waits a little, and is refused in the end.
+void Offer(State& aState, CallNumber aNumber, const Now& aNow, Actions& aActions)
+{
+  auto& call = aState.mCalls.at(aNumber);
+  call.mHolder = ChooseHolder(aState, call, aNow);
+  if (call.mHolder) {
+    const bool own = *call.mHolder == aState.mOptions.mIncarnation;
+    if (!own) {
+      auto* peer = FindPeer(aState, *call.mHolder);
+      peer->mSentMilliCores[call.mJob.mService] += call.mMilliCores;
+      ++aState.mCounts.mForwarded;
+    }
+    AddReport(aActions,
+              "call_forwarded",
+              { { "job", call.mJob.mId },
+                { "holder", own ? "self" : FindPeer(aState, *call.mHolder)->mPresence.mName } });
+    Forward(aState, aNumber, call, aNow, aActions);
+    return;
+  }
+  if (call.mRefusal) {
+    Answer(aState, aNumber, std::nullopt, std::move(call.mRefusal), aActions);
+    return;
+  }
+  const auto waited = aNow.mTime - (call.mDeadline - Duration(call.mJob.mDeadline));
+  if (waited > kMostWaitForHolder) {
+    Answer(aState,
+           aNumber,
+           std::nullopt,
+           Error{ ErrorCode::NotReady,
+                  Verdict::NotRun,
+                  "No entry holds upstreams of the service.",
+                  admission::RetryAfter(kNoHolderRetryAfter, aState.mRandom) },
+           aActions);
+    return;
+  }
+  call.mForwardAt = aNow.mTime + kForwardAgain;
+}
+
+/// Submits a call elsewhere, once the runs of its former holder are over.
+void Resubmit(State& aState,
+              CallNumber aNumber,
+              std::string_view aReason,
+              Time aNotBefore,
+              Actions& aActions)
+{
+  auto& call = aState.mCalls.at(aNumber);
+  ++aState.mCounts.mResubmitted;
+  call.mHolder.reset();
+  call.mRefusedBy.clear();
+  call.mRefusal.reset();
+  call.mForwardAt = aNotBefore;
+  AddReport(aActions,
+            "call_resubmitted",
+            { { "job", call.mJob.mId }, { "reason", std::string(aReason) } },
+            true);
+}
+
+} // namespace
+
+void SubmitCall(State& aState, const CallerSubmit& aEvent, const Now& aNow, Actions& aActions)
+{
+  const auto number = ++aState.mLastCall;
+  Call call;
+  call.mRequest = aEvent.mRequest;
+  call.mJob = aEvent.mJob;
+  call.mDeadline = aNow.mTime + Duration(aEvent.mJob.mDeadline);
+  call.mMilliCores = MilliCoresOf(aEvent.mJob);
+  aState.mCalls.emplace(number, std::move(call));
+  aState.mCallByRequest.emplace(aEvent.mRequest, number);
+  ++aState.mCounts.mCalls;
+  if (!aState.mConfiguration) {
+    Answer(aState,
+           number,
+           std::nullopt,
+           Error{ ErrorCode::NotReady,
+                  Verdict::NotRun,
+                  "The entry has no configuration yet.",
+                  admission::RetryAfter(kNoHolderRetryAfter, aState.mRandom) },
+           aActions);
+    return;
+  }
+  Offer(aState, number, aNow, aActions);
+}
+
+void EndCall(State& aState, const CallerGone& aEvent, const Now& aNow, Actions& aActions)
+{
+  const auto it = aState.mCallByRequest.find(aEvent.mRequest);
+  if (it == aState.mCallByRequest.end()) {
+    return;
+  }
+  const auto number = it->second;
+  const auto& call = aState.mCalls.at(number);
+  AddReport(aActions, "caller_gone", { { "job", call.mJob.mId } });
+  if (call.mHolder == aState.mOptions.mIncarnation) {
+    for (const auto& [request, origin] : aState.mOrigins) {
+      if (!origin.mPeer && origin.mNumber == number) {
+        CancelOrigin(aState, request, aNow, aActions);
+        break;
+      }
+    }
+  } else if (call.mHolder) {
+    if (const auto* peer = FindPeer(aState, *call.mHolder)) {
+      aActions.emplace_back(
+        SendPeer{ peer->mAddress, message::Cancel{ number, call.mJob.mId, call.mJob.mTeam } });
+    }
+  }
+  aState.mCalls.erase(number);
+  aState.mCallByRequest.erase(it);
+}
+
+void HandleOutcome(State& aState,
+                   CallNumber aNumber,
+                   Incarnation aHolder,
+                   std::optional<JobAnswer> aAnswer,
+                   std::optional<Error> aError,
+                   const Now& aNow,
+                   Actions& aActions)
+{
+  const auto it = aState.mCalls.find(aNumber);
+  if (it == aState.mCalls.end() || it->second.mHolder != aHolder) {
+    return; // The caller is gone, or the job has been submitted elsewhere.
+  }
+  auto& call = it->second;
+  if (aAnswer) {
+    const auto code = aAnswer->mError ? aAnswer->mError->mCode : ErrorCode::Internal;
+    const bool calledOff = aAnswer->mState == JobState::Failed &&
+                           (code == ErrorCode::Cancelled || code == ErrorCode::Stopping);
+    if (!calledOff) {
+      Answer(aState, aNumber, std::move(aAnswer), std::nullopt, aActions);
+      return;
+    }
+    call.mVerdict = Combine(call.mVerdict, aAnswer->mVerdict);
+    Resubmit(aState, aNumber, ToString(code), aNow.mTime + Duration(kForwardAgain), aActions);
+    return;
+  }
+  switch (aError->mCode) {
+    case ErrorCode::Stopping:
+    case ErrorCode::NotReady:
+    case ErrorCode::OwnerUnsettled:
+    case ErrorCode::OwnerUnreachable:
+      Resubmit(aState,
+               aNumber,
+               ToString(aError->mCode),
+               aNow.mTime + Duration(aError->mRetryAfter.value_or(kForwardAgain)),
+               aActions);
+      return;
+    default:
+      break;
+  }
+  call.mRefusal = std::move(aError);
+  call.mRefusedBy.push_back(aHolder);
+  if (call.mRefusedBy.size() >= kMostRefusals) {
+    Answer(aState, aNumber, std::nullopt, std::move(call.mRefusal), aActions);
+    return;
+  }
+  Offer(aState, aNumber, aNow, aActions);
+}
+
+void ResendCalls(State& aState, const Peer& aPeer, const Now& aNow, Actions& aActions)
+{
+  for (auto& [number, call] : aState.mCalls) {
+    if (call.mHolder == aPeer.mIncarnation && aNow.mTime < call.mDeadline) {
+      Forward(aState, number, call, aNow, aActions);
+    }
+  }
+}
+
+void AdvanceCalls(State& aState, const Now& aNow, Actions& aActions)
+{
+  std::vector<CallNumber> expired;
+  std::vector<CallNumber> due;
+  for (auto& [number, call] : aState.mCalls) {
+    if (aNow.mTime >= call.mDeadline) {
+      expired.push_back(number);
+      continue;
+    }
+    if (!call.mHolder) {
+      if (aNow.mTime >= call.mForwardAt) {
+        due.push_back(number);
+      }
+      continue;
+    }
+    if (*call.mHolder == aState.mOptions.mIncarnation) {
+      continue;
+    }
+    const auto* peer = FindPeer(aState, *call.mHolder);
+    if (peer != nullptr && IsLiving(aState, *peer, aNow)) {
+      continue;
+    }
+    call.mVerdict = Verdict::MayHaveRun;
+    const auto heard = peer != nullptr && peer->mHeardAt ? *peer->mHeardAt : aNow.mTime;
+    Resubmit(
+      aState, number, "holder_silent", heard + Duration(aState.mOptions.mRunsOverAfter), aActions);
+  }
+  for (const auto number : expired) {
+    const auto& call = aState.mCalls.at(number);
+    const bool mayHaveRun = call.mHolder.has_value();
+    Answer(aState,
+           number,
+           std::nullopt,
+           Error{ ErrorCode::Expired,
+                  mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun,
+                  "The job's deadline passed.",
+                  {} },
+           aActions);
+  }
+  for (const auto number : due) {
+    Offer(aState, number, aNow, aActions);
+  }
+}
+
+} // namespace pollenwall::entry
--- /dev/null
+++ b/src/libentry/entry.cpp
@@ -0,0 +1,268 @@
+#include <pollenwall/entry.h>
+
+#include <algorithm>
+
+#include <boost/json.hpp>
+
+#include "state.h"
+
+namespace pollenwall::entry {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A gap between events beyond this means that the process was not running: nothing that it
+/// believes of its peers is current.
+constexpr milliseconds kPause{ 300 };
+/// A planned stop goes on for this long after the last job has ended, so that the balancer has seen
+/// that this entry is not ready and new calls have gone elsewhere.
+constexpr milliseconds kQuietBeforeStop{ 2200 };
+
+void Apply(State& aState, const CallerSubmit& aEvent, const Now& aNow, Actions& aActions)
+{
+  SubmitCall(aState, aEvent, aNow, aActions);
+}
+
+void Apply(State& aState, const CallerGone& aEvent, const Now& aNow, Actions& aActions)
+{
+  EndCall(aState, aEvent, aNow, aActions);
+}
+
+void Apply(State& aState, const PeerMessage& aEvent, const Now& aNow, Actions& aActions)
+{
+  if (const auto* presence = std::get_if<message::Presence>(&aEvent.mMessage)) {
+    HandlePresence(aState, aEvent.mFrom, *presence, aNow, aActions);
+    return;
+  }
+  const auto it = aState.mPeers.find(aEvent.mFrom);
+  if (it == aState.mPeers.end() || it->second.mIncarnation.mValue == 0) {
+    return; // Its presence comes first on each connection.
+  }
+  const auto peer = it->second.mIncarnation;
+  if (const auto* submit = std::get_if<message::Submit>(&aEvent.mMessage)) {
+    if (aState.mDraining) {
+      aActions.emplace_back(SendPeer{
+        aEvent.mFrom,
+        message::Reply{ submit->mNumber,
+                        std::nullopt,
+                        Error{ ErrorCode::Stopping, Verdict::NotRun, "The holder stops.", {} } } });
+      return;
+    }
+    RunJob(aState, { peer, submit->mNumber, submit->mJob.mId }, submit->mJob, aNow, aActions);
+  } else if (const auto* reply = std::get_if<message::Reply>(&aEvent.mMessage)) {
+    HandleOutcome(aState, reply->mNumber, peer, reply->mAnswer, reply->mError, aNow, aActions);
+  } else if (const auto* cancel = std::get_if<message::Cancel>(&aEvent.mMessage)) {
+    const auto origin = aState.mRemote.find({ peer, cancel->mNumber });
+    if (origin != aState.mRemote.end()) {
+      CancelOrigin(aState, origin->second, aNow, aActions);
+    }
+  }
+}
+
+void Apply(State& aState, const PeerConnected& aEvent, const Now& aNow, Actions& aActions)
+{
+  const auto it = aState.mPeers.find(aEvent.mAddress);
+  if (it == aState.mPeers.end()) {
+    return;
+  }
+  it->second.mConnectedAt = aNow.mTime;
+  aState.mPresenceDue = true;
+  SendPresence(aState, aNow, aActions);
+  ResendCalls(aState, it->second, aNow, aActions);
+}
+
+void Apply(State& aState, const EntriesListed& aEvent, const Now&, Actions& aActions)
+{
+  ApplyEntries(aState, aEvent, aActions);
+}
+
+void Apply(State& aState, const UpstreamsListed& aEvent, const Now& aNow, Actions&)
+{
+  ApplyUpstreams(aState, aEvent, aNow);
+}
+
+void Apply(State& aState, const ConfigurationListed& aEvent, const Now& aNow, Actions& aActions)
+{
+  const auto& configuration = aEvent.mConfiguration;
+  if (aState.mConfiguration && configuration.mVersion <= aState.mConfiguration->mVersion) {
+    return; // An accepted configuration never reverts.
+  }
+  aState.mConfiguration = configuration;
+  AddReport(aActions,
+            "configuration_in_force",
+            { { "version", std::to_string(configuration.mVersion) } });
+  Reconfigure(aState, aNow);
+}
+
+void Apply(State& aState, const holding::StartAnswered& aEvent, const Now& aNow, Actions&)
+{
+  holding::Handle(aState.mHolding, aEvent, aNow, aState.mHoldingActions);
+}
+
+void Apply(State& aState, const holding::StopAnswered& aEvent, const Now& aNow, Actions&)
+{
+  holding::Handle(aState.mHolding, aEvent, aNow, aState.mHoldingActions);
+}
+
+void Apply(State& aState, const holding::LookAnswered& aEvent, const Now& aNow, Actions&)
+{
+  holding::Handle(aState.mHolding, aEvent, aNow, aState.mHoldingActions);
+}
+
+void Apply(State& aState, const Drain&, const Now& aNow, Actions& aActions)
+{
+  if (aState.mDraining) {
+    return;
+  }
+  aState.mDraining = true;
+  aState.mDrainBegan = aNow.mTime;
+  aState.mPresenceDue = true;
+  aState.mNextClaims = aNow.mTime;
+  AddReport(aActions, "drain_began", { { "calls", std::to_string(aState.mCalls.size()) } });
+  ReturnUnstartedJobs(aState, aNow, aActions);
+}
+
+void AdvanceDrain(State& aState, const Now& aNow, Actions& aActions)
+{
+  if (!aState.mDraining || aState.mStopped) {
+    return;
+  }
+  const auto passed = aNow.mTime - aState.mDrainBegan;
+  const bool done = aState.mCalls.empty() && aState.mOrigins.empty() &&
+                    aState.mHolding.mSessions.empty() && passed >= kQuietBeforeStop;
+  if (done || passed >= aState.mOptions.mDrainLimit) {
+    aState.mStopped = true;
+    aActions.emplace_back(Stopped{});
+  }
+}
+
+void Apply(State& aState, const Tick&, const Now& aNow, Actions& aActions)
+{
+  dispatch::Handle(*aState.mDispatch, dispatch::Tick{}, aNow, aState.mDispatchActions);
+  holding::Advance(aState.mHolding, aNow, aState.mHoldingActions);
+  DropMissingUpstreams(aState, aNow);
+  DropLostOwners(aState, aNow, aActions);
+  WatchPeers(aState, aNow, aActions);
+  UpdateClaims(aState, aNow, aActions);
+  Settle(aState, aNow, aActions);
+  AdvanceCalls(aState, aNow, aActions);
+  SendPresence(aState, aNow, aActions);
+  AdvanceDrain(aState, aNow, aActions);
+}
+
+/// After a pause the jobs of other owners are dropped before anything else is decided: their owners
+/// have submitted them elsewhere by now.
+void NoticePause(State& aState, const Now& aNow, Actions& aActions)
+{
+  const auto gap = aNow.mTime - aState.mLastEvent;
+  aState.mLastEvent = aNow.mTime;
+  if (gap <= kPause) {
+    return;
+  }
+  AddReport(
+    aActions, "pause_noticed", { { "ms", std::to_string(gap / Duration(milliseconds{ 1 })) } }, true);
+  DropLostOwners(aState, aNow, aActions);
+}
+
+} // namespace
+
+void AddReport(Actions& aActions, std::string aEvent, Fields aFields, bool aWarning)
+{
+  aActions.emplace_back(Report{ std::move(aEvent), aWarning, std::move(aFields) });
+}
+
+std::unique_ptr<State, void (*)(State*)> MakeState(const Options& aOptions, const Now& aNow)
+{
+  auto options = aOptions;
+  options.mDispatch.mDataCentre = aOptions.mDataCentre;
+  options.mDispatch.mHoldsWholeUpstreams = true;
+  auto state = std::unique_ptr<State, void (*)(State*)>(
+    new State{ .mOptions = options,
+               .mRandom = std::mt19937_64(aOptions.mSeed),
+               .mDispatch = dispatch::MakeState(options.mDispatch, aOptions.mSeed + 1) },
+    [](State* aState) { delete aState; });
+  state->mHolding.mOptions = options.mHolding;
+  state->mLastEvent = aNow.mTime;
+  return state;
+}
+
+void Handle(State& aState, const Event& aEvent, const Now& aNow, Actions& aActions)
+{
+  NoticePause(aState, aNow, aActions);
+  std::visit([&](const auto& aKind) { Apply(aState, aKind, aNow, aActions); }, aEvent);
+  Settle(aState, aNow, aActions);
+}
+
+bool IsReady(const State& aState, const Now& aNow)
+{
+  if (aState.mDraining || !aState.mConfiguration) {
+    return false;
+  }
+  if (!LoadsOf(aState).empty()) {
+    return true;
+  }
+  return std::any_of(aState.mPeers.begin(), aState.mPeers.end(), [&](const auto& aPeer) {
+    return IsLiving(aState, aPeer.second, aNow) && !aPeer.second.mPresence.mLoads.empty();
+  });
+}
+
+bool HasConfiguration(const State& aState)
+{
+  return aState.mConfiguration.has_value();
+}
+
+std::size_t WaitingJobs(const State& aState, std::string_view aKind)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aState.mCalls.begin(), aState.mCalls.end(), [aKind](const auto& aCall) {
+      return aCall.second.mJob.mKind == aKind && !aCall.second.mHolder;
+    }));
+}
+
+std::vector<std::pair<std::string, std::uint64_t>> Counters(const State& aState)
+{
+  auto counters = dispatch::Counters(*aState.mDispatch);
+  const auto& counts = aState.mCounts;
+  counters.emplace_back("calls_total", counts.mCalls);
+  counters.emplace_back("calls_forwarded_total", counts.mForwarded);
+  counters.emplace_back("calls_resubmitted_total", counts.mResubmitted);
+  counters.emplace_back("calls_refused_total", counts.mRefused);
+  counters.emplace_back("owners_lost_total", counts.mOwnersLost);
+  counters.emplace_back("upstream_claims_total", counts.mClaims);
+  counters.emplace_back("upstream_holds_lost_total", counts.mHoldsLost);
+  counters.emplace_back("upstream_looks_lost_total", counts.mLooksLost);
+  counters.emplace_back("starts_unanswered_total", counts.mStartsUnanswered);
+  return counters;
+}
+
+std::string Dump(const State& aState, const Now& aNow)
+{
+  namespace json = boost::json;
+  json::array peers;
+  for (const auto& [address, peer] : aState.mPeers) {
+    peers.push_back(json::object{ { "address", address },
+                                  { "name", peer.mPresence.mName },
+                                  { "living", IsLiving(aState, peer, aNow) },
+                                  { "held", peer.mHeld.size() } });
+  }
+  json::array holds;
+  for (const auto& [key, session] : aState.mHolding.mSessions) {
+    holds.push_back(json::object{ { "upstream", key },
+                                  { "phase", static_cast<int>(session.mPhase) },
+                                  { "token", session.mToken },
+                                  { "runs", session.mRuns.size() },
+                                  { "releasing", session.mReleasing } });
+  }
+  json::object dump{ { "name", aState.mOptions.mName },
+                     { "incarnation", ToString(aState.mOptions.mIncarnation) },
+                     { "draining", aState.mDraining },
+                     { "calls", aState.mCalls.size() },
+                     { "origins", aState.mOrigins.size() },
+                     { "upstreams", aState.mUpstreams.size() },
+                     { "peers", std::move(peers) },
+                     { "holds", std::move(holds) },
+                     { "dispatch", json::parse(dispatch::Dump(*aState.mDispatch, aNow)) } };
+  return json::serialize(dump);
+}
+
+} // namespace pollenwall::entry
--- /dev/null
+++ b/src/libentry/holder.cpp
@@ -0,0 +1,527 @@
+#include <algorithm>
+
+#include <pollenwall/hash.h>
+
+#include "state.h"
+
+// The holder's side: upstreams that this entry holds and the jobs that it runs on them.
+
+namespace pollenwall::entry {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kClaimInterval{ 100 };
+/// A job whose earlier runs are still being stopped is asked for again after this.
+constexpr milliseconds kStoppingRetryAfter{ 100 };
+/// A claim that failed says only that a higher token is in use. Tokens are Unix milliseconds shifted
+/// by 12 bits, so this exceeds what a clock that is 5 s ahead has given out.
+constexpr std::uint64_t kTokenStep = std::uint64_t{ 5000 } << 12;
+
+std::string KeyOf(const UpstreamRecord& aRecord)
+{
+  return configuration::UpstreamKey(aRecord.mService, aRecord.mId);
+}
+
+Destination DestinationOf(const State& aState, std::string_view aUpstream)
+{
+  const auto it = aState.mUpstreams.find(aUpstream);
+  if (it == aState.mUpstreams.end()) {
+    return {};
+  }
+  const auto& record = it->second.mRecord;
+  return { record.mId, record.mAddress + ":" + std::to_string(record.mPort) };
+}
+
+// Jobs.
+
+void Reply(State& aState,
+           RequestId aRequest,
+           std::optional<JobAnswer> aAnswer,
+           std::optional<Error> aError,
+           const Now& aNow,
+           Actions& aActions)
+{
+  const auto it = aState.mOrigins.find(aRequest);
+  if (it == aState.mOrigins.end()) {
+    return; // The owner has given the job up.
+  }
+  const auto origin = it->second;
+  aState.mOrigins.erase(it);
+  if (!origin.mPeer) {
+    HandleOutcome(aState,
+                  origin.mNumber,
+                  aState.mOptions.mIncarnation,
+                  std::move(aAnswer),
+                  std::move(aError),
+                  aNow,
+                  aActions);
+    return;
+  }
+  aState.mRemote.erase({ *origin.mPeer, origin.mNumber });
+  if (const auto* peer = FindPeer(aState, *origin.mPeer)) {
+    aActions.emplace_back(SendPeer{
+      peer->mAddress, message::Reply{ origin.mNumber, std::move(aAnswer), std::move(aError) } });
+  }
+}
+
+/// Carries out one action of the scheduling core.
+struct DispatchCarrier
+{
+  State& mState;
+  const Now& mNow;
+  Actions& mActions;
+
+  void operator()(dispatch::StartTask& aAction)
+  {
+    const auto address = dispatch::AddressOf(*mState.mDispatch, aAction.mUpstream);
+    AddReport(mActions,
+              "task_started",
+              { { "job", aAction.mTask.mJob },
+                { "task", std::to_string(aAction.mTask.mIndex) },
+                { "run", std::to_string(aAction.mAttempt) },
+                { "upstream", address.mKey } });
+    mPayloads = std::move(aAction.mPayload);
+    const auto before = mState.mHoldingActions.size();
+    holding::Start(mState.mHolding,
+                   address.mKey,
+                   { aAction.mTask, aAction.mAttempt },
+                   mNow,
+                   mState.mHoldingActions);
+    // The order itself goes out at once; it is the only place that needs the payload.
+    if (mState.mHoldingActions.size() > before) {
+      if (auto* start = std::get_if<holding::SendStart>(&mState.mHoldingActions.back())) {
+        mActions.emplace_back(StartRun{
+          DestinationOf(mState, address.mKey), std::move(*start), std::move(mPayloads) });
+        mState.mHoldingActions.pop_back();
+      }
+    }
+  }
+
+  void operator()(dispatch::StopTask& aAction)
+  {
+    const auto address = dispatch::AddressOf(*mState.mDispatch, aAction.mUpstream);
+    holding::Stop(mState.mHolding, address.mKey, aAction.mTask, mNow, mState.mHoldingActions);
+  }
+
+  void operator()(dispatch::Answer& aAction)
+  {
+    Reply(mState, aAction.mRequest, std::move(aAction.mAnswer), std::nullopt, mNow, mActions);
+  }
+
+  void operator()(dispatch::Refuse& aAction)
+  {
+    Reply(mState, aAction.mRequest, std::nullopt, std::move(aAction.mError), mNow, mActions);
+  }
+
+  void operator()(dispatch::Accepted& /*aAction*/) {}
+  void operator()(dispatch::Finished& /*aAction*/) {}
+
+  std::shared_ptr<const std::string> mPayloads;
+};
+
+void Dispatch(State& aState, const dispatch::Event& aEvent, const Now& aNow)
+{
+  dispatch::Handle(*aState.mDispatch, aEvent, aNow, aState.mDispatchActions);
+}
+
+/// Carries out one action of the holds.
+struct HoldingCarrier
+{
+  State& mState;
+  const Now& mNow;
+  Actions& mActions;
+
+  void operator()(holding::SendStart& aAction)
+  {
+    mActions.emplace_back(
+      StartRun{ DestinationOf(mState, aAction.mUpstream), std::move(aAction), nullptr });
+  }
+
+  void operator()(holding::SendStop& aAction)
+  {
+    auto to = DestinationOf(mState, aAction.mUpstream);
+    mActions.emplace_back(StopRun{ std::move(to), std::move(aAction) });
+  }
+
+  void operator()(holding::SendLook& aAction)
+  {
+    auto to = DestinationOf(mState, aAction.mUpstream);
+    mActions.emplace_back(Look{ std::move(to), std::move(aAction) });
+  }
+
+  void operator()(holding::Ended& aAction)
+  {
+    const auto it = mState.mUpstreams.find(aAction.mUpstream);
+    const auto& outcome = aAction.mOutcome;
+    if (outcome.mCode) {
+      AddReport(mActions,
+                "task_not_done",
+                { { "job", aAction.mTask.mJob },
+                  { "task", std::to_string(aAction.mTask.mIndex) },
+                  { "run", std::to_string(aAction.mNumber) },
+                  { "upstream", aAction.mUpstream },
+                  { "verdict", std::string(ToString(outcome.mVerdict)) },
+                  { "code", std::string(ToString(*outcome.mCode)) } },
+                true);
+    }
+    const auto index = dispatch::FindUpstream(*mState.mDispatch, aAction.mUpstream);
+    if (it == mState.mUpstreams.end() && !index) {
+      return;
+    }
+    Dispatch(mState,
+             dispatch::TaskEnded{
+               aAction.mTask, aAction.mNumber, index.value_or(0), std::move(aAction.mOutcome) },
+             mNow);
+  }
+
+  void operator()(holding::UsableChanged& aAction)
+  {
+    const auto it = mState.mUpstreams.find(aAction.mUpstream);
+    const auto slots = it == mState.mUpstreams.end() ? 0 : it->second.mRecord.mSlots;
+    Dispatch(
+      mState, dispatch::SetCredits{ aAction.mUpstream, aAction.mUsable ? slots : 0, 0 }, mNow);
+    mState.mPresenceDue = true;
+  }
+
+  void operator()(holding::LostToOther& aAction)
+  {
+    ++mState.mCounts.mHoldsLost;
+    mState.mPresenceDue = true;
+    const auto it = mState.mUpstreams.find(aAction.mUpstream);
+    if (it == mState.mUpstreams.end()) {
+      return;
+    }
+    const bool isolated =
+      std::none_of(mState.mPeers.begin(), mState.mPeers.end(), [this](const auto& aPeer) {
+        return IsLiving(mState, aPeer.second, mNow);
+      });
+    it->second.mClaimNotBefore =
+      mNow.mTime + (isolated ? mState.mOptions.mIsolatedClaimAgain : mState.mOptions.mClaimAgain);
+    it->second.mLeastToken = mState.mHolding.mLastToken + kTokenStep;
+  }
+
+  void operator()(holding::Note& aAction)
+  {
+    mState.mCounts.mLooksLost += aAction.mEvent == "upstream_silent" ? 1 : 0;
+    mState.mCounts.mStartsUnanswered += aAction.mEvent == "start_unanswered" ? 1 : 0;
+    AddReport(mActions,
+              std::move(aAction.mEvent),
+              { { "upstream", std::move(aAction.mUpstream) },
+                { "detail", std::move(aAction.mDetail) } });
+  }
+};
+
+// Claims.
+
+/// The entries that may hold upstreams of a data centre: its own, or all when it has none.
+std::vector<Incarnation> CandidatesOf(const State& aState,
+                                      std::string_view aDataCentre,
+                                      const Now& aNow)
+{
+  std::vector<Incarnation> near;
+  std::vector<Incarnation> all;
+  const auto add = [&](Incarnation aEntry, std::string_view aOf) {
+    all.push_back(aEntry);
+    if (aOf == aDataCentre) {
+      near.push_back(aEntry);
+    }
+  };
+  if (!aState.mDraining) {
+    add(aState.mOptions.mIncarnation, aState.mOptions.mDataCentre);
+  }
+  for (const auto& [address, peer] : aState.mPeers) {
+    if (IsLiving(aState, peer, aNow) && !peer.mPresence.mLeaving) {
+      add(peer.mIncarnation, peer.mPresence.mDataCentre);
+    }
+  }
+  return near.empty() ? all : near;
+}
+
+/// Upstreams of one data centre that one entry should hold.
+struct Share
+{
+  std::string mDataCentre;
+  std::size_t mNumber = 0; ///< Of the shares of this data centre.
+
+  friend auto operator<=>(const Share&, const Share&) = default;
+};
+
+std::map<Share, std::vector<std::string>> SharesOf(const State& aState)
+{
+  std::map<std::string, std::vector<std::string>> byDataCentre;
+  for (const auto& [key, upstream] : aState.mUpstreams) {
+    byDataCentre[upstream.mRecord.mDataCentre].push_back(key);
+  }
+  std::map<Share, std::vector<std::string>> shares;
+  for (auto& [dataCentre, keys] : byDataCentre) {
+    const auto most = aState.mOptions.mUpstreamsPerHolder;
+    const auto n = (keys.size() + most - 1) / most;
+    for (auto& key : keys) {
+      const auto number = aState.mUpstreams.at(key).mHash % n;
+      shares[{ dataCentre, number }].push_back(std::move(key));
+    }
+  }
+  return shares;
+}
+
+bool IsHeldBy(const State& aState, Incarnation aEntry, const std::string& aKey)
+{
+  if (aEntry == aState.mOptions.mIncarnation) {
+    return holding::Holds(aState.mHolding, aKey);
+  }
+  const auto address = aState.mPeerAddresses.find(aEntry);
+  return address != aState.mPeerAddresses.end() &&
+         aState.mPeers.at(address->second).mHeld.contains(aState.mUpstreams.at(aKey).mHash);
+}
+
+/// The candidate that holds most of the share already; among equals by rendezvous hashing. So a
+/// share does not move when an entry joins.
+std::optional<Incarnation> HolderOf(const State& aState,
+                                    const Share& aShare,
+                                    const std::vector<std::string>& aKeys,
+                                    const std::vector<Incarnation>& aCandidates)
+{
+  std::optional<Incarnation> best;
+  std::pair<std::size_t, std::uint64_t> most;
+  const auto name = aShare.mDataCentre + "/" + std::to_string(aShare.mNumber);
+  for (const auto entry : aCandidates) {
+    const auto held = std::count_if(aKeys.begin(), aKeys.end(), [&](const std::string& aKey) {
+      return IsHeldBy(aState, entry, aKey);
+    });
+    const std::pair rank{ static_cast<std::size_t>(held), RendezvousWeight(name, entry.mValue) };
+    if (!best || rank > most) {
+      best = entry;
+      most = rank;
+    }
+  }
+  return best;
+}
+
+bool IsHeldByLivingPeer(const State& aState, std::uint64_t aHash, const Now& aNow)
+{
+  return std::any_of(aState.mPeers.begin(), aState.mPeers.end(), [&](const auto& aPeer) {
+    return aPeer.second.mHeld.contains(aHash) && IsLiving(aState, aPeer.second, aNow);
+  });
+}
+
+} // namespace
+
+void RunJob(State& aState, Origin aOrigin, JobSpec aJob, const Now& aNow, Actions& /*aActions*/)
+{
+  if (aOrigin.mPeer && aState.mRemote.contains({ *aOrigin.mPeer, aOrigin.mNumber })) {
+    return; // Sent again over a new connection; its answer is due.
+  }
+  const auto request = ++aState.mLastOrigin;
+  if (aOrigin.mPeer) {
+    aState.mRemote.emplace(std::pair{ *aOrigin.mPeer, aOrigin.mNumber }, request);
+  }
+  aState.mOrigins.emplace(request, std::move(aOrigin));
+  Dispatch(aState, dispatch::Submit{ request, std::move(aJob) }, aNow);
+}
+
+void CancelOrigin(State& aState, RequestId aRequest, const Now& aNow, Actions& /*aActions*/)
+{
+  const auto it = aState.mOrigins.find(aRequest);
+  if (it == aState.mOrigins.end()) {
+    return;
+  }
+  const auto origin = it->second;
+  aState.mOrigins.erase(it);
+  if (origin.mPeer) {
+    aState.mRemote.erase({ *origin.mPeer, origin.mNumber });
+  }
+  Dispatch(aState, dispatch::Unwait{ aRequest }, aNow);
+  const bool waited = std::any_of(
+    aState.mOrigins.begin(), aState.mOrigins.end(), [&origin](const auto& aOther) {
+      return aOther.second.mJob == origin.mJob;
+    });
+  if (!waited) {
+    Dispatch(aState, dispatch::Cancel{ origin.mJob }, aNow);
+  }
+}
+
+void Settle(State& aState, const Now& aNow, Actions& aActions)
+{
+  dispatch::Actions dispatchActions;
+  holding::Actions holdingActions;
+  while (!aState.mDispatchActions.empty() || !aState.mHoldingActions.empty()) {
+    dispatchActions.swap(aState.mDispatchActions);
+    for (auto& action : dispatchActions) {
+      std::visit(DispatchCarrier{ aState, aNow, aActions, nullptr }, action);
+    }
+    dispatchActions.clear();
+    holdingActions.swap(aState.mHoldingActions);
+    for (auto& action : holdingActions) {
+      std::visit(HoldingCarrier{ aState, aNow, aActions }, action);
+    }
+    holdingActions.clear();
+  }
+}
+
+void DropLostOwners(State& aState, const Now& aNow, Actions& aActions)
+{
+  std::vector<RequestId> lost;
+  for (const auto& [request, origin] : aState.mOrigins) {
+    if (!origin.mPeer) {
+      continue;
+    }
+    const auto* peer = FindPeer(aState, *origin.mPeer);
+    if (peer == nullptr || !IsLiving(aState, *peer, aNow)) {
+      lost.push_back(request);
+    }
+  }
+  for (const auto request : lost) {
+    const auto origin = aState.mOrigins.at(request);
+    ++aState.mCounts.mOwnersLost;
+    AddReport(aActions, "owner_lost", { { "job", origin.mJob } }, true);
+    // An owner that is only cut off submits the job elsewhere when it hears this.
+    if (const auto* peer = FindPeer(aState, *origin.mPeer)) {
+      aActions.emplace_back(SendPeer{ peer->mAddress,
+                                      message::Reply{ origin.mNumber,
+                                                      std::nullopt,
+                                                      Error{ ErrorCode::OwnerUnreachable,
+                                                             Verdict::MayHaveRun,
+                                                             "The owner was not heard.",
+                                                             kStoppingRetryAfter } } });
+    }
+    CancelOrigin(aState, request, aNow, aActions);
+  }
+}
+
+void ReturnUnstartedJobs(State& aState, const Now& aNow, Actions& aActions)
+{
+  for (const auto& id : dispatch::UnstartedJobs(*aState.mDispatch, dispatch::kAllJobs)) {
+    const auto withdrawn = dispatch::Withdraw(*aState.mDispatch, id, aNow);
+    if (!withdrawn) {
+      continue;
+    }
+    for (const auto request : withdrawn->mRequests) {
+      Reply(aState,
+            request,
+            std::nullopt,
+            Error{ ErrorCode::Stopping, Verdict::NotRun, "The holder is stopping.", {} },
+            aNow,
+            aActions);
+    }
+  }
+}
+
+void ApplyUpstreams(State& aState, const UpstreamsListed& aEvent, const Now& aNow)
+{
+  aState.mUpstreamsListed = true;
+  std::set<std::string> listed;
+  bool changed = false;
+  for (const auto& record : aEvent.mUpstreams) {
+    const auto key = KeyOf(record);
+    listed.insert(key);
+    auto& upstream = aState.mUpstreams[key];
+    changed = changed || upstream.mRecord != record;
+    upstream.mRecord = record;
+    upstream.mHash = Hash64(key);
+    upstream.mMissingSince.reset();
+  }
+  for (auto& [key, upstream] : aState.mUpstreams) {
+    if (!listed.contains(key) && !upstream.mMissingSince) {
+      upstream.mMissingSince = aNow.mTime;
+    }
+  }
+  if (changed) {
+    Reconfigure(aState, aNow);
+  }
+}
+
+void DropMissingUpstreams(State& aState, const Now& aNow)
+{
+  std::vector<std::string> gone;
+  for (const auto& [key, upstream] : aState.mUpstreams) {
+    if (upstream.mMissingSince &&
+        aNow.mTime - *upstream.mMissingSince > aState.mOptions.mMissingUpstreamKept) {
+      gone.push_back(key);
+    }
+  }
+  if (gone.empty()) {
+    return;
+  }
+  for (const auto& key : gone) {
+    holding::Drop(aState.mHolding, key, aState.mHoldingActions);
+    aState.mUpstreams.erase(key);
+  }
+  Reconfigure(aState, aNow);
+}
+
+void Reconfigure(State& aState, const Now& aNow)
+{
+  if (!aState.mConfiguration) {
+    return;
+  }
+  auto configuration = std::make_shared<configuration::Configuration>(*aState.mConfiguration);
+  for (const auto& [key, upstream] : aState.mUpstreams) {
+    const auto& record = upstream.mRecord;
+    configuration->mWorkers[record.mId] = { record.mId,
+                                            record.mDataCentre,
+                                            record.mRack,
+                                            record.mAddress,
+                                            record.mCapacity.mMilliCores,
+                                            record.mCapacity.mMemoryBytes,
+                                            record.mCapacity.mAccelerators };
+    configuration->mUpstreams[key] = {
+      record.mService, record.mId, record.mPort, record.mSlots, 0
+    };
+  }
+  Dispatch(aState, dispatch::ConfigurationApplied{ std::move(configuration) }, aNow);
+  for (const auto& [key, upstream] : aState.mUpstreams) {
+    const auto sign = upstream.mRecord.mLeaving ? dispatch::Sign::Leaving : dispatch::Sign::Live;
+    Dispatch(aState, dispatch::UpstreamSign{ key, sign, aNow.mUnixMs }, aNow);
+  }
+}
+
+void UpdateClaims(State& aState, const Now& aNow, Actions& aActions)
+{
+  if (aNow.mTime < aState.mNextClaims) {
+    return;
+  }
+  aState.mNextClaims = aNow.mTime + kClaimInterval;
+  const auto self = aState.mOptions.mIncarnation;
+  for (const auto& [share, keys] : SharesOf(aState)) {
+    const auto candidates = CandidatesOf(aState, share.mDataCentre, aNow);
+    const bool own = HolderOf(aState, share, keys, candidates) == self;
+    for (const auto& key : keys) {
+      auto& upstream = aState.mUpstreams.at(key);
+      const bool held = aState.mHolding.mSessions.contains(key);
+      if (held && own) {
+        holding::Keep(aState.mHolding, key, aState.mHoldingActions);
+      } else if (held) {
+        holding::Release(aState.mHolding, key, aState.mHoldingActions);
+      } else if (own && !upstream.mRecord.mLeaving && aNow.mTime >= upstream.mClaimNotBefore &&
+                 !IsHeldByLivingPeer(aState, upstream.mHash, aNow)) {
+        ++aState.mCounts.mClaims;
+        AddReport(aActions, "upstream_claimed", { { "upstream", key } });
+        holding::Claim(
+          aState.mHolding, key, upstream.mLeastToken, aNow, aState.mHoldingActions);
+        upstream.mLeastToken = 0;
+        aState.mPresenceDue = true;
+      }
+    }
+  }
+}
+
+std::vector<message::ServiceLoad> LoadsOf(const State& aState)
+{
+  std::vector<message::ServiceLoad> loads;
+  if (!aState.mConfiguration) {
+    return loads;
+  }
+  for (const auto& [name, service] : aState.mConfiguration->mServices) {
+    const auto room = dispatch::RoomOf(*aState.mDispatch, name);
+    if (room.mMilliCores > 0) {
+      loads.push_back({ name,
+                        room.mMilliCores,
+                        room.mFreeMilliCores,
+                        dispatch::QueuedMilliCores(*aState.mDispatch, name) });
+    }
+  }
+  return loads;
+}
+
+} // namespace pollenwall::entry
--- /dev/null
+++ b/src/libentry/peers.cpp
@@ -0,0 +1,143 @@
+#include <algorithm>
+
+#include "state.h"
+
+// The other entries: who is there, and who hears whom.
+
+namespace pollenwall::entry {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/// A connection on which the peer has not heard this entry for this long is replaced.
+constexpr milliseconds kDeafConnection{ 350 };
+/// A peer that was heard this long ago is still named in presences, with its age.
+constexpr milliseconds kHeardListed{ 10000 };
+
+} // namespace
+
+bool IsLiving(const State& aState, const Peer& aPeer, const Now& aNow)
+{
+  const auto since = aNow.mTime - aState.mOptions.mSilentAfter;
+  return aPeer.mHeardAt && *aPeer.mHeardAt >= since && aPeer.mHeardUsAt &&
+         *aPeer.mHeardUsAt >= since;
+}
+
+Peer* FindPeer(State& aState, Incarnation aIncarnation)
+{
+  const auto it = aState.mPeerAddresses.find(aIncarnation);
+  return it == aState.mPeerAddresses.end() ? nullptr : &aState.mPeers.at(it->second);
+}
+
+void ApplyEntries(State& aState, const EntriesListed& aEvent, Actions& aActions)
+{
+  for (auto& [address, peer] : aState.mPeers) {
+    peer.mListed = false;
+  }
+  for (const auto& record : aEvent.mEntries) {
+    if (record.mPeerAddress == aState.mOptions.mPeerAddress) {
+      continue;
+    }
+    auto& peer = aState.mPeers[record.mPeerAddress];
+    peer.mListed = true;
+    if (peer.mAddress.empty()) {
+      peer.mAddress = record.mPeerAddress;
+      AddReport(aActions,
+                "peer_listed",
+                { { "name", record.mName }, { "address", record.mPeerAddress } });
+      aActions.emplace_back(ConnectPeer{ record.mPeerAddress, false });
+    }
+  }
+}
+
+void HandlePresence(State& aState,
+                    const std::string& aFrom,
+                    const message::Presence& aPresence,
+                    const Now& aNow,
+                    Actions& aActions)
+{
+  auto& peer = aState.mPeers[aFrom];
+  if (peer.mAddress.empty()) {
+    peer.mAddress = aFrom;
+    aActions.emplace_back(ConnectPeer{ aFrom, false });
+  }
+  if (aPresence.mIncarnation < peer.mIncarnation) {
+    return; // Sent before the process there started again.
+  }
+  if (peer.mIncarnation != aPresence.mIncarnation) {
+    aState.mPeerAddresses.erase(peer.mIncarnation);
+    aState.mPeerAddresses[aPresence.mIncarnation] = aFrom;
+    peer.mIncarnation = aPresence.mIncarnation;
+    peer.mHeardUsAt.reset();
+    AddReport(aActions,
+              "peer_started",
+              { { "name", aPresence.mName },
+                { "address", aFrom },
+                { "incarnation", ToString(aPresence.mIncarnation) } });
+  }
+  peer.mHeardAt = aNow.mTime;
+  for (const auto& heard : aPresence.mHeard) {
+    if (heard.mIncarnation == aState.mOptions.mIncarnation) {
+      peer.mHeardUsAt = aNow.mTime - Duration(heard.mAge);
+    }
+  }
+  peer.mPresence = aPresence;
+  peer.mHeld = { aPresence.mHeld.begin(), aPresence.mHeld.end() };
+  peer.mSentMilliCores.clear();
+}
+
+void SendPresence(State& aState, const Now& aNow, Actions& aActions)
+{
+  if (aNow.mTime < aState.mNextPresence && !aState.mPresenceDue) {
+    return;
+  }
+  aState.mPresenceDue = false;
+  aState.mNextPresence = aNow.mTime + Duration(aState.mOptions.mPresenceInterval);
+  message::Presence presence;
+  presence.mIncarnation = aState.mOptions.mIncarnation;
+  presence.mName = aState.mOptions.mName;
+  presence.mDataCentre = aState.mOptions.mDataCentre;
+  presence.mPeerAddress = aState.mOptions.mPeerAddress;
+  presence.mLeaving = aState.mDraining;
+  presence.mConfigurationVersion =
+    aState.mConfiguration ? aState.mConfiguration->mVersion : configuration::Version{ 0 };
+  for (const auto& [key, session] : aState.mHolding.mSessions) {
+    const auto it = aState.mUpstreams.find(key);
+    if (it != aState.mUpstreams.end() && session.mPhase != holding::SessionPhase::Lost) {
+      presence.mHeld.push_back(it->second.mHash);
+    }
+  }
+  presence.mLoads = LoadsOf(aState);
+  for (const auto& [address, peer] : aState.mPeers) {
+    const auto age = peer.mHeardAt ? aNow.mTime - *peer.mHeardAt : Duration(kHeardListed);
+    if (age < kHeardListed) {
+      presence.mHeard.push_back({ peer.mIncarnation, duration_cast<milliseconds>(age) });
+    }
+  }
+  for (const auto& [address, peer] : aState.mPeers) {
+    aActions.emplace_back(SendPeer{ address, presence });
+  }
+}
+
+void WatchPeers(State& aState, const Now& aNow, Actions& aActions)
+{
+  for (auto& [address, peer] : aState.mPeers) {
+    const bool living = IsLiving(aState, peer, aNow);
+    if (living != peer.mWasLiving) {
+      peer.mWasLiving = living;
+      AddReport(aActions,
+                living ? "peer_heard" : "peer_silent",
+                { { "name", peer.mPresence.mName }, { "address", address } },
+                !living);
+    }
+    const bool hears = peer.mHeardUsAt && aNow.mTime - *peer.mHeardUsAt <= kDeafConnection;
+    const bool heard = peer.mHeardAt && aNow.mTime - *peer.mHeardAt <= kDeafConnection;
+    if (heard && !hears && aNow.mTime - peer.mConnectedAt > kDeafConnection) {
+      peer.mConnectedAt = aNow.mTime;
+      aActions.emplace_back(ConnectPeer{ address, true });
+    }
+  }
+}
+
+} // namespace pollenwall::entry
--- /dev/null
+++ b/src/libholding/holding.cpp
@@ -0,0 +1,494 @@
+#include <pollenwall/holding.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace pollenwall::holding {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/// Tokens are the wall clock in milliseconds and some low bits that separate claims of the same
+/// millisecond, so that a later claim has a higher token without asking anyone.
+constexpr int kTokenLowBits = 12;
+/// While runs of an earlier holder are being stopped, looks wait this long for their ends.
+constexpr milliseconds kClearingWait{ 50 };
+/// Pause before an upstream that refused a look is asked again.
+constexpr milliseconds kRefusedPause{ 100 };
+
+std::int64_t Milliseconds(Duration aDuration)
+{
+  return duration_cast<milliseconds>(aDuration).count();
+}
+
+Session* Find(State& aState, std::string_view aUpstream, std::uint64_t aNumber)
+{
+  const auto it = aState.mSessions.find(aUpstream);
+  return it == aState.mSessions.end() || it->second.mNumber != aNumber ? nullptr : &it->second;
+}
+
+void AddNote(Actions& aActions, std::string aEvent, std::string_view aUpstream, std::string aDetail)
+{
+  aActions.emplace_back(Note{ std::move(aEvent), std::string(aUpstream), std::move(aDetail) });
+}
+
+void ReportUsable(std::string_view aUpstream, Session& aSession, Actions& aActions)
+{
+  const bool usable = aSession.mPhase == SessionPhase::Ready && !aSession.mReleasing;
+  if (usable != aSession.mUsable) {
+    aSession.mUsable = usable;
+    aActions.emplace_back(UsableChanged{ std::string(aUpstream), usable });
+  }
+}
+
+void SetPhase(std::string_view aUpstream, Session& aSession, SessionPhase aPhase, Actions& aActions)
+{
+  aSession.mPhase = aPhase;
+  ReportUsable(aUpstream, aSession, aActions);
+}
+
+void ReportEnd(std::string_view aUpstream,
+               const Run& aRun,
+               Verdict aVerdict,
+               std::optional<ErrorCode> aCode,
+               Duration aRunTime,
+               Actions& aActions)
+{
+  aActions.emplace_back(Ended{
+    std::string(aUpstream), aRun.mTask, aRun.mNumber, { aVerdict, aCode, "", aRunTime } });
+}
+
+void ReportAll(std::string_view aUpstream, Session& aSession, ErrorCode aCode, Actions& aActions)
+{
+  for (const auto& [run, own] : aSession.mRuns) {
+    ReportEnd(aUpstream, run, Verdict::MayHaveRun, aCode, Duration{ 0 }, aActions);
+  }
+  aSession.mRuns.clear();
+}
+
+void ReadClock(Session& aSession, std::optional<std::int64_t> aClockMs, Time aSentAt, Time aNow)
+{
+  if (aClockMs) {
+    aSession.mClockMs = aClockMs;
+    aSession.mClockAfter = aSentAt;
+    aSession.mClockBefore = aNow;
+  }
+}
+
+/// The lease's end for an order sent now. The upstream's clock may be slow but not fast, so this is
+/// at least mLease away on it.
+std::int64_t NextLeaseEnd(const State& aState, Session& aSession, const Now& aNow)
+{
+  const auto end = aSession.mClockMs.value_or(0) +
+                   Milliseconds(aNow.mTime - aSession.mClockAfter) +
+                   aState.mOptions.mLease.count();
+  aSession.mLeaseEndMs = std::max(aSession.mLeaseEndMs, end);
+  return aSession.mLeaseEndMs;
+}
+
+/// Whether every lease that this session has asked for has ended, however slow the clock.
+bool HasLapsed(const State& aState, const Session& aSession, const Now& aNow)
+{
+  const double passed = static_cast<double>(Milliseconds(aNow.mTime - aSession.mClockBefore));
+  const double clock = static_cast<double>(aSession.mClockMs.value_or(0)) +
+                       passed * (1 - aState.mOptions.mClockSlow);
+  return clock > static_cast<double>(aSession.mLeaseEndMs + aState.mOptions.mLapseMargin.count());
+}
+
+void Lose(std::string_view aUpstream, Session& aSession, Actions& aActions)
+{
+  if (aSession.mPhase == SessionPhase::Lost) {
+    return;
+  }
+  AddNote(aActions, "hold_lost", aUpstream, "another entry has a higher fencing token");
+  SetPhase(aUpstream, aSession, SessionPhase::Lost, aActions);
+  aActions.emplace_back(LostToOther{ std::string(aUpstream) });
+}
+
+/// Ends a session whose upstream runs another incarnation: nothing of this one exists there.
+void DropSession(State& aState, std::string_view aUpstream, Actions& aActions)
+{
+  const auto it = aState.mSessions.find(aUpstream);
+  auto session = std::move(it->second);
+  aState.mSessions.erase(it);
+  ReportAll(aUpstream, session, ErrorCode::UpstreamLost, aActions);
+  if (session.mUsable) {
+    aActions.emplace_back(UsableChanged{ std::string(aUpstream), false });
+  }
+}
+
+void SendStopOf(std::string_view aUpstream, const Session& aSession, const Run& aRun, Actions& aActions)
+{
+  aActions.emplace_back(
+    SendStop{ std::string(aUpstream), aSession.mNumber, aRun, aSession.mToken });
+}
+
+void SendOwnStop(std::string_view aUpstream,
+                 const Session& aSession,
+                 const Run& aRun,
+                 OwnRun& aOwn,
+                 const Now& aNow,
+                 Actions& aActions)
+{
+  aOwn.mStopSentAt = aNow.mTime;
+  SendStopOf(aUpstream, aSession, aRun, aActions);
+}
+
+void SendNextLook(State& aState,
+                  std::string_view aUpstream,
+                  Session& aSession,
+                  const Now& aNow,
+                  Actions& aActions)
+{
+  const auto& options = aState.mOptions;
+  SendLook look{ std::string(aUpstream), aSession.mNumber, aSession.mToken, aSession.mSeen, {}, {} };
+  if (aSession.mPhase == SessionPhase::Ready && !aSession.mRuns.empty()) {
+    look.mLeaseEndMs = NextLeaseEnd(aState, aSession, aNow);
+    look.mWait = options.mLookWait;
+  } else if (aSession.mPhase == SessionPhase::Clearing) {
+    look.mWait = kClearingWait;
+  }
+  aSession.mLooking = true;
+  aActions.emplace_back(std::move(look));
+}
+
+void HandleEnd(std::string_view aUpstream,
+               Session& aSession,
+               const ListedEnd& aEnd,
+               const Now& aNow,
+               Actions& aActions)
+{
+  aSession.mSeen = aEnd.mNumber;
+  const auto it = aSession.mRuns.find(aEnd.mRun);
+  if (it == aSession.mRuns.end()) {
+    return;
+  }
+  const auto runTime = aNow.mTime - it->second.mOrderedAt;
+  switch (aEnd.mEnd) {
+    case RunEnd::Done:
+      ReportEnd(aUpstream, aEnd.mRun, Verdict::Ran, std::nullopt, runTime, aActions);
+      break;
+    case RunEnd::Failed:
+      ReportEnd(aUpstream, aEnd.mRun, Verdict::Ran, ErrorCode::TaskFailed, runTime, aActions);
+      break;
+    case RunEnd::Stopped:
+    case RunEnd::Broken:
+    case RunEnd::Alone:
+      ReportEnd(aUpstream, aEnd.mRun, Verdict::MayHaveRun, ErrorCode::Cancelled, runTime, aActions);
+      break;
+    case RunEnd::Lapsed:
+      ReportEnd(
+        aUpstream, aEnd.mRun, Verdict::MayHaveRun, ErrorCode::UpstreamLost, runTime, aActions);
+      break;
+  }
+  aSession.mRuns.erase(it);
+}
+
+/// Takes what the upstream says of its running tasks.
+void HandleRunning(std::string_view aUpstream,
+                   Session& aSession,
+                   const LookAnswered& aEvent,
+                   const Now& aNow,
+                   Actions& aActions)
+{
+  std::vector<Run> foreign;
+  for (const auto& run : aEvent.mRunning) {
+    const auto it = aSession.mRuns.find(run);
+    if (it != aSession.mRuns.end()) {
+      if (it->second.mPhase != RunPhase::Running) {
+        it->second.mPhase = RunPhase::Running;
+        it->second.mKnownAt = aNow.mTime;
+      }
+      continue;
+    }
+    foreign.push_back(run);
+    SendStopOf(aUpstream, aSession, run, aActions);
+  }
+  aSession.mForeign = std::move(foreign);
+  std::vector<Run> gone;
+  for (auto& [run, own] : aSession.mRuns) {
+    if (std::find(aEvent.mRunning.begin(), aEvent.mRunning.end(), run) != aEvent.mRunning.end()) {
+      continue;
+    }
+    const bool vanished = own.mPhase == RunPhase::Running && own.mKnownAt < aEvent.mSentAt;
+    if (vanished || (own.mStopConfirmed && own.mStopConfirmedAt < aEvent.mSentAt)) {
+      gone.push_back(run);
+    } else if (own.mPhase == RunPhase::Unknown && own.mOrderedAt < aEvent.mSentAt &&
+               !own.mStopSentAt) {
+      // It may still arrive; after a confirmed stop the upstream rejects it.
+      SendOwnStop(aUpstream, aSession, run, own, aNow, aActions);
+    }
+  }
+  for (const auto& run : gone) {
+    const auto it = aSession.mRuns.find(run);
+    const bool began = it->second.mPhase == RunPhase::Running;
+    ReportEnd(aUpstream,
+              run,
+              began ? Verdict::MayHaveRun : Verdict::NotRun,
+              ErrorCode::UpstreamLost,
+              Duration{ 0 },
+              aActions);
+    aSession.mRuns.erase(it);
+  }
+}
+
+} // namespace
+
+void Claim(State& aState,
+           std::string_view aUpstream,
+           std::uint64_t aLeastToken,
+           const Now& aNow,
+           Actions& aActions)
+{
+  if (aState.mSessions.contains(aUpstream)) {
+    return;
+  }
+  const auto clock = static_cast<std::uint64_t>(std::max<UnixMs>(0, aNow.mUnixMs))
+                     << kTokenLowBits;
+  aState.mLastToken = std::max({ clock, aState.mLastToken + 1, aLeastToken + 1 });
+  Session session;
+  session.mNumber = ++aState.mLastSession;
+  session.mToken = aState.mLastToken;
+  auto& stored = aState.mSessions.emplace(aUpstream, std::move(session)).first->second;
+  SendNextLook(aState, aUpstream, stored, aNow, aActions);
+}
+
+void Release(State& aState, std::string_view aUpstream, Actions& aActions)
+{
+  const auto it = aState.mSessions.find(aUpstream);
+  if (it != aState.mSessions.end() && !it->second.mReleasing) {
+    it->second.mReleasing = true;
+    ReportUsable(aUpstream, it->second, aActions);
+  }
+}
+
+void Keep(State& aState, std::string_view aUpstream, Actions& aActions)
+{
+  const auto it = aState.mSessions.find(aUpstream);
+  if (it != aState.mSessions.end() && it->second.mReleasing) {
+    it->second.mReleasing = false;
+    ReportUsable(aUpstream, it->second, aActions);
+  }
+}
+
+void Drop(State& aState, std::string_view aUpstream, Actions& aActions)
+{
+  if (aState.mSessions.contains(aUpstream)) {
+    DropSession(aState, aUpstream, aActions);
+  }
+}
+
+void Start(State& aState,
+           std::string_view aUpstream,
+           const Run& aRun,
+           const Now& aNow,
+           Actions& aActions)
+{
+  const auto it = aState.mSessions.find(aUpstream);
+  if (it == aState.mSessions.end() || !it->second.mUsable) {
+    ReportEnd(aUpstream, aRun, Verdict::NotRun, ErrorCode::Overloaded, Duration{ 0 }, aActions);
+    return;
+  }
+  auto& session = it->second;
+  session.mRuns[aRun] = OwnRun{ RunPhase::Starting, aNow.mTime };
+  session.mNextLook = aNow.mTime;
+  aActions.emplace_back(SendStart{ std::string(aUpstream),
+                                   session.mNumber,
+                                   aRun,
+                                   session.mToken,
+                                   NextLeaseEnd(aState, session, aNow) });
+}
+
+void Stop(State& aState,
+          std::string_view aUpstream,
+          const TaskId& aTask,
+          const Now& aNow,
+          Actions& aActions)
+{
+  const auto it = aState.mSessions.find(aUpstream);
+  if (it == aState.mSessions.end()) {
+    return;
+  }
+  auto& session = it->second;
+  for (auto& [run, own] : session.mRuns) {
+    if (run.mTask != aTask || own.mStopWanted) {
+      continue;
+    }
+    own.mStopWanted = true;
+    if (own.mPhase != RunPhase::Starting && session.mPhase != SessionPhase::Lost) {
+      SendOwnStop(aUpstream, session, run, own, aNow, aActions);
+    }
+  }
+}
+
+void Handle(State& aState, const StartAnswered& aEvent, const Now& aNow, Actions& aActions)
+{
+  auto* session = Find(aState, aEvent.mUpstream, aEvent.mSession);
+  if (session == nullptr) {
+    return;
+  }
+  ReadClock(*session, aEvent.mClockMs, aEvent.mSentAt, aNow.mTime);
+  const auto it = session->mRuns.find(aEvent.mRun);
+  if (it == session->mRuns.end()) {
+    return; // A look has shown its end already.
+  }
+  const auto end = [&](Verdict aVerdict, ErrorCode aCode) {
+    session->mRuns.erase(it);
+    ReportEnd(aEvent.mUpstream, aEvent.mRun, aVerdict, aCode, Duration{ 0 }, aActions);
+  };
+  switch (aEvent.mStatus) {
+    case OrderStatus::Done:
+      it->second.mPhase = RunPhase::Running;
+      it->second.mKnownAt = aNow.mTime;
+      if (it->second.mStopWanted) {
+        SendOwnStop(aEvent.mUpstream, *session, aEvent.mRun, it->second, aNow, aActions);
+      }
+      return;
+    case OrderStatus::Unknown:
+      if (it->second.mPhase == RunPhase::Starting) {
+        it->second.mPhase = RunPhase::Unknown;
+        AddNote(aActions, "start_unanswered", aEvent.mUpstream, ToString(aEvent.mRun.mTask));
+        if (it->second.mStopWanted && session->mPhase != SessionPhase::Lost) {
+          SendOwnStop(aEvent.mUpstream, *session, aEvent.mRun, it->second, aNow, aActions);
+        }
+      }
+      return;
+    case OrderStatus::Fenced:
+      end(Verdict::NotRun, ErrorCode::OwnerUnsettled);
+      Lose(aEvent.mUpstream, *session, aActions);
+      return;
+    case OrderStatus::OtherIncarnation:
+      end(Verdict::NotRun, ErrorCode::UpstreamLost);
+      DropSession(aState, aEvent.mUpstream, aActions);
+      return;
+    case OrderStatus::Superseded:
+      return end(Verdict::NotRun, ErrorCode::Expired);
+    case OrderStatus::Late:
+      return end(Verdict::NotRun, ErrorCode::Expired);
+    case OrderStatus::NoRoom:
+    case OrderStatus::Unavailable:
+      return end(Verdict::NotRun, ErrorCode::Overloaded);
+    case OrderStatus::Rejected:
+      return end(Verdict::NotRun, ErrorCode::BadRequest);
+    case OrderStatus::NotSent:
+      return end(Verdict::NotRun, ErrorCode::OwnerUnreachable);
+  }
+}
+
+void Handle(State& aState, const StopAnswered& aEvent, const Now& aNow, Actions& aActions)
+{
+  auto* session = Find(aState, aEvent.mUpstream, aEvent.mSession);
+  if (session == nullptr) {
+    return;
+  }
+  if (aEvent.mStatus == OrderStatus::Fenced) {
+    Lose(aEvent.mUpstream, *session, aActions);
+    return;
+  }
+  if (aEvent.mStatus == OrderStatus::OtherIncarnation) {
+    DropSession(aState, aEvent.mUpstream, aActions);
+    return;
+  }
+  const auto it = session->mRuns.find(aEvent.mRun);
+  if (it != session->mRuns.end() && aEvent.mStatus == OrderStatus::Done &&
+      !it->second.mStopConfirmed) {
+    it->second.mStopConfirmed = true;
+    it->second.mStopConfirmedAt = aNow.mTime;
+  }
+}
+
+void Handle(State& aState, const LookAnswered& aEvent, const Now& aNow, Actions& aActions)
+{
+  auto* session = Find(aState, aEvent.mUpstream, aEvent.mSession);
+  if (session == nullptr) {
+    return;
+  }
+  session->mLooking = false;
+  ReadClock(*session, aEvent.mClockMs, aEvent.mSentAt, aNow.mTime);
+  switch (aEvent.mStatus) {
+    case OrderStatus::Done:
+      break;
+    case OrderStatus::Fenced:
+      Lose(aEvent.mUpstream, *session, aActions);
+      return;
+    case OrderStatus::OtherIncarnation:
+      DropSession(aState, aEvent.mUpstream, aActions);
+      return;
+    default:
+      ++session->mLostLooks;
+      session->mNextLook = aNow.mTime + kRefusedPause;
+      if (session->mPhase == SessionPhase::Ready) {
+        AddNote(aActions, "upstream_silent", aEvent.mUpstream, "a look was not answered");
+        SetPhase(aEvent.mUpstream, *session, SessionPhase::Silent, aActions);
+      }
+      return;
+  }
+  session->mLostLooks = 0;
+  if (aEvent.mBornMs != session->mBornMs) {
+    if (session->mBornMs) {
+      // A new process under the old name: it counts its ends anew and runs only what it lists.
+      AddNote(aActions, "upstream_restarted", aEvent.mUpstream, "");
+      session->mSeen = 0;
+      session->mLeaseEndMs = 0;
+    }
+    session->mBornMs = aEvent.mBornMs;
+  }
+  for (const auto& end : aEvent.mEnds) {
+    if (end.mNumber > session->mSeen) {
+      HandleEnd(aEvent.mUpstream, *session, end, aNow, aActions);
+    }
+  }
+  HandleRunning(aEvent.mUpstream, *session, aEvent, aNow, aActions);
+  const auto phase = session->mForeign.empty() ? SessionPhase::Ready : SessionPhase::Clearing;
+  if (session->mPhase != SessionPhase::Lost && session->mPhase != phase) {
+    if (phase == SessionPhase::Ready) {
+      AddNote(aActions, "upstream_held", aEvent.mUpstream, "");
+    }
+    SetPhase(aEvent.mUpstream, *session, phase, aActions);
+  }
+  const bool busy = !session->mRuns.empty() || !session->mForeign.empty();
+  session->mNextLook = aNow.mTime + (busy ? Duration{ 0 } : Duration(aState.mOptions.mIdleLook));
+}
+
+void Advance(State& aState, const Now& aNow, Actions& aActions)
+{
+  for (auto it = aState.mSessions.begin(); it != aState.mSessions.end();) {
+    const auto& upstream = it->first;
+    auto& session = it->second;
+    const bool unreachable =
+      session.mPhase == SessionPhase::Lost ||
+      (session.mPhase == SessionPhase::Silent && session.mLostLooks >= aState.mOptions.mLostLooks);
+    if (unreachable && !session.mRuns.empty() && HasLapsed(aState, session, aNow)) {
+      const bool lost = session.mPhase == SessionPhase::Lost;
+      AddNote(aActions, "runs_lapsed", upstream, std::to_string(session.mRuns.size()));
+      ReportAll(
+        upstream, session, lost ? ErrorCode::OwnerUnsettled : ErrorCode::UpstreamLost, aActions);
+    }
+    if (session.mRuns.empty() &&
+        (session.mPhase == SessionPhase::Lost || (session.mReleasing && session.mForeign.empty()))) {
+      it = aState.mSessions.erase(it);
+      continue;
+    }
+    if (session.mPhase != SessionPhase::Lost) {
+      for (auto& [run, own] : session.mRuns) {
+        if (own.mStopSentAt && !own.mStopConfirmed &&
+            aNow.mTime - *own.mStopSentAt > aState.mOptions.mStopAgain) {
+          SendOwnStop(upstream, session, run, own, aNow, aActions);
+        }
+      }
+      if (!session.mLooking && aNow.mTime >= session.mNextLook) {
+        SendNextLook(aState, upstream, session, aNow, aActions);
+      }
+    }
+    ++it;
+  }
+}
+
+bool Holds(const State& aState, std::string_view aUpstream)
+{
+  const auto it = aState.mSessions.find(aUpstream);
+  return it != aState.mSessions.end() && it->second.mPhase != SessionPhase::Lost;
+}
+
+} // namespace pollenwall::holding
--- a/src/libnode/messages.cpp
+++ b/src/libmessages/messages.cpp
@@ -343,7 +343,7 @@
   auto& a = aArchive;
   auto& v = aValue;
   if constexpr (Is<T, Needs>) {
-    a("cores", v.mCores);
+    a("milli_cores", v.mMilliCores);
     a("memory_bytes", v.mMemoryBytes);
     a("accelerators", v.mAccelerators);
   } else if constexpr (Is<T, TaskSpec>) {
@@ -360,6 +360,9 @@
     a("born_ms", v.mBornMs);
     a("deadline_ms", v.mDeadline);
     a("body_hash", v.mBodyHash);
+    a("priority", v.mPriority);
+    a("most_failures", v.mMostFailures);
+    a("restartable", v.mRestartable);
     a("tasks", v.mTasks);
   } else if constexpr (Is<T, Error>) {
     a("code", v.mCode);
@@ -458,10 +461,28 @@
     a("taken", v.mTaken);
   } else if constexpr (Is<T, ConfigFetch>) {
     a("have", v.mHave);
-  } else {
-    static_assert(Is<T, ConfigItems>);
+  } else if constexpr (Is<T, ConfigItems>) {
     a("version", v.mVersion);
     a("snapshot", v.mSnapshot);
+  } else if constexpr (Is<T, ServiceLoad>) {
+    a("service", v.mService);
+    a("room", v.mMilliCores);
+    a("free", v.mFreeMilliCores);
+    a("queued", v.mQueuedMilliCores);
+  } else if constexpr (Is<T, Heard>) {
+    a("of", v.mIncarnation);
+    a("age_ms", v.mAge);
+  } else {
+    static_assert(Is<T, Presence>);
+    a("incarnation", v.mIncarnation);
+    a("name", v.mName);
+    a("dc", v.mDataCentre);
+    a("address", v.mPeerAddress);
+    a("leaving", v.mLeaving);
+    a("config", v.mConfigurationVersion);
+    a("held", v.mHeld);
+    a("loads", v.mLoads);
+    a("heard", v.mHeard);
   }
 }
 
@@ -469,6 +490,7 @@
 constexpr std::array<std::string_view, std::variant_size_v<Message>> kTypes{
   "hello", "heartbeat", "submit",   "status",         "cancel",       "submit_reply", "borrow",
   "grant", "return",    "handover", "handover_reply", "config_fetch", "config_items",
+  "presence",
 };
 constexpr std::string_view kTypeKey = "type";
 
@@ -478,7 +500,7 @@
 {
   if constexpr (std::is_same_v<T, Reply>) {
     return aValue.mAnswer.has_value() != aValue.mError.has_value();
-  } else if constexpr (std::is_same_v<T, Hello>) {
+  } else if constexpr (std::is_same_v<T, Hello> || std::is_same_v<T, Presence>) {
     return aValue.mIncarnation.mValue != 0 && !aValue.mDataCentre.empty();
   } else {
     return true;
--- /dev/null
+++ b/src/libnet/http_pool.cpp
@@ -0,0 +1,240 @@
+#include <pollenwall/net/http_pool.h>
+
+#include <algorithm>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <pollenwall/net/http_client.h>
+
+namespace pollenwall::net {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Clock = std::chrono::steady_clock;
+
+struct HttpPoolConnection : std::enable_shared_from_this<HttpPoolConnection>
+{
+  explicit HttpPoolConnection(const std::shared_ptr<HttpPool>& aPool)
+    : mPool(aPool)
+    , mSocket(aPool->mContext)
+  {
+  }
+
+  std::weak_ptr<HttpPool> mPool;
+  Socket mSocket;
+  bool mClosed = false;
+  bool mSent = false;
+  std::optional<HttpCall> mCall;
+  Clock::time_point mCallUntil = Clock::time_point::max();
+  boost::beast::flat_buffer mBuffer;
+  std::optional<http::response_parser<http::string_body>> mParser;
+};
+
+namespace {
+
+using ConnectionPtr = std::shared_ptr<HttpPoolConnection>;
+
+constexpr std::size_t kReadBytes = 4096;
+
+void SendNext(const std::shared_ptr<HttpPool>& aPool);
+
+void FinishLater(HttpPool& aPool, HttpCall aCall, HttpCallResult aResult)
+{
+  asio::post(aPool.mContext, [call = std::move(aCall), result = std::move(aResult)]() mutable {
+    call.mDone(std::move(result));
+  });
+}
+
+void Close(const ConnectionPtr& aConnection)
+{
+  if (aConnection->mClosed) {
+    return;
+  }
+  aConnection->mClosed = true;
+  boost::system::error_code ec;
+  aConnection->mSocket.close(ec);
+  const auto pool = aConnection->mPool.lock();
+  if (!pool) {
+    return;
+  }
+  std::erase(pool->mIdle, aConnection.get());
+  std::erase(pool->mConnections, aConnection);
+  if (aConnection->mCall) {
+    FinishLater(*pool, std::move(*aConnection->mCall), { 0, "", aConnection->mSent });
+    aConnection->mCall.reset();
+  }
+  SendNext(pool);
+}
+
+void Complete(const ConnectionPtr& aConnection)
+{
+  const auto pool = aConnection->mPool.lock();
+  const bool keep = aConnection->mParser->keep_alive() && aConnection->mBuffer.size() == 0;
+  auto response = aConnection->mParser->release();
+  aConnection->mParser.reset();
+  auto call = std::move(*aConnection->mCall);
+  aConnection->mCall.reset();
+  aConnection->mCallUntil = Clock::time_point::max();
+  if (keep && pool) {
+    pool->mIdle.push_back(aConnection.get());
+  } else {
+    Close(aConnection);
+  }
+  call.mDone({ response.result_int(), std::move(response.body()), true });
+  if (keep && pool) {
+    SendNext(pool);
+  }
+}
+
+/// Feeds what has arrived to the parser. False: the connection cannot be used further.
+bool Parse(const ConnectionPtr& aConnection)
+{
+  auto& buffer = aConnection->mBuffer;
+  while (buffer.size() > 0 && !aConnection->mParser->is_done()) {
+    boost::system::error_code ec;
+    buffer.consume(aConnection->mParser->put(buffer.data(), ec));
+    if (ec == http::error::need_more) {
+      return true;
+    }
+    if (ec) {
+      return false;
+    }
+  }
+  if (aConnection->mParser->is_done()) {
+    Complete(aConnection);
+  }
+  return true;
+}
+
+/// A read is outstanding for the whole life of the connection, so a close by the server is noticed
+/// while the connection is idle.
+void Read(const ConnectionPtr& aConnection)
+{
+  aConnection->mSocket.async_read_some(
+    aConnection->mBuffer.prepare(kReadBytes),
+    [aConnection](const boost::system::error_code& aEc, std::size_t aBytes) {
+      if (aConnection->mClosed) {
+        return;
+      }
+      aConnection->mBuffer.commit(aBytes);
+      if (aEc || !aConnection->mCall || !Parse(aConnection)) {
+        Close(aConnection);
+        return;
+      }
+      if (!aConnection->mClosed) {
+        Read(aConnection);
+      }
+    });
+}
+
+void Write(const ConnectionPtr& aConnection, const HttpPoolLimits& aLimits)
+{
+  aConnection->mParser.emplace();
+  aConnection->mParser->eager(true);
+  aConnection->mParser->body_limit(aLimits.mMaxBodyBytes);
+  aConnection->mSent = true;
+  asio::async_write(aConnection->mSocket,
+                    asio::buffer(aConnection->mCall->mRequest),
+                    [aConnection](const boost::system::error_code& aEc, std::size_t) {
+                      if (aEc) {
+                        Close(aConnection);
+                      }
+                    });
+}
+
+void Begin(const ConnectionPtr& aConnection, HttpCall aCall, const HttpPoolLimits& aLimits)
+{
+  aConnection->mCallUntil = Clock::now() + aCall.mTimeout;
+  aConnection->mCall = std::move(aCall);
+  Write(aConnection, aLimits);
+}
+
+void Open(const std::shared_ptr<HttpPool>& aPool, HttpCall aCall)
+{
+  auto connection = std::make_shared<HttpPoolConnection>(aPool);
+  connection->mCallUntil = Clock::now() + aCall.mTimeout;
+  connection->mCall = std::move(aCall);
+  aPool->mConnections.push_back(connection);
+  ++aPool->mOpened;
+  connection->mSocket.async_connect(
+    aPool->mServer, [connection](const boost::system::error_code& aEc) {
+      const auto pool = connection->mPool.lock();
+      if (aEc || connection->mClosed || !pool) {
+        Close(connection);
+        return;
+      }
+      ConfigureSocket(connection->mSocket);
+      Write(connection, pool->mLimits);
+      Read(connection);
+    });
+}
+
+/// An idle connection that the server has not closed, or null.
+ConnectionPtr TakeIdle(HttpPool& aPool)
+{
+  while (!aPool.mIdle.empty()) {
+    auto connection = aPool.mIdle.back()->shared_from_this();
+    aPool.mIdle.pop_back();
+    // The close may have arrived without its read having been handled yet.
+    if (!IsStale(connection->mSocket)) {
+      return connection;
+    }
+    Close(connection);
+  }
+  return nullptr;
+}
+
+void SendNext(const std::shared_ptr<HttpPool>& aPool)
+{
+  while (!aPool->mWaiting.empty() &&
+         (!aPool->mIdle.empty() || aPool->mConnections.size() < aPool->mLimits.mMaxConnections)) {
+    auto call = std::move(aPool->mWaiting.front());
+    aPool->mWaiting.pop_front();
+    Call(aPool, std::move(call));
+  }
+}
+
+} // namespace
+
+void Call(const std::shared_ptr<HttpPool>& aPool, HttpCall aCall)
+{
+  if (const auto connection = TakeIdle(*aPool)) {
+    Begin(connection, std::move(aCall), aPool->mLimits);
+  } else if (aPool->mConnections.size() < aPool->mLimits.mMaxConnections) {
+    Open(aPool, std::move(aCall));
+  } else {
+    aPool->mWaiting.push_back(std::move(aCall));
+  }
+}
+
+void Sweep(HttpPool& aPool)
+{
+  const auto now = Clock::now();
+  std::vector<ConnectionPtr> due;
+  for (const auto& connection : aPool.mConnections) {
+    if (connection->mCallUntil <= now) {
+      due.push_back(connection);
+    }
+  }
+  for (const auto& connection : due) {
+    Close(connection);
+  }
+}
+
+void CloseAll(HttpPool& aPool)
+{
+  while (!aPool.mWaiting.empty()) {
+    FinishLater(aPool, std::move(aPool.mWaiting.front()), {});
+    aPool.mWaiting.pop_front();
+  }
+  const auto connections = aPool.mConnections;
+  for (const auto& connection : connections) {
+    Close(connection);
+  }
+}
+
+} // namespace pollenwall::net
--- a/src/libnode/node.cpp
+++ b/src/libnode/node.cpp
@@ -197,6 +197,15 @@
   OnConfigItems(aState, aMessage, aNow, aActions);
 }
 
+/// Sent only among entries that work with fencing tokens.
+void Receive(State& /*aState*/,
+             Incarnation /*aFrom*/,
+             const message::Presence& /*aMessage*/,
+             const Now& /*aNow*/,
+             Actions& /*aActions*/)
+{
+}
+
 // Events.
 
 void Apply(State& aState, CallerSubmit& aEvent, const Now& aNow, Actions& aActions)
--- a/src/libplacement/placement.cpp
+++ b/src/libplacement/placement.cpp
@@ -45,6 +45,13 @@
 constexpr double kToleratedLogRatio = 0.4055;
 /// A full upstream against an empty one, in tasks of the job on the same rack.
 constexpr double kLoadCost = 0.5;
+/// Of an upstream held whole: an empty one against a full one, in units of the natural logarithm of
+/// run times. Speeds that differ by less than a tenth are treated as equal.
+constexpr double kEmptyCost = 0.1;
+/// Steps to which needs are rounded up for upstreams held whole. A task waits in the queue of its
+/// rounded needs, so the step bounds the room that it asks for in vain.
+constexpr std::uint32_t kMilliCoresStep = kMilliCoresPerCore;
+constexpr std::uint64_t kMemoryStepBytes = std::uint64_t{ 256 } << 20;
 /// Larger than any other cost.
 constexpr double kProbeCost = 1e9;
 
@@ -53,6 +60,20 @@
   return aUpstream.mLeaving || aUpstream.mTreatedAsLeaving;
 }
 
+/// Whether the needs fit beside what runs there.
+bool HasRoom(const State& aState, const Upstream& aUpstream, const Needs& aNeeds)
+{
+  if (!aState.mOptions.mHoldsWholeUpstreams) {
+    return true;
+  }
+  const auto& capacity = aState.mPools[aUpstream.mService].mShapes[aUpstream.mShape].mCapacity;
+  const auto& used = aUpstream.mUsed;
+  return Suits(capacity,
+               { used.mMilliCores + aNeeds.mMilliCores,
+                 used.mMemoryBytes + aNeeds.mMemoryBytes,
+                 used.mAccelerators + aNeeds.mAccelerators });
+}
+
 bool IsUnhealthy(const Upstream& aUpstream)
 {
   return aUpstream.mHealth.mFailing || aUpstream.mHealth.mSlow;
@@ -310,6 +331,16 @@
   return static_cast<ShapeIndex>(aPool.mShapes.size() - 1);
 }
 
+/// Natural logarithm of the upstream's run times over those of its pool; 0 when nothing is known.
+double SpeedCost(const State& aState, const Upstream& aUpstream)
+{
+  const auto& health = aUpstream.mHealth;
+  if (health.mRatios == 0) {
+    return 0;
+  }
+  return health.mLogRatio / health.mLogRatioWeight - aState.mPools[aUpstream.mService].mLogRatio;
+}
+
 /// Lower is better. Each unit is worth one more task of the job on the same rack.
 double Cost(const State& aState, const Request& aRequest, UpstreamIndex aIndex)
 {
@@ -324,12 +355,17 @@
     const double excess = ratio - aState.mPools[upstream.mService].mLogRatio;
     cost += std::max(0.0, excess - kToleratedLogRatio);
   }
+  const auto& capacity = aState.mPools[upstream.mService].mShapes[upstream.mShape].mCapacity;
+  if (aState.mOptions.mHoldsWholeUpstreams) {
+    return cost + SpeedCost(aState, upstream) +
+           kEmptyCost * (1 - static_cast<double>(upstream.mUsed.mMilliCores) /
+                               std::max(1U, capacity.mMilliCores));
+  }
   cost += kLoadCost * upstream.mRunning / upstream.mCredits;
   if (upstream.mDataCentre != aState.mHomeDataCentre) {
     cost += 2;
   }
-  const auto& capacity = aState.mPools[upstream.mService].mShapes[upstream.mShape].mCapacity;
-  if (!aRequest.mNeedsAccelerator && capacity.mAccelerators > 0) {
+  if (aRequest.mNeeds.mAccelerators == 0 && capacity.mAccelerators > 0) {
     cost += 1;
   }
   if (aRequest.mRacks != nullptr) {
@@ -404,7 +440,7 @@
     auto& upstream = aState.mUpstreams[index];
     auto& pool = aState.mPools[upstream.mService];
     const auto shape =
-      FindOrAddShape(pool, { worker.mCores, worker.mMemoryBytes, worker.mAccelerators });
+      FindOrAddShape(pool, { worker.mMilliCores, worker.mMemoryBytes, worker.mAccelerators });
     if (shape != upstream.mShape) {
       SetIdle(aState, index, false);
       upstream.mShape = shape;
@@ -491,11 +527,17 @@
   }
 }
 
-bool HasIdle(const State& aState, ServiceIndex aService, const std::vector<ShapeIndex>& aShapes)
+bool HasIdle(const State& aState,
+             ServiceIndex aService,
+             const std::vector<ShapeIndex>& aShapes,
+             const Needs& aNeeds)
 {
   const auto& shapes = aState.mPools[aService].mShapes;
   return std::any_of(aShapes.begin(), aShapes.end(), [&](ShapeIndex aShape) {
-    return !shapes[aShape].mIdle.empty();
+    const auto& idle = shapes[aShape].mIdle;
+    return std::any_of(idle.begin(), idle.end(), [&](UpstreamIndex aIndex) {
+      return HasRoom(aState, aState.mUpstreams[aIndex], aNeeds);
+    });
   });
 }
 
@@ -519,11 +561,12 @@
   };
   std::optional<UpstreamIndex> best;
   double least = 0;
-  const bool all = idle <= kCompareAll;
+  const bool all = idle <= kCompareAll || aState.mOptions.mHoldsWholeUpstreams;
   const std::size_t first = all && idle > 0 ? aRandom() % idle : 0;
   for (std::size_t n = 0; n < (all ? idle : kDraws); ++n) {
     const auto candidate = at(all ? (first + n) % idle : aRandom() % idle);
-    if (candidate == aRequest.mAvoid) {
+    if (candidate == aRequest.mAvoid ||
+        !HasRoom(aState, aState.mUpstreams[candidate], aRequest.mNeeds)) {
       continue;
     }
     const double cost = Cost(aState, aRequest, candidate);
@@ -535,10 +578,13 @@
   return best;
 }
 
-void CountStart(State& aState, UpstreamIndex aUpstream, const Now& aNow)
+void CountStart(State& aState, UpstreamIndex aUpstream, const Needs& aNeeds, const Now& aNow)
 {
   auto& upstream = aState.mUpstreams[aUpstream];
   ++upstream.mRunning;
+  upstream.mUsed.mMilliCores += aNeeds.mMilliCores;
+  upstream.mUsed.mMemoryBytes += aNeeds.mMemoryBytes;
+  upstream.mUsed.mAccelerators += aNeeds.mAccelerators;
   if (IsUnhealthy(upstream) && !aState.mPools[upstream.mService].mServiceFault) {
     ++aState.mProbes;
     upstream.mHealth.mNextProbe = aNow.mTime + upstream.mHealth.mProbe;
@@ -549,6 +595,7 @@
 
 void CountEnd(State& aState,
               UpstreamIndex aUpstream,
+              const Needs& aNeeds,
               Report aReport,
               std::optional<double> aRatio,
               std::mt19937_64& aRandom,
@@ -557,6 +604,9 @@
   auto& upstream = aState.mUpstreams[aUpstream];
   auto& health = upstream.mHealth;
   --upstream.mRunning;
+  upstream.mUsed.mMilliCores -= aNeeds.mMilliCores;
+  upstream.mUsed.mMemoryBytes -= aNeeds.mMemoryBytes;
+  upstream.mUsed.mAccelerators -= aNeeds.mAccelerators;
   const bool failed =
     aReport == Report::Failed || aReport == Report::Lost || aReport == Report::Refused;
   if (failed || aReport == Report::RanWell) {
@@ -618,10 +668,26 @@
 
 bool Suits(const Needs& aCapacity, const Needs& aNeeds)
 {
-  return aNeeds.mCores <= aCapacity.mCores && aNeeds.mMemoryBytes <= aCapacity.mMemoryBytes &&
+  return aNeeds.mMilliCores <= aCapacity.mMilliCores && aNeeds.mMemoryBytes <= aCapacity.mMemoryBytes &&
          aNeeds.mAccelerators <= aCapacity.mAccelerators;
 }
 
+Room RoomOf(const State& aState, ServiceIndex aService)
+{
+  const auto& pool = aState.mPools[aService];
+  Room room;
+  for (const auto n : pool.mMembers) {
+    const auto& upstream = aState.mUpstreams[n];
+    if (upstream.mCredits == 0 || !IsUsable(aState, n)) {
+      continue;
+    }
+    const auto cores = pool.mShapes[upstream.mShape].mCapacity.mMilliCores;
+    room.mMilliCores += cores;
+    room.mFreeMilliCores += cores - std::min(cores, upstream.mUsed.mMilliCores);
+  }
+  return room;
+}
+
 std::optional<Needs> RoundUp(const State& aState, ServiceIndex aService, const Needs& aNeeds)
 {
   Needs rounded{ std::numeric_limits<std::uint32_t>::max(),
@@ -634,8 +700,8 @@
     }
     const auto& capacity = shape.mCapacity;
     suits = suits || Suits(capacity, aNeeds);
-    if (aNeeds.mCores <= capacity.mCores) {
-      rounded.mCores = std::min(rounded.mCores, capacity.mCores);
+    if (aNeeds.mMilliCores <= capacity.mMilliCores) {
+      rounded.mMilliCores = std::min(rounded.mMilliCores, capacity.mMilliCores);
     }
     if (aNeeds.mMemoryBytes <= capacity.mMemoryBytes) {
       rounded.mMemoryBytes = std::min(rounded.mMemoryBytes, capacity.mMemoryBytes);
@@ -647,8 +713,14 @@
   if (!suits) {
     return std::nullopt;
   }
+  if (aState.mOptions.mHoldsWholeUpstreams) {
+    const auto up = [](auto aValue, auto aStep) { return (aValue + aStep - 1) / aStep * aStep; };
+    return Needs{ std::min(rounded.mMilliCores, up(aNeeds.mMilliCores, kMilliCoresStep)),
+                  std::min(rounded.mMemoryBytes, up(aNeeds.mMemoryBytes, kMemoryStepBytes)),
+                  aNeeds.mAccelerators };
+  }
   // A part that is not needed stays zero, so that workers added later suit as well.
-  rounded.mCores = aNeeds.mCores == 0 ? 0 : rounded.mCores;
+  rounded.mMilliCores = aNeeds.mMilliCores == 0 ? 0 : rounded.mMilliCores;
   rounded.mMemoryBytes = aNeeds.mMemoryBytes == 0 ? 0 : rounded.mMemoryBytes;
   rounded.mAccelerators = aNeeds.mAccelerators == 0 ? 0 : rounded.mAccelerators;
   return rounded;
--- a/src/libplacement/placement_test.cpp
+++ b/src/libplacement/placement_test.cpp
@@ -79,7 +79,7 @@
 std::optional<UpstreamIndex> Next(Fixture& aFixture, UpstreamIndex aAvoid = kNone)
 {
   const auto shapes = ShapesFor(aFixture, {});
-  return Choose(aFixture.mState, { 0, &shapes, false, nullptr, aAvoid }, aFixture.mRandom);
+  return Choose(aFixture.mState, { 0, &shapes, Needs{}, nullptr, aAvoid }, aFixture.mRandom);
 }
 
 void Step(Fixture& aFixture, Duration aTime)
@@ -94,7 +94,7 @@
          Report aReport,
          std::optional<double> aRatio = std::nullopt)
 {
-  CountEnd(aFixture.mState, aUpstream, aReport, aRatio, aFixture.mRandom, aFixture.mNow);
+  CountEnd(aFixture.mState, aUpstream, Needs{}, aReport, aRatio, aFixture.mRandom, aFixture.mNow);
 }
 
 /// Guards against idle lists and sums that drift from the upstreams' own values. With aBypass
@@ -150,7 +150,7 @@
           break;
         default:
           if (const auto chosen = Next(fixture)) {
-            CountStart(state, *chosen, fixture.mNow);
+            CountStart(state, *chosen, Needs{}, fixture.mNow);
             running.push_back(*chosen);
           }
       }
@@ -240,7 +240,7 @@
   const auto starts = [&] {
     int count = 0;
     while (Next(fixture)) {
-      CountStart(state, 0, fixture.mNow);
+      CountStart(state, 0, Needs{}, fixture.mNow);
       ++count;
     }
     return count;
@@ -259,7 +259,7 @@
   auto fixture = MakeFixture(10);
   for (int n = 0; n < 20000; ++n) {
     const auto chosen = *Next(fixture);
-    CountStart(fixture.mState, chosen, fixture.mNow);
+    CountStart(fixture.mState, chosen, Needs{}, fixture.mNow);
     const bool fails = fixture.mRandom() % 10 < 2;
     End(fixture, chosen, fails ? Report::Failed : Report::RanWell);
     Step(fixture, milliseconds(1));
@@ -272,7 +272,7 @@
 {
   auto fixture = MakeFixture(4);
   const auto failOnce = [&](UpstreamIndex aUpstream) {
-    CountStart(fixture.mState, aUpstream, fixture.mNow);
+    CountStart(fixture.mState, aUpstream, Needs{}, fixture.mNow);
     End(fixture, aUpstream, Report::Failed);
     return !IsUsable(fixture.mState, aUpstream);
   };
@@ -285,7 +285,7 @@
   const auto slowRuns = [&](UpstreamIndex aUpstream) {
     int runs = 0;
     for (; IsUsable(fixture.mState, aUpstream) && runs < 20; ++runs) {
-      CountStart(fixture.mState, aUpstream, fixture.mNow);
+      CountStart(fixture.mState, aUpstream, Needs{}, fixture.mNow);
       End(fixture, aUpstream, Report::RanWell, 10);
     }
     return runs;
@@ -309,14 +309,14 @@
   for (int n = 0; n < 8; ++n) {
     const auto chosen = Choose(fixture.mState, { 0, &shapes, true }, fixture.mRandom);
     passed &= Expect(chosen && *chosen % 3 == 0, "only workers with accelerators");
-    CountStart(fixture.mState, *chosen, fixture.mNow);
+    CountStart(fixture.mState, *chosen, Needs{}, fixture.mNow);
   }
   passed &= Expect(!Choose(fixture.mState, { 0, &shapes, true }, fixture.mRandom), "none is free");
   auto other = MakeFixture(6);
   for (int n = 0; n < 16; ++n) {
     const auto chosen = *Next(other);
     passed &= Expect(chosen % 3 != 0, "plain tasks leave accelerators free while they can");
-    CountStart(other.mState, chosen, other.mNow);
+    CountStart(other.mState, chosen, Needs{}, other.mNow);
   }
   return passed;
 }
@@ -329,7 +329,7 @@
   for (int n = 0; n < 4; ++n) {
     const auto chosen = Next(fixture, 1);
     passed &= Expect(chosen == UpstreamIndex{ 0 }, "the other one is chosen");
-    CountStart(fixture.mState, *chosen, fixture.mNow);
+    CountStart(fixture.mState, *chosen, Needs{}, fixture.mNow);
   }
   return Expect(!Next(fixture, 1), "nothing is chosen when only the avoided one is free") && passed;
 }
@@ -342,7 +342,7 @@
   for (int n = 0; n < 1000; ++n) {
     if (const auto chosen = Next(fixture)) {
       ++starts;
-      CountStart(fixture.mState, *chosen, fixture.mNow);
+      CountStart(fixture.mState, *chosen, Needs{}, fixture.mNow);
       End(fixture, *chosen, Report::Busy);
     }
     Step(fixture, milliseconds(10));
--- a/src/libsettings/settings.cpp
+++ b/src/libsettings/settings.cpp
@@ -143,19 +143,69 @@
       yaml::AddProblem(aRoot, "seeds", Quoted(seed) + " twice", "each address once");
     }
   }
-  aSettings.mLogService = ReadEndpoint(aRoot, "log_service");
-  aSettings.mVmList = ReadEndpoint(aRoot, "vm_list");
+  if (!yaml::Has(aRoot, "platform")) {
+    aSettings.mLogService = ReadEndpoint(aRoot, "log_service");
+    aSettings.mVmList = ReadEndpoint(aRoot, "vm_list");
+  }
+}
+
+void ReadPlatform(Section& aRoot, Settings& aSettings)
+{
+  if (!yaml::Has(aRoot, "platform")) {
+    return;
+  }
+  auto section = yaml::GetSection(aRoot, "platform");
+  Platform platform;
+  platform.mReadiness = ReadEndpoint(section, "readiness");
+  platform.mStore = ReadEndpoint(section, "store");
+  if (yaml::Has(section, "machines")) {
+    platform.mMachines = ReadEndpoint(section, "machines");
+  }
+  auto& entry = platform.mEntry;
+  ReadMilliseconds(section, "lease_ms", 100, 60000, entry.mHolding.mLease);
+  ReadMilliseconds(section, "look_wait_ms", 10, 2000, entry.mHolding.mLookWait);
+  ReadMilliseconds(section, "idle_look_ms", 100, 60000, entry.mHolding.mIdleLook);
+  ReadMilliseconds(section, "answer_timeout_ms", 10, 10000, entry.mHolding.mAnswerTimeout);
+  ReadMilliseconds(section, "presence_ms", 20, 10000, entry.mPresenceInterval);
+  ReadMilliseconds(section, "silent_after_ms", 50, 60000, entry.mSilentAfter);
+  ReadMilliseconds(section, "runs_over_after_ms", 100, 60000, entry.mRunsOverAfter);
+  ReadMilliseconds(section, "drain_limit_ms", 100, kHourMs, entry.mDrainLimit);
+  ReadSize(section, "upstreams_per_holder", 1, 10000, entry.mUpstreamsPerHolder);
+  const auto renewed = entry.mHolding.mLookWait + entry.mHolding.mAnswerTimeout;
+  if (entry.mHolding.mLease < renewed) {
+    yaml::AddProblem(section,
+                     "lease_ms",
+                     std::to_string(entry.mHolding.mLease.count()),
+                     "at least look_wait_ms and answer_timeout_ms together, " +
+                       std::to_string(renewed.count()));
+  }
+  if (entry.mSilentAfter < 2 * entry.mPresenceInterval) {
+    yaml::AddProblem(section,
+                     "silent_after_ms",
+                     std::to_string(entry.mSilentAfter.count()),
+                     "at least twice presence_ms");
+  }
+  yaml::Finish(section);
+  entry.mName = aSettings.mNode.mName;
+  entry.mDataCentre = aSettings.mNode.mDataCentre;
+  entry.mPeerAddress = aSettings.mNode.mPeerAddress;
+  entry.mDispatch = aSettings.mNode.mDispatch;
+  aSettings.mPlatform = std::move(platform);
 }
 
 /// Without TLS anyone who reaches the peers' or operators' port can start tasks or stop an entry.
 void CheckLoopback(Section& aRoot, const Settings& aSettings)
 {
+  if (aSettings.mTrustedNetwork) {
+    return;
+  }
   const auto check = [&aRoot](std::string_view aWhat, const Endpoint& aEndpoint) {
     if (aEndpoint.mPort != 0 && !IsLoopback(aEndpoint)) {
       yaml::AddProblem(aRoot,
                        "tls",
                        "'off' with " + std::string(aWhat) + " " + ToString(aEndpoint),
-                       "off only when all addresses of peers and operators are loopback");
+                       "off only when all addresses of peers and operators are loopback, or with "
+                       "trusted_network: true");
     }
   };
   check("listen.operators", aSettings.mOperators);
@@ -200,6 +250,20 @@
   yaml::Finish(tls);
 }
 
+void ReadForwarders(Section& aRoot, Settings& aSettings)
+{
+  for (const auto& text : yaml::GetStrings(aRoot, "forwarders")) {
+    const auto equals = text.find('=');
+    const auto from = text.substr(0, equals);
+    const auto to = equals == std::string::npos ? "" : text.substr(equals + 1);
+    if (!ParseEndpoint(from) || !ParseEndpoint(to)) {
+      yaml::AddProblem(aRoot, "forwarders", Quoted(text), "IP:PORT=IP:PORT");
+    } else if (!aSettings.mForwarders.emplace(from, to).second) {
+      yaml::AddProblem(aRoot, "forwarders", Quoted(from) + " twice", "each address once");
+    }
+  }
+}
+
 void ReadTiming(Section& aRoot, node::Options& aOptions)
 {
   auto timing = yaml::GetSection(aRoot, "timing");
@@ -296,6 +360,12 @@
   return endpoint;
 }
 
+const std::string& ConnectAddress(const Settings& aSettings, const std::string& aAddress)
+{
+  const auto it = aSettings.mForwarders.find(aAddress);
+  return it == aSettings.mForwarders.end() ? aAddress : it->second;
+}
+
 ReadResult ReadSettings(std::string_view aFile, std::string_view aText)
 {
   ReadResult result;
@@ -308,9 +378,12 @@
   settings.mNode.mName = ReadName(root, "name");
   ReadDataCentres(root, settings);
   ReadAddresses(root, settings);
+  settings.mTrustedNetwork = yaml::GetBool(root, "trusted_network", false);
   ReadTls(root, settings);
+  ReadForwarders(root, settings);
   ReadTiming(root, settings.mNode);
   ReadLimits(root, settings);
+  ReadPlatform(root, settings);
   yaml::Finish(root);
   return result;
 }
--- a/src/pollenwall-bench/node_policy.cpp
+++ b/src/pollenwall-bench/node_policy.cpp
@@ -125,7 +125,7 @@
     worker.mDataCentre = platform.mDeployment.mDataCentres[fake.mDataCentre];
     worker.mRack = fake.mRack;
     worker.mAddress = "10.0." + std::to_string(n / 200) + "." + std::to_string(n % 200 + 1);
-    worker.mCores = 32;
+    worker.mMilliCores = 32 * kMilliCoresPerCore;
     worker.mMemoryBytes = std::uint64_t{ 128 } << 30U;
     made.mWorkers[worker.mName] = worker;
     configuration::Upstream upstream;
--- a/src/pollenwalld/caller_json.cpp
+++ b/src/pollenwalld/caller_json.cpp
@@ -126,7 +126,8 @@
   task.mPayload = reader.Text("payload", true, std::string::npos);
   task.mDeclaredRun =
     std::chrono::milliseconds(reader.Integer("declared_run_ms", 0, kMaxMs, std::nullopt));
-  task.mNeeds.mCores = static_cast<std::uint32_t>(reader.Integer("cores", 0, kMaxCores, 0));
+  task.mNeeds.mMilliCores =
+    kMilliCoresPerCore * static_cast<std::uint32_t>(reader.Integer("cores", 0, kMaxCores, 0));
   task.mNeeds.mMemoryBytes =
     static_cast<std::uint64_t>(reader.Integer("memory_bytes", 0, kMaxMemoryBytes, 0));
   task.mNeeds.mAccelerators =
@@ -159,7 +160,7 @@
   for (const auto& task : aJob.mTasks) {
     HashText(hash, task.mPayload);
     add(std::array<std::uint64_t, 4>{ static_cast<std::uint64_t>(task.mDeclaredRun.count()),
-                                      task.mNeeds.mCores,
+                                      task.mNeeds.mMilliCores,
                                       task.mNeeds.mMemoryBytes,
                                       task.mNeeds.mAccelerators });
   }
--- /dev/null
+++ b/src/pollenwalld/entry_links.cpp
@@ -0,0 +1,179 @@
+#include "entry_links.h"
+
+#include <pollenwall/log.h>
+
+namespace pollenwall::daemon {
+namespace {
+
+/// Pause between attempts to connect to a peer that does not answer.
+constexpr std::chrono::milliseconds kReconnect{ 250 };
+/// A connection attempt into a partition hangs, so it is given up after this.
+constexpr std::chrono::milliseconds kConnectTimeout{ 500 };
+/// A peer that reads slower than this much behind is disconnected: some seconds of forwarded jobs.
+constexpr std::size_t kMaxQueuedBytes = std::size_t{ 8 } << 20;
+
+std::shared_ptr<PeerLink> Connect(EntryLinks& aLinks, const net::Tcp::endpoint& aEndpoint)
+{
+  auto link = std::make_shared<PeerLink>(net::Socket(aLinks.mShell.mContext));
+  boost::asio::steady_timer timer(aLinks.mShell.mContext, kConnectTimeout);
+  timer.async_wait([link](const boost::system::error_code& aEc) {
+    if (!aEc) {
+      CloseLink(*link);
+    }
+  });
+  boost::system::error_code ec;
+  link->mStream.mSocket.async_connect(aEndpoint, net::Await(ec));
+  timer.cancel();
+  if (ec || link->mClosed) {
+    return nullptr;
+  }
+  net::ConfigureSocket(link->mStream.mSocket);
+  return link;
+}
+
+/// Keeps a connection to one address for as long as it is wanted.
+void KeepConnected(EntryLinks& aLinks, const std::string& aAddress)
+{
+  const auto endpoint =
+    net::ParseEndpoint(settings::ConnectAddress(aLinks.mShell.mSettings, aAddress));
+  while (endpoint && !aLinks.mStopped && aLinks.mOut.contains(aAddress)) {
+    const auto link = Connect(aLinks, *endpoint);
+    if (link) {
+      aLinks.mOut[aAddress] = link;
+      Post(aLinks.mLoop, entry::PeerConnected{ aAddress });
+      // The peer sends nothing on this connection; the read notices its end.
+      ReadMessages(*link, aLinks.mLimits, [](message::Message) {});
+      CloseLink(*link);
+      const auto it = aLinks.mOut.find(aAddress);
+      if (it != aLinks.mOut.end()) {
+        it->second = nullptr;
+      }
+    }
+    net::SleepFor(aLinks.mShell.mContext, kReconnect);
+  }
+}
+
+void Want(EntryLinks& aLinks, const entry::ConnectPeer& aAction)
+{
+  const auto it = aLinks.mOut.find(aAction.mAddress);
+  if (it == aLinks.mOut.end()) {
+    aLinks.mOut.emplace(aAction.mAddress, nullptr);
+    net::Spawn([&aLinks, address = aAction.mAddress] { KeepConnected(aLinks, address); });
+  } else if (aAction.mAnew && it->second) {
+    CloseLink(*it->second);
+  }
+}
+
+void Send(EntryLinks& aLinks, const entry::SendPeer& aAction)
+{
+  const auto it = aLinks.mOut.find(aAction.mAddress);
+  if (it != aLinks.mOut.end() && it->second && !SendOn(*it->second, aAction.mMessage, aLinks.mLimits)) {
+    log::Warning("peer_too_slow", { { "address", aAction.mAddress } });
+  }
+}
+
+/// Reads one accepted connection. The first message is a presence, which names the sender.
+void Serve(EntryLinks& aLinks, const std::shared_ptr<PeerLink>& aLink)
+{
+  std::string from;
+  const auto end = ReadMessages(*aLink, aLinks.mLimits, [&](message::Message aMessage) {
+    if (const auto* presence = std::get_if<message::Presence>(&aMessage)) {
+      from = presence->mPeerAddress;
+    }
+    if (!from.empty()) {
+      Post(aLinks.mLoop, entry::PeerMessage{ from, std::move(aMessage) });
+    }
+  });
+  if (end == LinkEnd::BadFrame) {
+    log::Warning("peer_bad_frame", { { "address", from } });
+  }
+  CloseLink(*aLink);
+  aLinks.mIn.erase(aLink);
+}
+
+void Accept(EntryLinks& aLinks)
+{
+  while (!aLinks.mStopped) {
+    boost::system::error_code ec;
+    net::Socket socket(aLinks.mShell.mContext);
+    aLinks.mAcceptor.async_accept(socket, net::Await(ec));
+    if (ec) {
+      if (!aLinks.mStopped) {
+        net::SleepFor(aLinks.mShell.mContext, kReconnect);
+      }
+      continue;
+    }
+    net::ConfigureSocket(socket);
+    auto link = std::make_shared<PeerLink>(std::move(socket));
+    aLinks.mIn.insert(link);
+    net::Spawn([&aLinks, link] { Serve(aLinks, link); });
+  }
+}
+
+Result<void> Start(EntryLinks& aLinks)
+{
+  const auto& settings = aLinks.mShell.mSettings;
+  const auto endpoint = *net::ParseEndpoint(settings::ToString(settings.mPeers));
+  boost::system::error_code ec;
+  aLinks.mAcceptor.open(endpoint.protocol(), ec);
+  if (!ec) {
+    aLinks.mAcceptor.set_option(boost::asio::socket_base::reuse_address(true), ec);
+  }
+  if (!ec) {
+    aLinks.mAcceptor.bind(endpoint, ec);
+  }
+  if (!ec) {
+    aLinks.mAcceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
+  }
+  if (ec) {
+    return boost::leaf::new_error(Error{ ErrorCode::Internal,
+                                         Verdict::NotRun,
+                                         "cannot listen for peers: " + ec.message(),
+                                         {} });
+  }
+  aLinks.mLimits.mMaxFrameBytes = settings.mMaxFrameBytes;
+  aLinks.mLimits.mMaxQueuedBytes = kMaxQueuedBytes;
+  auto& table = aLinks.mLoop.mTable;
+  table.mSendPeer = [&aLinks](entry::SendPeer& aAction) { Send(aLinks, aAction); };
+  table.mConnectPeer = [&aLinks](entry::ConnectPeer& aAction) { Want(aLinks, aAction); };
+  table.mDisconnectPeer = [&aLinks](entry::DisconnectPeer& aAction) {
+    const auto it = aLinks.mOut.find(aAction.mAddress);
+    if (it == aLinks.mOut.end()) {
+      return;
+    }
+    if (it->second) {
+      CloseLink(*it->second);
+    }
+    aLinks.mOut.erase(it);
+  };
+  net::Spawn([&aLinks] { Accept(aLinks); });
+  return {};
+}
+
+void Stop(EntryLinks& aLinks)
+{
+  aLinks.mStopped = true;
+  boost::system::error_code ec;
+  aLinks.mAcceptor.close(ec);
+  for (const auto& [address, link] : aLinks.mOut) {
+    if (link) {
+      CloseAfterWrites(*link);
+    }
+  }
+}
+
+} // namespace
+
+void RegisterEntryLinks(Shell& aShell)
+{
+  auto& loop = *kernel::Find<EntryLoop>(aShell.mKernel, "entry");
+  auto links = std::make_shared<EntryLinks>(aShell, loop);
+  kernel::Register(aShell.mKernel,
+                   { "entry_links",
+                     { "entry" },
+                     [links] { return Start(*links); },
+                     [links] { Stop(*links); },
+                     links.get() });
+}
+
+} // namespace pollenwall::daemon
--- /dev/null
+++ b/src/pollenwalld/entry_loop.cpp
@@ -0,0 +1,112 @@
+#include "entry_loop.h"
+
+#include <pollenwall/log.h>
+
+namespace pollenwall::daemon {
+namespace {
+
+/// The core expects a tick every 10 to 50 ms.
+constexpr std::chrono::milliseconds kTickInterval{ 25 };
+
+struct Carrier
+{
+  EntryLoop& mLoop;
+
+  template<typename Action>
+  void Carry(const std::function<void(Action&)>& aFunction, Action& aAction)
+  {
+    if (aFunction) {
+      aFunction(aAction);
+    }
+  }
+
+  void operator()(entry::AnswerCaller& aAction) { Carry(mLoop.mTable.mAnswerCaller, aAction); }
+  void operator()(entry::StartRun& aAction) { Carry(mLoop.mTable.mStartRun, aAction); }
+  void operator()(entry::StopRun& aAction) { Carry(mLoop.mTable.mStopRun, aAction); }
+  void operator()(entry::Look& aAction) { Carry(mLoop.mTable.mLook, aAction); }
+  void operator()(entry::SendPeer& aAction) { Carry(mLoop.mTable.mSendPeer, aAction); }
+  void operator()(entry::ConnectPeer& aAction) { Carry(mLoop.mTable.mConnectPeer, aAction); }
+  void operator()(entry::DisconnectPeer& aAction) { Carry(mLoop.mTable.mDisconnectPeer, aAction); }
+  void operator()(entry::Stopped&) { mLoop.mStopped.Set(true); }
+
+  void operator()(entry::Report& aAction)
+  {
+    std::vector<log::Field> fields;
+    for (auto& [name, value] : aAction.mFields) {
+      fields.emplace_back(name, std::move(value));
+    }
+    log::Write(aAction.mWarning, aAction.mEvent, fields);
+  }
+};
+
+void Run(EntryLoop& aLoop)
+{
+  std::vector<entry::Event> events;
+  entry::Actions actions;
+  for (;;) {
+    aLoop.mWakeup.Wait();
+    events.swap(aLoop.mEvents);
+    for (const auto& event : events) {
+      entry::Handle(*aLoop.mState, event, ReadClocks(), actions);
+    }
+    events.clear();
+    for (auto& action : actions) {
+      std::visit(Carrier{ aLoop }, action);
+    }
+    actions.clear();
+  }
+}
+
+void Tick(EntryLoop& aLoop)
+{
+  aLoop.mTick.expires_after(kTickInterval);
+  aLoop.mTick.async_wait([&aLoop](const boost::system::error_code& aEc) {
+    if (!aEc) {
+      Post(aLoop, entry::Tick{});
+      if (aLoop.mTable.mTicked) {
+        aLoop.mTable.mTicked();
+      }
+      Tick(aLoop);
+    }
+  });
+}
+
+} // namespace
+
+EntryLoop::EntryLoop(Shell& aShell, const entry::Options& aOptions)
+  : mShell(aShell)
+  , mState(entry::MakeState(aOptions, ReadClocks()))
+  , mTick(aShell.mContext)
+{
+}
+
+void Post(EntryLoop& aLoop, entry::Event aEvent)
+{
+  aLoop.mEvents.push_back(std::move(aEvent));
+  aLoop.mWakeup.Set();
+}
+
+void BeginDrain(EntryLoop& aLoop)
+{
+  if (!aLoop.mStopping) {
+    aLoop.mStopping = true;
+    Post(aLoop, entry::Drain{});
+  }
+}
+
+void RegisterEntryLoop(Shell& aShell, const entry::Options& aOptions)
+{
+  auto loop = std::make_shared<EntryLoop>(aShell, aOptions);
+  kernel::Register(aShell.mKernel,
+                   { "entry",
+                     {},
+                     [loop]() -> Result<void> {
+                       net::Spawn([loop] { Run(*loop); }, net::kLargeStackBytes);
+                       Tick(*loop);
+                       return {};
+                     },
+                     [loop] { loop->mTick.cancel(); },
+                     loop.get() });
+}
+
+} // namespace pollenwall::daemon
--- a/src/pollenwalld/main.cpp
+++ b/src/pollenwalld/main.cpp
@@ -16,7 +16,11 @@
 #include <pollenwall/log.h>
 #include <pollenwall/net/fiber.h>
 
+#include <platform/services.h>
+
 #include "callers.h"
+#include "entry_links.h"
+#include "entry_loop.h"
 #include "log_client.h"
 #include "operators.h"
 #include "peers.h"
@@ -127,6 +131,41 @@
     });
 }
 
+entry::Options MakeEntryOptions(const settings::Settings& aSettings)
+{
+  auto options = aSettings.mPlatform->mEntry;
+  std::random_device random;
+  options.mIncarnation = MakeIncarnation(ReadClocks().mUnixMs, random());
+  options.mSeed = (std::uint64_t{ random() } << 32) | random();
+  return options;
+}
+
+/// Runs an entry on the users' platform.
+int RunOnPlatform(Shell& aShell)
+{
+  const auto options = MakeEntryOptions(aShell.mSettings);
+  RegisterEntryLoop(aShell, options);
+  RegisterEntryLinks(aShell);
+  platform::RegisterStore(aShell);
+  platform::RegisterWorkers(aShell);
+  platform::RegisterCallers(aShell);
+  auto& loop = *kernel::Find<EntryLoop>(aShell.mKernel, "entry");
+  if (!StartServices(aShell)) {
+    return kExitFailure;
+  }
+  HandleEntrySignals(aShell);
+  log::Info("started",
+            { { "name", options.mName },
+              { "data_centre", options.mDataCentre },
+              { "incarnation", ToString(options.mIncarnation) },
+              { "version", std::string(POLLENWALL_VERSION) } });
+  loop.mStopped.Wait();
+  log::Info("stopping_services");
+  kernel::Stop(aShell.mKernel);
+  log::Info("stopped");
+  return 0;
+}
+
 /// Runs the entry until a planned stop is complete. Returns the exit code.
 int Run(settings::Settings aSettings, std::shared_ptr<net::TlsKeys> aTls)
 {
@@ -137,6 +176,9 @@
   Shell shell(context);
   shell.mSettings = std::move(aSettings);
   net::UseScheduler(shell.mContext);
+  if (shell.mSettings.mPlatform) {
+    return RunOnPlatform(shell);
+  }
   const auto options = MakeNodeOptions(shell.mSettings);
   RegisterNodeLoop(shell, options);
   RegisterUpstreams(shell);
--- a/src/pollenwalld/node_loop.cpp
+++ b/src/pollenwalld/node_loop.cpp
@@ -1,5 +1,7 @@
 #include "node_loop.h"
 
+#include <ctime>
+
 #include <pollenwall/log.h>
 
 namespace pollenwall::daemon {
@@ -77,9 +79,12 @@
 Now ReadClocks()
 {
   using std::chrono::duration_cast;
-  const auto steady = std::chrono::steady_clock::now().time_since_epoch();
+  // Unlike the steady clock, this one goes on while the machine is suspended: a lease does, too.
+  timespec boot{};
+  (void)::clock_gettime(CLOCK_BOOTTIME, &boot);
+  const auto time = std::chrono::seconds(boot.tv_sec) + std::chrono::nanoseconds(boot.tv_nsec);
   const auto wall = std::chrono::system_clock::now().time_since_epoch();
-  return { Time(duration_cast<Duration>(steady)),
+  return { Time(duration_cast<Duration>(time)),
            duration_cast<std::chrono::milliseconds>(wall).count() };
 }
 
--- a/src/pollenwalld/peers.cpp
+++ b/src/pollenwalld/peers.cpp
@@ -168,7 +168,8 @@
 /// Keeps a connection to the address for as long as it is wanted.
 void KeepConnected(Peers& aPeers, const std::string& aAddress)
 {
-  const auto endpoint = net::ParseEndpoint(aAddress);
+  const auto endpoint =
+    net::ParseEndpoint(settings::ConnectAddress(aPeers.mShell.mSettings, aAddress));
   auto backoff = kFirstBackoff;
   while (endpoint && !aPeers.mStopped && aPeers.mWanted.contains(aAddress)) {
     if (!IsConnected(aPeers, aAddress)) {
--- a/src/pollenwalld/signals.cpp
+++ b/src/pollenwalld/signals.cpp
@@ -9,6 +9,7 @@
 #include <pollenwall/net/fiber.h>
 
 #include "callers.h"
+#include "entry_loop.h"
 #include "node_loop.h"
 #include "operators.h"
 
@@ -55,6 +56,35 @@
 
 } // namespace
 
+void HandleEntrySignals(Shell& aShell)
+{
+  net::Spawn(
+    [&aShell] {
+      boost::asio::signal_set signals(aShell.mContext);
+      for (const int signal : { SIGTERM, SIGINT, SIGUSR1, SIGHUP }) {
+        signals.add(signal);
+      }
+      auto& loop = *kernel::Find<EntryLoop>(aShell.mKernel, "entry");
+      for (;;) {
+        boost::system::error_code ec;
+        const int signal = signals.async_wait(net::Await(ec));
+        if (ec) {
+          continue;
+        }
+        if (signal == SIGUSR1) {
+          log::Info("dump", { { "state", entry::Dump(*loop.mState, ReadClocks()) } });
+        } else if (signal == SIGHUP) {
+          // Nothing of the settings can change while the process runs.
+          log::Info("reload_requested");
+        } else {
+          log::Info("drain_requested", { { "source", std::string("signal") } });
+          BeginDrain(loop);
+        }
+      }
+    },
+    net::kLargeStackBytes);
+}
+
 void HandleSignals(Shell& aShell, std::shared_ptr<net::TlsKeys> aTls)
 {
   // A fiber with a large stack, because a dump formats the whole state.
--- a/src/pollenwalld/upstreams.cpp
+++ b/src/pollenwalld/upstreams.cpp
@@ -9,6 +9,12 @@
 
 constexpr std::chrono::milliseconds kSweepInterval{ 500 };
 
+std::string ConnectAddressOf(const Upstreams& aUpstreams, dispatch::UpstreamIndex aIndex)
+{
+  return settings::ConnectAddress(aUpstreams.mShell.mSettings,
+                                  node::AddressOf(*aUpstreams.mLoop.mState, aIndex).mAddress);
+}
+
 const std::shared_ptr<UpstreamPool>& PoolOf(Upstreams& aUpstreams, dispatch::UpstreamIndex aIndex)
 {
   if (aIndex >= aUpstreams.mPools.size()) {
@@ -17,7 +23,7 @@
   auto& pool = aUpstreams.mPools[aIndex];
   if (!pool) {
     pool = std::make_shared<UpstreamPool>(aUpstreams.mShell.mContext, aUpstreams.mLimits);
-    pool->mAddress = node::AddressOf(*aUpstreams.mLoop.mState, aIndex).mAddress;
+    pool->mAddress = ConnectAddressOf(aUpstreams, aIndex);
   }
   return pool;
 }
@@ -86,7 +92,7 @@
         continue;
       }
       // A new configuration may give the worker another address.
-      SetAddress(*pool, node::AddressOf(*aUpstreams.mLoop.mState, current).mAddress);
+      SetAddress(*pool, ConnectAddressOf(aUpstreams, current));
       Sweep(*pool);
       connections += pool->mConnections.size();
     }
