Test entries, workers and callers in virtual time; drop orders to unlisted upstreams

Orders are now sent only to listed upstreams. The new entry_test drives six entries and 24 workers through random kills, freezes, cuts, crashes, drains, lost answers and late orders; it also found refusals that said 'not run' after the runs of an earlier submission.

--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -186,7 +186,7 @@
 };
 
 using Action =
-  std::variant<SendStart, SendStop, SendLook, Ended, UsableChanged, LostToOther, Note>;
+  std::variant<SendStop, SendLook, Ended, UsableChanged, LostToOther, Note>;
 using Actions = std::vector<Action>;
 
 enum class RunPhase
@@ -263,12 +263,13 @@
 /// The incarnation is gone: all that ran there is over.
 void Drop(State& aState, std::string_view aUpstream, Actions& aActions);
 
-/// Starts a task. The upstream must be usable.
-void Start(State& aState,
-           std::string_view aUpstream,
-           const Run& aRun,
-           const Now& aNow,
-           Actions& aActions);
+/// Starts a task and returns the order to send. On an upstream that is not usable the run ends at
+/// once as not run, and nothing is returned.
+std::optional<SendStart> Start(State& aState,
+                               std::string_view aUpstream,
+                               const Run& aRun,
+                               const Now& aNow,
+                               Actions& aActions);
 
 /// Stops a run of this entry. Nothing happens when it is over already.
 void Stop(State& aState,
--- a/src/include/pollenwall/net/fiber.h
+++ b/src/include/pollenwall/net/fiber.h
@@ -23,7 +23,7 @@
 
 /// Stack sizes. A stack has a guard page below it; freed stacks of the small size are kept for
 /// reuse.
-inline constexpr std::size_t kSmallStackBytes = 64 * 1024;
+inline constexpr std::size_t kSmallStackBytes = 256 * 1024;
 inline constexpr std::size_t kLargeStackBytes = 1024 * 1024;
 
 /// Starts a detached fiber. An exception that leaves the function is logged and ends the fiber.
--- a/src/libentry/calls.cpp
+++ b/src/libentry/calls.cpp
@@ -97,12 +97,14 @@
 {
   const auto it = aState.mCalls.find(aNumber);
   auto& call = it->second;
-  const auto verdict = aAnswer ? aAnswer->mVerdict : aError->mVerdict;
   if (aError) {
     aError->mVerdict = Combine(aError->mVerdict, call.mVerdict);
     ++aState.mCounts.mRefused;
+  } else {
+    aAnswer->mVerdict = Combine(aAnswer->mVerdict, call.mVerdict);
   }
   const auto& error = aError ? aError : aAnswer->mError;
+  const auto verdict = aAnswer ? aAnswer->mVerdict : aError->mVerdict;
   AddReport(aActions,
             "call_answered",
             { { "job", call.mJob.mId },
@@ -265,6 +267,7 @@
     Resubmit(aState, aNumber, ToString(code), aNow.mTime + Duration(kForwardAgain), aActions);
     return;
   }
+  call.mVerdict = Combine(call.mVerdict, aError->mVerdict);
   switch (aError->mCode) {
     case ErrorCode::Stopping:
     case ErrorCode::NotReady:
--- /dev/null
+++ b/src/libentry/entry_test.cpp
@@ -0,0 +1,169 @@
+#include <iostream>
+#include <set>
+
+#include "world_test.h"
+
+namespace {
+
+using namespace pollenwall;
+using namespace pollenwall::entry::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+bool Expect(bool aHolds, std::string_view aWhat)
+{
+  if (!aHolds) {
+    std::cerr << "failed: " << aWhat << "\n";
+  }
+  return aHolds;
+}
+
+bool NothingBroken(const World& aWorld)
+{
+  for (const auto& text : aWorld.mBroken) {
+    std::cerr << "broken: " << text << "\n";
+  }
+  return aWorld.mBroken.empty();
+}
+
+/// Each caller that is still there has its answer.
+bool AllAnswered(const World& aWorld)
+{
+  bool all = true;
+  for (const auto& [request, call] : aWorld.mCalls) {
+    if (!call.mGone && !call.mAnswered) {
+      std::cerr << "no answer: " << call.mJob.mId << "\n";
+      all = false;
+    }
+  }
+  return all;
+}
+
+/// Guards against a system that loses, refuses or delays jobs on a calm day.
+bool CalmDay()
+{
+  auto world = MakeWorld({});
+  RunFor(*world, seconds(2));
+  Load(*world, 20, seconds(10), milliseconds(100));
+  RunFor(*world, seconds(14));
+  bool ok = NothingBroken(*world);
+  ok &= Expect(world->mCalls.size() > 100, "jobs are submitted");
+  ok &= Expect(Complete(*world) == world->mCalls.size(), "all jobs of a calm day complete");
+  for (const auto& [request, call] : world->mCalls) {
+    if (call.mAnswered) {
+      ok &= Expect(*call.mAnswered - call.mSubmitted < milliseconds(200),
+                   "a job of 100 ms takes less than 200 ms");
+    }
+  }
+  return ok;
+}
+
+/// Guards against runs of one task at two places, workers beyond their capacity, answers that are
+/// missing, doubled or untrue, under random faults of all kinds at once.
+bool RandomFaults(std::uint64_t aSeed)
+{
+  WorldOptions options;
+  options.mSeed = aSeed;
+  options.mLostAnswers = aSeed % 3 == 0 ? 0.02 : 0;
+  options.mLateOrders = aSeed % 4 == 0 ? 0.02 : 0;
+  options.mFailingTasks = 0.02;
+  auto world = MakeWorld(options);
+  auto& w = *world;
+  RunFor(w, seconds(2));
+  Load(w, 40, seconds(16), milliseconds(60 + static_cast<int>(aSeed % 3) * 200));
+  const auto at = [&w] {
+    return Duration(static_cast<std::int64_t>(Unit(w) * 14e6));
+  };
+  const auto some = [&w](std::size_t aCount) { return w.mRandom() % aCount; };
+  const auto worker = [&w, &some] {
+    auto it = w.mWorkers.begin();
+    std::advance(it, static_cast<std::ptrdiff_t>(some(w.mWorkers.size())));
+    return it->first;
+  };
+  for (int n = 0; n < 6; ++n) {
+    const auto node = some(w.mNodes.size());
+    const auto start = at();
+    const auto end = start + Duration(static_cast<std::int64_t>(300e3 + Unit(w) * 3e6));
+    switch (some(6)) {
+      case 0:
+        After(w, start, [&w, node] { Kill(w, node); });
+        After(w, end, [&w, node] {
+          if (!w.mNodes[node].mAlive) {
+            Restart(w, node);
+          }
+        });
+        break;
+      case 1:
+        After(w, start, [&w, node] { Freeze(w, node); });
+        After(w, end, [&w, node] { Thaw(w, node); });
+        break;
+      case 2:
+        After(w, start, [&w, node] { CutNode(w, node, true); });
+        After(w, end, [&w, node] { CutNode(w, node, false); });
+        break;
+      case 3:
+        After(w, start, [&w, id = worker()] { CrashWorker(w, id); });
+        break;
+      case 4: {
+        const auto id = worker();
+        After(w, start, [&w, node, id] { w.mCutFromWorkers.insert({ node, id }); });
+        After(w, end, [&w, node, id] { w.mCutFromWorkers.erase({ node, id }); });
+        break;
+      }
+      default:
+        After(w, start, [&w, node] { BeginDrain(w, node); });
+        After(w, start + Duration(seconds(7)), [&w, node] {
+          if (!w.mNodes[node].mAlive) {
+            Restart(w, node);
+          }
+        });
+        break;
+    }
+  }
+  RunFor(w, seconds(26));
+  const bool ok = NothingBroken(w) && AllAnswered(w);
+  if (!ok) {
+    std::cerr << "seed " << aSeed << "\n";
+  }
+  return ok;
+}
+
+/// Guards against jobs that wait for a holder which has died, and against upstreams that stay
+/// without a holder.
+bool HolderDies()
+{
+  auto world = MakeWorld({});
+  auto& w = *world;
+  RunFor(w, seconds(2));
+  Load(w, 20, seconds(10), milliseconds(100));
+  for (std::size_t n = 0; n < w.mNodes.size(); n += 2) {
+    After(w, seconds(3), [&w, n] { Kill(w, n); });
+  }
+  RunFor(w, seconds(6));
+  const auto before = w.mLastRequest;
+  RunFor(w, seconds(8));
+  bool ok = NothingBroken(w) && AllAnswered(w);
+  for (const auto& [request, call] : w.mCalls) {
+    if (request > before && call.mAnswered) {
+      ok &= Expect(call.mComplete, "jobs complete 3 s after a holder's death");
+    }
+  }
+  return ok;
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  if (aCount > 1) {
+    return RandomFaults(std::stoull(aArguments[1])) ? 0 : 1;
+  }
+  bool ok = CalmDay();
+  ok = HolderDies() && ok;
+  constexpr std::uint64_t kSeeds = 60;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    ok = RandomFaults(seed) && ok;
+  }
+  std::cout << (ok ? "passed" : "failed") << "\n";
+  return ok ? 0 : 1;
+}
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -23,14 +23,15 @@
   return configuration::UpstreamKey(aRecord.mService, aRecord.mId);
 }
 
-Destination DestinationOf(const State& aState, std::string_view aUpstream)
+/// Nothing for an upstream that is no longer listed: nothing that was meant for it exists.
+std::optional<Destination> DestinationOf(const State& aState, std::string_view aUpstream)
 {
   const auto it = aState.mUpstreams.find(aUpstream);
   if (it == aState.mUpstreams.end()) {
-    return {};
+    return std::nullopt;
   }
   const auto& record = it->second.mRecord;
-  return { record.mId, record.mAddress + ":" + std::to_string(record.mPort) };
+  return Destination{ record.mId, record.mAddress + ":" + std::to_string(record.mPort) };
 }
 
 // Jobs.
@@ -81,20 +82,15 @@
                 { "task", std::to_string(aAction.mTask.mIndex) },
                 { "run", std::to_string(aAction.mAttempt) },
                 { "upstream", address.mKey } });
-    mPayloads = std::move(aAction.mPayload);
-    const auto before = mState.mHoldingActions.size();
-    holding::Start(mState.mHolding,
-                   address.mKey,
-                   { aAction.mTask, aAction.mAttempt },
-                   mNow,
-                   mState.mHoldingActions);
-    // The order itself goes out at once; it is the only place that needs the payload.
-    if (mState.mHoldingActions.size() > before) {
-      if (auto* start = std::get_if<holding::SendStart>(&mState.mHoldingActions.back())) {
-        mActions.emplace_back(StartRun{
-          DestinationOf(mState, address.mKey), std::move(*start), std::move(mPayloads) });
-        mState.mHoldingActions.pop_back();
-      }
+    auto order = holding::Start(mState.mHolding,
+                                address.mKey,
+                                { aAction.mTask, aAction.mAttempt },
+                                mNow,
+                                mState.mHoldingActions);
+    auto to = DestinationOf(mState, address.mKey);
+    if (order && to) {
+      mActions.emplace_back(
+        StartRun{ std::move(*to), std::move(*order), std::move(aAction.mPayload) });
     }
   }
 
@@ -116,8 +112,6 @@
 
   void operator()(dispatch::Accepted& /*aAction*/) {}
   void operator()(dispatch::Finished& /*aAction*/) {}
-
-  std::shared_ptr<const std::string> mPayloads;
 };
 
 void Dispatch(State& aState, const dispatch::Event& aEvent, const Now& aNow)
@@ -132,22 +126,18 @@
   const Now& mNow;
   Actions& mActions;
 
-  void operator()(holding::SendStart& aAction)
-  {
-    mActions.emplace_back(
-      StartRun{ DestinationOf(mState, aAction.mUpstream), std::move(aAction), nullptr });
-  }
-
   void operator()(holding::SendStop& aAction)
   {
-    auto to = DestinationOf(mState, aAction.mUpstream);
-    mActions.emplace_back(StopRun{ std::move(to), std::move(aAction) });
+    if (auto to = DestinationOf(mState, aAction.mUpstream)) {
+      mActions.emplace_back(StopRun{ std::move(*to), std::move(aAction) });
+    }
   }
 
   void operator()(holding::SendLook& aAction)
   {
-    auto to = DestinationOf(mState, aAction.mUpstream);
-    mActions.emplace_back(Look{ std::move(to), std::move(aAction) });
+    if (auto to = DestinationOf(mState, aAction.mUpstream)) {
+      mActions.emplace_back(Look{ std::move(*to), std::move(aAction) });
+    }
   }
 
   void operator()(holding::Ended& aAction)
@@ -348,7 +338,7 @@
   while (!aState.mDispatchActions.empty() || !aState.mHoldingActions.empty()) {
     dispatchActions.swap(aState.mDispatchActions);
     for (auto& action : dispatchActions) {
-      std::visit(DispatchCarrier{ aState, aNow, aActions, nullptr }, action);
+      std::visit(DispatchCarrier{ aState, aNow, aActions }, action);
     }
     dispatchActions.clear();
     holdingActions.swap(aState.mHoldingActions);
--- /dev/null
+++ b/src/libentry/world_test.cpp
@@ -0,0 +1,636 @@
+#include "world_test.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iostream>
+
+namespace pollenwall::entry::test {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using holding::OrderStatus;
+
+constexpr const char* kService = "s";
+constexpr std::uint32_t kWorkerMilliCores = 32000;
+constexpr std::uint32_t kTaskMilliCores = 14000;
+constexpr milliseconds kTick{ 25 };
+constexpr milliseconds kMostLease{ 1000 };
+constexpr milliseconds kStopTime{ 30 };
+constexpr milliseconds kNoAnswerAfter{ 300 };
+
+void Step(World& aWorld, std::size_t aNode, const Event& aEvent);
+
+std::int64_t ClockOf(const World& aWorld, const Worker& aWorker)
+{
+  return aWorld.mNow.mUnixMs - aWorker.mBornMs;
+}
+
+Duration Delay(World& aWorld)
+{
+  return microseconds(200 + static_cast<std::int64_t>(Unit(aWorld) * 1500));
+}
+
+void Break(World& aWorld, std::string aText)
+{
+  aWorld.mBroken.push_back(std::move(aText));
+}
+
+// Workers.
+
+void EndRun(World& aWorld, Worker& aWorker, const holding::Run& aRun, holding::RunEnd aHow)
+{
+  if (aWorker.mRunning.erase(aRun) == 0) {
+    return;
+  }
+  auto& at = aWorld.mRunningAt[aRun.mTask];
+  at.erase(aWorker.mRecord.mId);
+  auto& over = aWorker.mOver[aRun.mTask];
+  over = std::max(over, aRun.mNumber);
+  aWorker.mEnds.push_back({ ++aWorker.mLastEnd, aRun, aHow });
+  if (aHow == holding::RunEnd::Done) {
+    ++aWorld.mDone[aRun.mTask];
+  }
+}
+
+void LetLapse(World& aWorld, Worker& aWorker)
+{
+  if (ClockOf(aWorld, aWorker) <= aWorker.mLeaseEndMs) {
+    return;
+  }
+  while (!aWorker.mRunning.empty()) {
+    EndRun(aWorld, aWorker, aWorker.mRunning.begin()->first, holding::RunEnd::Lapsed);
+  }
+}
+
+/// Ends what is due on all workers. Called each millisecond of virtual time.
+void RunWorkers(World& aWorld)
+{
+  for (auto& [id, worker] : aWorld.mWorkers) {
+    if (!worker.mAlive) {
+      continue;
+    }
+    std::vector<std::pair<holding::Run, holding::RunEnd>> over;
+    for (const auto& [run, running] : worker.mRunning) {
+      if (running.mEnds <= aWorld.mNow.mTime) {
+        over.emplace_back(run, running.mHow);
+      }
+    }
+    for (const auto& [run, how] : over) {
+      EndRun(aWorld, worker, run, how);
+    }
+    LetLapse(aWorld, worker);
+  }
+}
+
+void Renew(World& aWorld, Worker& aWorker, std::int64_t aEndMs)
+{
+  const auto most = ClockOf(aWorld, aWorker) + kMostLease.count();
+  aWorker.mLeaseEndMs = std::max(aWorker.mLeaseEndMs, std::min(aEndMs, most));
+}
+
+OrderStatus CarryOutStart(World& aWorld, Worker& aWorker, const holding::SendStart& aOrder, Duration aRun)
+{
+  if (aOrder.mToken < aWorker.mToken) {
+    return OrderStatus::Fenced;
+  }
+  aWorker.mToken = aOrder.mToken;
+  if (aWorker.mRunning.contains(aOrder.mRun)) {
+    return OrderStatus::Done;
+  }
+  const auto over = aWorker.mOver.find(aOrder.mRun.mTask);
+  if (over != aWorker.mOver.end() && aOrder.mRun.mNumber <= over->second) {
+    return OrderStatus::Superseded;
+  }
+  if (ClockOf(aWorld, aWorker) > aOrder.mLeaseEndMs) {
+    return OrderStatus::Late;
+  }
+  Renew(aWorld, aWorker, aOrder.mLeaseEndMs);
+  auto& at = aWorld.mRunningAt[aOrder.mRun.mTask];
+  if (!at.empty()) {
+    Break(aWorld, "two runs of " + ToString(aOrder.mRun.mTask) + " at one time");
+  }
+  at.insert(aWorker.mRecord.mId);
+  ++aWorld.mStarts;
+  WorkerRun run;
+  run.mNeeds.mMilliCores = kTaskMilliCores;
+  run.mHow = aWorker.mFailsAll || Unit(aWorld) < aWorld.mOptions.mFailingTasks
+               ? holding::RunEnd::Failed
+               : holding::RunEnd::Done;
+  run.mEnds = aWorker.mHangs
+                ? aWorld.mNow.mTime + std::chrono::hours(1)
+                : aWorld.mNow.mTime +
+                    Duration(std::llround(static_cast<double>(aRun.count()) * aWorker.mSlowness));
+  aWorker.mRunning.emplace(aOrder.mRun, run);
+  std::uint64_t used = 0;
+  for (const auto& [other, running] : aWorker.mRunning) {
+    used += running.mNeeds.mMilliCores;
+  }
+  if (used > aWorker.mRecord.mCapacity.mMilliCores) {
+    Break(aWorld, "worker " + aWorker.mRecord.mId + " is over its capacity");
+  }
+  return OrderStatus::Done;
+}
+
+OrderStatus CarryOutStop(World& aWorld, Worker& aWorker, const holding::SendStop& aOrder)
+{
+  if (aOrder.mToken < aWorker.mToken) {
+    return OrderStatus::Fenced;
+  }
+  aWorker.mToken = aOrder.mToken;
+  const auto it = aWorker.mRunning.find(aOrder.mRun);
+  if (it != aWorker.mRunning.end()) {
+    it->second.mEnds = std::min(it->second.mEnds, aWorld.mNow.mTime + Duration(kStopTime));
+    it->second.mHow = holding::RunEnd::Stopped;
+  } else {
+    auto& over = aWorker.mOver[aOrder.mRun.mTask];
+    over = std::max(over, aOrder.mRun.mNumber);
+  }
+  return OrderStatus::Done;
+}
+
+bool Reaches(const World& aWorld, std::size_t aNode, const std::string& aWorker)
+{
+  const auto it = aWorld.mWorkers.find(aWorker);
+  return it != aWorld.mWorkers.end() && it->second.mAlive &&
+         !aWorld.mCutFromWorkers.contains({ aNode, aWorker });
+}
+
+/// Delivers an answer to the life of the entry that sent the order.
+void Reply(World& aWorld, std::size_t aNode, std::uint64_t aLife, Duration aDelay, Event aEvent)
+{
+  After(aWorld, aDelay, [&aWorld, aNode, aLife, event = std::move(aEvent)] {
+    if (aWorld.mNodes[aNode].mLife == aLife) {
+      Step(aWorld, aNode, event);
+    }
+  });
+}
+
+/// Carries out an order after the network's delay. Make builds the event from the status.
+template<typename Act, typename Make>
+void Order(World& aWorld, std::size_t aNode, const std::string& aWorker, Act aAct, Make aMake)
+{
+  const auto life = aWorld.mNodes[aNode].mLife;
+  const bool late = Unit(aWorld) < aWorld.mOptions.mLateOrders;
+  const bool lost = late || Unit(aWorld) < aWorld.mOptions.mLostAnswers;
+  const auto there = late ? Duration(milliseconds(2000)) + Delay(aWorld) : Delay(aWorld);
+  After(aWorld, there, [&aWorld, aNode, aWorker, life, lost, aAct, aMake] {
+    if (!Reaches(aWorld, aNode, aWorker)) {
+      Reply(aWorld, aNode, life, kNoAnswerAfter, aMake(OrderStatus::Unknown, std::nullopt));
+      return;
+    }
+    auto& worker = aWorld.mWorkers.at(aWorker);
+    const auto status = aAct(worker);
+    if (!lost) {
+      Reply(aWorld, aNode, life, Delay(aWorld), aMake(status, ClockOf(aWorld, worker)));
+    }
+  });
+  if (lost) {
+    Reply(aWorld, aNode, life, kNoAnswerAfter, aMake(OrderStatus::Unknown, std::nullopt));
+  }
+}
+
+/// Answers a look once there is an end or the wait is over.
+void AnswerLook(World& aWorld,
+                std::size_t aNode,
+                std::uint64_t aLife,
+                const holding::SendLook& aOrder,
+                const std::string& aWorker,
+                Time aUntil,
+                Time aSentAt)
+{
+  holding::LookAnswered answer;
+  answer.mUpstream = aOrder.mUpstream;
+  answer.mSession = aOrder.mSession;
+  answer.mSentAt = aSentAt;
+  if (!Reaches(aWorld, aNode, aWorker)) {
+    Reply(aWorld, aNode, aLife, kNoAnswerAfter, answer);
+    return;
+  }
+  auto& worker = aWorld.mWorkers.at(aWorker);
+  answer.mStatus = OrderStatus::Done;
+  answer.mClockMs = ClockOf(aWorld, worker);
+  answer.mBornMs = worker.mBornMs;
+  if (aOrder.mToken < worker.mToken) {
+    answer.mStatus = OrderStatus::Fenced;
+    Reply(aWorld, aNode, aLife, Delay(aWorld), answer);
+    return;
+  }
+  std::erase_if(worker.mEnds, [&](const auto& aEnd) { return aEnd.mNumber <= aOrder.mSeen; });
+  if (worker.mEnds.empty() && aWorld.mNow.mTime < aUntil) {
+    After(aWorld, milliseconds(1), [&aWorld, aNode, aLife, aOrder, aWorker, aUntil, aSentAt] {
+      AnswerLook(aWorld, aNode, aLife, aOrder, aWorker, aUntil, aSentAt);
+    });
+    return;
+  }
+  for (const auto& [run, running] : worker.mRunning) {
+    answer.mRunning.push_back(run);
+  }
+  answer.mEnds = worker.mEnds;
+  Reply(aWorld, aNode, aLife, Delay(aWorld), answer);
+}
+
+// Actions of entries.
+
+struct Carrier
+{
+  World& mWorld;
+  std::size_t mNode;
+
+  void operator()(const AnswerCaller& aAction) const
+  {
+    auto& call = mWorld.mCalls.at(aAction.mRequest);
+    ++call.mAnswers;
+    call.mAnswered = mWorld.mNow.mTime;
+    call.mComplete = aAction.mAnswer && aAction.mAnswer->mState == JobState::Complete;
+    call.mError = aAction.mAnswer ? aAction.mAnswer->mError : aAction.mError;
+    if (call.mAnswers > 1) {
+      Break(mWorld, "job " + call.mJob.mId + " was answered twice");
+    }
+    if (call.mComplete) {
+      for (std::uint32_t n = 0; n < call.mJob.mTasks.size(); ++n) {
+        if (mWorld.mDone[{ call.mJob.mId, n }] == 0) {
+          Break(mWorld, "job " + call.mJob.mId + " is complete with a task that is not done");
+        }
+      }
+    }
+    const auto verdict = aAction.mError ? aAction.mError->mVerdict : Verdict::MayHaveRun;
+    for (std::uint32_t n = 0; verdict == Verdict::NotRun && n < call.mJob.mTasks.size(); ++n) {
+      if (mWorld.mRunningAt.contains({ call.mJob.mId, n })) {
+        Break(mWorld, "job " + call.mJob.mId + " is said not to have run, though it has");
+        return;
+      }
+    }
+  }
+
+  void operator()(const StartRun& aAction) const
+  {
+    const auto order = aAction.mOrder;
+    const auto run = std::stoll(*aAction.mPayload);
+    const auto sentAt = mWorld.mNow.mTime;
+    Order(
+      mWorld,
+      mNode,
+      aAction.mTo.mId,
+      [&world = mWorld, order, run](Worker& aWorker) {
+        return CarryOutStart(world, aWorker, order, milliseconds(run));
+      },
+      [order, sentAt](OrderStatus aStatus, std::optional<std::int64_t> aClock) -> Event {
+        return holding::StartAnswered{ order.mUpstream, order.mSession, order.mRun,
+                                       aStatus,         aClock,         sentAt };
+      });
+  }
+
+  void operator()(const StopRun& aAction) const
+  {
+    const auto order = aAction.mOrder;
+    const auto sentAt = mWorld.mNow.mTime;
+    Order(
+      mWorld,
+      mNode,
+      aAction.mTo.mId,
+      [&world = mWorld, order](Worker& aWorker) { return CarryOutStop(world, aWorker, order); },
+      [order, sentAt](OrderStatus aStatus, std::optional<std::int64_t>) -> Event {
+        return holding::StopAnswered{
+          order.mUpstream, order.mSession, order.mRun, aStatus, sentAt
+        };
+      });
+  }
+
+  void operator()(const Look& aAction) const
+  {
+    const auto order = aAction.mOrder;
+    const auto life = mWorld.mNodes[mNode].mLife;
+    const auto sentAt = mWorld.mNow.mTime;
+    After(mWorld,
+          Delay(mWorld),
+          [&world = mWorld, node = mNode, life, order, id = aAction.mTo.mId, sentAt] {
+            if (Reaches(world, node, id)) {
+              auto& worker = world.mWorkers.at(id);
+              if (order.mToken >= worker.mToken) {
+                worker.mToken = order.mToken;
+                if (order.mLeaseEndMs) {
+                  Renew(world, worker, *order.mLeaseEndMs);
+                }
+              }
+            }
+            AnswerLook(
+              world, node, life, order, id, world.mNow.mTime + Duration(order.mWait), sentAt);
+          });
+  }
+
+  void operator()(const SendPeer& aAction) const
+  {
+    const auto it =
+      std::find_if(mWorld.mNodes.begin(), mWorld.mNodes.end(), [&](const Node& aNode) {
+        return aNode.mOptions.mPeerAddress == aAction.mAddress;
+      });
+    const auto to = static_cast<std::size_t>(it - mWorld.mNodes.begin());
+    if (mWorld.mCutNodes.contains({ mNode, to })) {
+      return;
+    }
+    auto& last = mWorld.mLastArrival[{ mNode, to }];
+    last = std::max(last, mWorld.mNow.mTime + Delay(mWorld));
+    const auto life = it->mLife;
+    After(mWorld,
+          last - mWorld.mNow.mTime,
+          [&world = mWorld,
+           to,
+           life,
+           event = Event(PeerMessage{ mWorld.mNodes[mNode].mOptions.mPeerAddress,
+                                      aAction.mMessage })] {
+            if (world.mNodes[to].mLife == life) {
+              Step(world, to, event);
+            }
+          });
+  }
+
+  void operator()(const ConnectPeer& aAction) const
+  {
+    const auto life = mWorld.mNodes[mNode].mLife;
+    Reply(mWorld, mNode, life, Delay(mWorld), PeerConnected{ aAction.mAddress });
+  }
+
+  void operator()(const DisconnectPeer& /*aAction*/) const {}
+  void operator()(const Report& aAction) const
+  {
+    if (std::getenv("POLLENWALL_TEST_LOG") != nullptr) {
+      std::cerr << mWorld.mNow.mTime.time_since_epoch().count() << " "
+                << mWorld.mNodes[mNode].mOptions.mName << " " << aAction.mEvent;
+      for (const auto& [name, value] : aAction.mFields) {
+        std::cerr << " " << name << "=" << value;
+      }
+      std::cerr << "\n";
+    }
+  }
+  void operator()(const Stopped& /*aAction*/) const { Kill(mWorld, mNode); }
+};
+
+void Step(World& aWorld, std::size_t aNode, const Event& aEvent)
+{
+  auto& node = aWorld.mNodes[aNode];
+  if (!node.mAlive) {
+    return;
+  }
+  if (node.mFrozen) {
+    node.mHeldUp.push_back(aEvent);
+    return;
+  }
+  Actions actions;
+  Handle(*node.mState, aEvent, aWorld.mNow, actions);
+  for (const auto& action : actions) {
+    std::visit(Carrier{ aWorld, aNode }, action);
+  }
+}
+
+void TickNode(World& aWorld, std::size_t aNode, std::uint64_t aLife)
+{
+  if (aWorld.mNodes[aNode].mLife != aLife) {
+    return;
+  }
+  if (!aWorld.mNodes[aNode].mFrozen) {
+    Step(aWorld, aNode, Tick{});
+  }
+  After(aWorld, kTick, [&aWorld, aNode, aLife] { TickNode(aWorld, aNode, aLife); });
+}
+
+void TickWorkers(World& aWorld)
+{
+  RunWorkers(aWorld);
+  After(aWorld, milliseconds(1), [&aWorld] { TickWorkers(aWorld); });
+}
+
+UpstreamsListed Listed(const World& aWorld)
+{
+  UpstreamsListed listed;
+  for (const auto& [id, worker] : aWorld.mWorkers) {
+    listed.mUpstreams.push_back(worker.mRecord);
+  }
+  return listed;
+}
+
+} // namespace
+
+double Unit(World& aWorld)
+{
+  return static_cast<double>(aWorld.mRandom() >> 11) * 0x1.0p-53;
+}
+
+void After(World& aWorld, Duration aTime, std::function<void()> aAct)
+{
+  aWorld.mDue.push({ aWorld.mNow.mTime + aTime, ++aWorld.mLastOrder, std::move(aAct) });
+}
+
+void RunFor(World& aWorld, Duration aTime)
+{
+  const auto until = aWorld.mNow.mTime + aTime;
+  const auto start = aWorld.mNow;
+  while (!aWorld.mDue.empty() && aWorld.mDue.top().mAt <= until) {
+    const auto due = aWorld.mDue.top();
+    aWorld.mDue.pop();
+    aWorld.mNow.mTime = std::max(aWorld.mNow.mTime, due.mAt);
+    aWorld.mNow.mUnixMs =
+      start.mUnixMs + duration_cast<milliseconds>(aWorld.mNow.mTime - start.mTime).count();
+    due.mAct();
+  }
+  aWorld.mNow.mTime = until;
+  aWorld.mNow.mUnixMs = start.mUnixMs + duration_cast<milliseconds>(aTime).count();
+}
+
+std::unique_ptr<World> MakeWorld(const WorldOptions& aOptions)
+{
+  auto world = std::make_unique<World>();
+  world->mOptions = aOptions;
+  world->mRandom.seed(aOptions.mSeed);
+  auto& configuration = world->mConfiguration;
+  configuration.mVersion = 1;
+  configuration.mServices[kService] = { kService, {}, std::chrono::hours(1),
+                                        milliseconds(200), std::chrono::hours(1), 1.0 };
+  configuration.mTeams["callers"] = { "callers", 1, 1e12, 1e12 };
+  for (std::size_t dc = 0; dc < aOptions.mDataCentres; ++dc) {
+    const auto name = "dc" + std::to_string(dc);
+    for (std::size_t n = 0; n < aOptions.mWorkersEach; ++n) {
+      Worker worker;
+      worker.mRecord.mId = name + "-w" + std::to_string(n);
+      worker.mRecord.mService = kService;
+      worker.mRecord.mDataCentre = name;
+      worker.mRecord.mRack = "r" + std::to_string(n / 4);
+      worker.mRecord.mAddress = "10.0.0.1";
+      worker.mRecord.mPort = static_cast<std::uint16_t>(1000 + world->mWorkers.size());
+      worker.mRecord.mSlots = 8;
+      worker.mRecord.mCapacity = { kWorkerMilliCores, std::uint64_t{ 1 } << 37, 0 };
+      worker.mBornMs = world->mNow.mUnixMs - 5000 - static_cast<std::int64_t>(n);
+      world->mWorkers.emplace(worker.mRecord.mId, std::move(worker));
+    }
+    for (std::size_t n = 0; n < aOptions.mNodesEach; ++n) {
+      Node node;
+      node.mOptions.mName = name + "-e" + std::to_string(n);
+      node.mOptions.mDataCentre = name;
+      node.mOptions.mPeerAddress = "10.1.0.1:" + std::to_string(1 + world->mNodes.size());
+      node.mOptions.mDispatch.mExpectedJobs = 64;
+      node.mOptions.mDispatch.mAnswerRetention = std::chrono::seconds(5);
+      world->mNodes.push_back(std::move(node));
+    }
+  }
+  for (std::size_t n = 0; n < world->mNodes.size(); ++n) {
+    Restart(*world, n);
+  }
+  TickWorkers(*world);
+  return world;
+}
+
+RequestId SubmitJob(World& aWorld,
+                    std::size_t aNode,
+                    std::uint32_t aTasks,
+                    milliseconds aRun,
+                    milliseconds aDeadline)
+{
+  const auto request = ++aWorld.mLastRequest;
+  CallRecord call;
+  call.mNode = aNode;
+  call.mSubmitted = aWorld.mNow.mTime;
+  call.mJob.mId = "job" + std::to_string(request);
+  call.mJob.mService = kService;
+  call.mJob.mTeam = "callers";
+  call.mJob.mKind = "k" + std::to_string(aRun.count());
+  call.mJob.mDeadline = aDeadline;
+  call.mJob.mMostFailures = 3;
+  call.mJob.mRestartable = true;
+  TaskSpec task;
+  task.mPayload = std::to_string(aRun.count());
+  task.mDeclaredRun = aRun;
+  task.mNeeds.mMilliCores = kTaskMilliCores;
+  call.mJob.mTasks.assign(aTasks, task);
+  aWorld.mCalls.emplace(request, call);
+  Step(aWorld, aNode, CallerSubmit{ request, call.mJob });
+  return request;
+}
+
+void Load(World& aWorld, double aJobsPerSecond, Duration aTime, milliseconds aRun)
+{
+  const auto until = aWorld.mNow.mTime + aTime;
+  const auto next = std::make_shared<std::function<void()>>();
+  *next = [&aWorld, aJobsPerSecond, until, aRun, weak = std::weak_ptr(next)] {
+    if (aWorld.mNow.mTime >= until) {
+      return;
+    }
+    const auto node = aWorld.mRandom() % aWorld.mNodes.size();
+    if (aWorld.mNodes[node].mAlive && !aWorld.mNodes[node].mFrozen) {
+      SubmitJob(aWorld, node, 1 + static_cast<std::uint32_t>(aWorld.mRandom() % 6), aRun);
+    }
+    const auto gap = -std::log(1 - Unit(aWorld)) / aJobsPerSecond;
+    const auto self = weak.lock();
+    After(aWorld, Duration(std::llround(gap * 1e6)), [self] { (*self)(); });
+  };
+  (*next)();
+}
+
+void Kill(World& aWorld, std::size_t aNode)
+{
+  auto& node = aWorld.mNodes[aNode];
+  node.mAlive = false;
+  node.mFrozen = false;
+  node.mHeldUp.clear();
+  ++node.mLife;
+  node.mState.reset();
+  for (auto& [request, call] : aWorld.mCalls) {
+    call.mGone = call.mGone || (call.mNode == aNode && !call.mAnswered);
+  }
+}
+
+void Restart(World& aWorld, std::size_t aNode)
+{
+  auto& node = aWorld.mNodes[aNode];
+  ++node.mLife;
+  node.mOptions.mIncarnation =
+    MakeIncarnation(aWorld.mNow.mUnixMs, static_cast<std::uint32_t>(aWorld.mRandom()));
+  node.mOptions.mSeed = aWorld.mRandom();
+  node.mState = MakeState(node.mOptions, aWorld.mNow);
+  node.mAlive = true;
+  EntriesListed entries;
+  for (const auto& other : aWorld.mNodes) {
+    entries.mEntries.push_back({ other.mOptions.mName, other.mOptions.mPeerAddress });
+  }
+  Step(aWorld, aNode, entries);
+  Step(aWorld, aNode, ConfigurationListed{ aWorld.mConfiguration });
+  Step(aWorld, aNode, Listed(aWorld));
+  // The other entries open their connections to it anew.
+  for (std::size_t n = 0; n < aWorld.mNodes.size(); ++n) {
+    if (n != aNode && aWorld.mNodes[n].mAlive) {
+      Step(aWorld, n, PeerConnected{ node.mOptions.mPeerAddress });
+    }
+  }
+  TickNode(aWorld, aNode, node.mLife);
+}
+
+void Freeze(World& aWorld, std::size_t aNode)
+{
+  aWorld.mNodes[aNode].mFrozen = aWorld.mNodes[aNode].mAlive;
+}
+
+void Thaw(World& aWorld, std::size_t aNode)
+{
+  auto& node = aWorld.mNodes[aNode];
+  if (!node.mFrozen) {
+    return;
+  }
+  node.mFrozen = false;
+  auto events = std::move(node.mHeldUp);
+  node.mHeldUp.clear();
+  for (const auto& event : events) {
+    Step(aWorld, aNode, event);
+  }
+}
+
+void CrashWorker(World& aWorld, const std::string& aId)
+{
+  auto& worker = aWorld.mWorkers.at(aId);
+  worker.mAlive = false;
+  for (const auto& [run, running] : worker.mRunning) {
+    aWorld.mRunningAt[run.mTask].erase(aId);
+  }
+  worker.mRunning.clear();
+}
+
+void BeginDrain(World& aWorld, std::size_t aNode)
+{
+  Step(aWorld, aNode, Drain{});
+}
+
+void CutNode(World& aWorld, std::size_t aNode, bool aCut)
+{
+  for (std::size_t n = 0; n < aWorld.mNodes.size(); ++n) {
+    for (const auto& link : { std::pair{ aNode, n }, std::pair{ n, aNode } }) {
+      if (aCut) {
+        aWorld.mCutNodes.insert(link);
+      } else {
+        aWorld.mCutNodes.erase(link);
+      }
+    }
+  }
+}
+
+void ListWorkers(World& aWorld)
+{
+  const auto listed = Listed(aWorld);
+  for (std::size_t n = 0; n < aWorld.mNodes.size(); ++n) {
+    Step(aWorld, n, listed);
+  }
+}
+
+std::size_t Answered(const World& aWorld)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aWorld.mCalls.begin(), aWorld.mCalls.end(), [](const auto& aCall) {
+      return aCall.second.mAnswered.has_value();
+    }));
+}
+
+std::size_t Complete(const World& aWorld)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aWorld.mCalls.begin(), aWorld.mCalls.end(), [](const auto& aCall) { return aCall.second.mComplete; }));
+}
+
+} // namespace pollenwall::entry::test
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -279,25 +279,25 @@
   }
 }
 
-void Start(State& aState,
-           std::string_view aUpstream,
-           const Run& aRun,
-           const Now& aNow,
-           Actions& aActions)
+std::optional<SendStart> Start(State& aState,
+                               std::string_view aUpstream,
+                               const Run& aRun,
+                               const Now& aNow,
+                               Actions& aActions)
 {
   const auto it = aState.mSessions.find(aUpstream);
   if (it == aState.mSessions.end() || !it->second.mUsable) {
     ReportEnd(aUpstream, aRun, Verdict::NotRun, ErrorCode::Overloaded, Duration{ 0 }, aActions);
-    return;
+    return std::nullopt;
   }
   auto& session = it->second;
   session.mRuns[aRun] = OwnRun{ RunPhase::Starting, aNow.mTime };
   session.mNextLook = aNow.mTime;
-  aActions.emplace_back(SendStart{ std::string(aUpstream),
-                                   session.mNumber,
-                                   aRun,
-                                   session.mToken,
-                                   NextLeaseEnd(aState, session, aNow) });
+  return SendStart{ std::string(aUpstream),
+                    session.mNumber,
+                    aRun,
+                    session.mToken,
+                    NextLeaseEnd(aState, session, aNow) };
 }
 
 void Stop(State& aState,
--- a/src/libnet/http_pool.cpp
+++ b/src/libnet/http_pool.cpp
@@ -29,6 +29,7 @@
   bool mClosed = false;
   bool mSent = false;
   std::optional<HttpCall> mCall;
+  std::string mWriting; ///< Outlives the call: an early answer ends it before all is written.
   Clock::time_point mCallUntil = Clock::time_point::max();
   boost::beast::flat_buffer mBuffer;
   std::optional<http::response_parser<http::string_body>> mParser;
@@ -137,8 +138,9 @@
   aConnection->mParser->eager(true);
   aConnection->mParser->body_limit(aLimits.mMaxBodyBytes);
   aConnection->mSent = true;
+  aConnection->mWriting = std::move(aConnection->mCall->mRequest);
   asio::async_write(aConnection->mSocket,
-                    asio::buffer(aConnection->mCall->mRequest),
+                    asio::buffer(aConnection->mWriting),
                     [aConnection](const boost::system::error_code& aEc, std::size_t) {
                       if (aEc) {
                         Close(aConnection);
