Give each entry tokens of its own and let runs of unlisted upstreams end

An upstream that the list lacks now takes no new work, and its runs end or lapse as usual. entry_test also found two entries that claimed an upstream in the same millisecond with the same token, which put a worker over its capacity; tokens now carry a salt of the entry.

--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -25,8 +25,15 @@
 /// the run, or the lease has lapsed on the upstream's own clock.
 namespace pollenwall::holding {
 
+/// A token is the wall clock in these units, so that a later claim has a higher token without
+/// asking anyone, and the claiming entry's salt, so that no two entries have the same. Below 2^53,
+/// it fits a JSON number.
+inline constexpr std::chrono::milliseconds kTokenUnit{ 16 };
+inline constexpr int kTokenSaltBits = 16;
+
 struct Options
 {
+  std::uint16_t mTokenSalt = 0; ///< Of this entry.
   /// Time for which what runs on an upstream is kept alive by one renewal. The platform allows at
   /// most 1 s; less shortens the wait before lost tasks may start elsewhere.
   std::chrono::milliseconds mLease{ 900 };
@@ -242,12 +249,17 @@
 {
   Options mOptions;
   std::uint64_t mLastSession = 0;
-  std::uint64_t mLastToken = 0;
   std::map<std::string, Session, std::less<>> mSessions; ///< By upstream.
 };
 
-/// Begins to hold an upstream with a token above aLeastToken and all own earlier ones. Its first
-/// look renews no lease, so runs of a dead holder lapse even if this entry dies as well.
+/// A token above aLeast.
+std::uint64_t MakeToken(std::uint16_t aSalt, UnixMs aUnixMs, std::uint64_t aLeast);
+
+/// The token with which an upstream is held; 0 when it is not.
+std::uint64_t TokenOf(const State& aState, std::string_view aUpstream);
+
+/// Begins to hold an upstream with a token above aLeastToken. Its first look renews no lease, so
+/// runs of a dead holder lapse even if this entry dies as well.
 void Claim(State& aState,
            std::string_view aUpstream,
            std::uint64_t aLeastToken,
@@ -260,9 +272,6 @@
 /// Undoes Release.
 void Keep(State& aState, std::string_view aUpstream, Actions& aActions);
 
-/// The incarnation is gone: all that ran there is over.
-void Drop(State& aState, std::string_view aUpstream, Actions& aActions);
-
 /// Starts a task and returns the order to send. On an upstream that is not usable the run ends at
 /// once as not run, and nothing is returned.
 std::optional<SendStart> Start(State& aState,
--- a/src/libentry/entry.cpp
+++ b/src/libentry/entry.cpp
@@ -176,6 +176,7 @@
   auto options = aOptions;
   options.mDispatch.mDataCentre = aOptions.mDataCentre;
   options.mDispatch.mHoldsWholeUpstreams = true;
+  options.mHolding.mTokenSalt = static_cast<std::uint16_t>(aOptions.mIncarnation.mValue);
   auto state = std::unique_ptr<State, void (*)(State*)>(
     new State{ .mOptions = options,
                .mRandom = std::mt19937_64(aOptions.mSeed),
--- a/src/libentry/entry_test.cpp
+++ b/src/libentry/entry_test.cpp
@@ -84,7 +84,7 @@
     const auto node = some(w.mNodes.size());
     const auto start = at();
     const auto end = start + Duration(static_cast<std::int64_t>(300e3 + Unit(w) * 3e6));
-    switch (some(6)) {
+    switch (some(7)) {
       case 0:
         After(w, start, [&w, node] { Kill(w, node); });
         After(w, end, [&w, node] {
@@ -110,6 +110,18 @@
         After(w, end, [&w, node, id] { w.mCutFromWorkers.erase({ node, id }); });
         break;
       }
+      case 5: {
+        const auto id = worker();
+        After(w, start, [&w, id] {
+          w.mUnlisted.insert(id);
+          ListWorkers(w);
+        });
+        After(w, start + Duration(seconds(5)), [&w, id] {
+          w.mUnlisted.erase(id);
+          ListWorkers(w);
+        });
+        break;
+      }
       default:
         After(w, start, [&w, node] { BeginDrain(w, node); });
         After(w, start + Duration(seconds(7)), [&w, node] {
@@ -128,6 +140,30 @@
   return ok;
 }
 
+/// Guards against tasks that are started again because the list has lost a worker that still runs
+/// them, as it does when a data centre cannot reach the platform's store.
+bool ListLosesWorkers()
+{
+  auto world = MakeWorld({});
+  auto& w = *world;
+  RunFor(w, seconds(2));
+  Load(w, 10, seconds(10), milliseconds(2500));
+  After(w, seconds(2), [&w] {
+    for (const auto& [id, worker] : w.mWorkers) {
+      if (worker.mRecord.mDataCentre == "dc1") {
+        w.mUnlisted.insert(id);
+      }
+    }
+    ListWorkers(w);
+  });
+  After(w, seconds(8), [&w] {
+    w.mUnlisted.clear();
+    ListWorkers(w);
+  });
+  RunFor(w, seconds(20));
+  return NothingBroken(w) && AllAnswered(w);
+}
+
 /// Guards against jobs that wait for a holder which has died, and against upstreams that stay
 /// without a holder.
 bool HolderDies()
@@ -160,6 +196,7 @@
   }
   bool ok = CalmDay();
   ok = HolderDies() && ok;
+  ok = ListLosesWorkers() && ok;
   constexpr std::uint64_t kSeeds = 60;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     ok = RandomFaults(seed) && ok;
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -14,9 +14,11 @@
 constexpr milliseconds kClaimInterval{ 100 };
 /// A job whose earlier runs are still being stopped is asked for again after this.
 constexpr milliseconds kStoppingRetryAfter{ 100 };
-/// A claim that failed says only that a higher token is in use. Tokens are Unix milliseconds shifted
-/// by 12 bits, so this exceeds what a clock that is 5 s ahead has given out.
-constexpr std::uint64_t kTokenStep = std::uint64_t{ 5000 } << 12;
+/// A claim that failed says only that a higher token is in use. The next one exceeds what a clock
+/// that is this much ahead has given out.
+constexpr milliseconds kMostClockLead{ 5000 };
+constexpr std::uint64_t kTokenStep =
+  static_cast<std::uint64_t>(kMostClockLead / holding::kTokenUnit) << holding::kTokenSaltBits;
 
 std::string KeyOf(const UpstreamRecord& aRecord)
 {
@@ -188,7 +190,7 @@
       });
     it->second.mClaimNotBefore =
       mNow.mTime + (isolated ? mState.mOptions.mIsolatedClaimAgain : mState.mOptions.mClaimAgain);
-    it->second.mLeastToken = mState.mHolding.mLastToken + kTokenStep;
+    it->second.mLeastToken += kTokenStep;
   }
 
   void operator()(holding::Note& aAction)
@@ -425,8 +427,14 @@
 {
   std::vector<std::string> gone;
   for (const auto& [key, upstream] : aState.mUpstreams) {
-    if (upstream.mMissingSince &&
-        aNow.mTime - *upstream.mMissingSince > aState.mOptions.mMissingUpstreamKept) {
+    if (!upstream.mMissingSince ||
+        aNow.mTime - *upstream.mMissingSince <= aState.mOptions.mMissingUpstreamKept) {
+      continue;
+    }
+    // It may still run tasks and only fail to reach the store; those end or lapse as usual.
+    if (aState.mHolding.mSessions.contains(key)) {
+      holding::Release(aState.mHolding, key, aState.mHoldingActions);
+    } else {
       gone.push_back(key);
     }
   }
@@ -434,7 +442,6 @@
     return;
   }
   for (const auto& key : gone) {
-    holding::Drop(aState.mHolding, key, aState.mHoldingActions);
     aState.mUpstreams.erase(key);
   }
   Reconfigure(aState, aNow);
@@ -479,17 +486,17 @@
     for (const auto& key : keys) {
       auto& upstream = aState.mUpstreams.at(key);
       const bool held = aState.mHolding.mSessions.contains(key);
-      if (held && own) {
+      if (held && own && !upstream.mMissingSince) {
         holding::Keep(aState.mHolding, key, aState.mHoldingActions);
-      } else if (held) {
+      } else if (held && !own) {
         holding::Release(aState.mHolding, key, aState.mHoldingActions);
-      } else if (own && !upstream.mRecord.mLeaving && aNow.mTime >= upstream.mClaimNotBefore &&
+      } else if (own && !held && !upstream.mRecord.mLeaving && !upstream.mMissingSince && aNow.mTime >= upstream.mClaimNotBefore &&
                  !IsHeldByLivingPeer(aState, upstream.mHash, aNow)) {
         ++aState.mCounts.mClaims;
         AddReport(aActions, "upstream_claimed", { { "upstream", key } });
         holding::Claim(
           aState.mHolding, key, upstream.mLeastToken, aNow, aState.mHoldingActions);
-        upstream.mLeastToken = 0;
+        upstream.mLeastToken = holding::TokenOf(aState.mHolding, key);
         aState.mPresenceDue = true;
       }
     }
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -55,7 +55,7 @@
   std::uint64_t mHash = 0; ///< Of its key.
   std::optional<Time> mMissingSince;
   Time mClaimNotBefore{};
-  std::uint64_t mLeastToken = 0; ///< A claim that failed says that higher ones are in use.
+  std::uint64_t mLeastToken = 0; ///< The next claim's token exceeds this.
 };
 
 struct Counts
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -405,7 +405,9 @@
 {
   UpstreamsListed listed;
   for (const auto& [id, worker] : aWorld.mWorkers) {
-    listed.mUpstreams.push_back(worker.mRecord);
+    if (!aWorld.mUnlisted.contains(id)) {
+      listed.mUpstreams.push_back(worker.mRecord);
+    }
   }
   return listed;
 }
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -82,6 +82,7 @@
   std::map<TaskId, std::uint32_t> mDone;
   std::set<std::pair<std::size_t, std::size_t>> mCutNodes;       ///< One way.
   std::set<std::pair<std::size_t, std::string>> mCutFromWorkers; ///< Node and worker.
+  std::set<std::string> mUnlisted;                               ///< Workers that the list lacks.
   std::vector<std::string> mBroken;                              ///< Promises that were broken.
   std::uint64_t mStarts = 0;
 
@@ -132,7 +133,6 @@
 /// Tells all living entries which workers there are.
 void ListWorkers(World& aWorld);
 
-/// Entries that hold a worker of a data centre, judged by the highest token seen there.
 std::size_t Answered(const World& aWorld);
 std::size_t Complete(const World& aWorld);
 
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -9,9 +9,6 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-/// Tokens are the wall clock in milliseconds and some low bits that separate claims of the same
-/// millisecond, so that a later claim has a higher token without asking anyone.
-constexpr int kTokenLowBits = 12;
 /// While runs of an earlier holder are being stopped, looks wait this long for their ends.
 constexpr milliseconds kClearingWait{ 50 };
 /// Pause before an upstream that refused a look is asked again.
@@ -235,6 +232,18 @@
 
 } // namespace
 
+std::uint64_t MakeToken(std::uint16_t aSalt, UnixMs aUnixMs, std::uint64_t aLeast)
+{
+  const auto clock = static_cast<std::uint64_t>(std::max<UnixMs>(0, aUnixMs) / kTokenUnit.count());
+  return (std::max(clock, (aLeast >> kTokenSaltBits) + 1) << kTokenSaltBits) | aSalt;
+}
+
+std::uint64_t TokenOf(const State& aState, std::string_view aUpstream)
+{
+  const auto it = aState.mSessions.find(aUpstream);
+  return it == aState.mSessions.end() ? 0 : it->second.mToken;
+}
+
 void Claim(State& aState,
            std::string_view aUpstream,
            std::uint64_t aLeastToken,
@@ -244,12 +253,9 @@
   if (aState.mSessions.contains(aUpstream)) {
     return;
   }
-  const auto clock = static_cast<std::uint64_t>(std::max<UnixMs>(0, aNow.mUnixMs))
-                     << kTokenLowBits;
-  aState.mLastToken = std::max({ clock, aState.mLastToken + 1, aLeastToken + 1 });
   Session session;
   session.mNumber = ++aState.mLastSession;
-  session.mToken = aState.mLastToken;
+  session.mToken = MakeToken(aState.mOptions.mTokenSalt, aNow.mUnixMs, aLeastToken);
   auto& stored = aState.mSessions.emplace(aUpstream, std::move(session)).first->second;
   SendNextLook(aState, aUpstream, stored, aNow, aActions);
 }
@@ -272,13 +278,6 @@
   }
 }
 
-void Drop(State& aState, std::string_view aUpstream, Actions& aActions)
-{
-  if (aState.mSessions.contains(aUpstream)) {
-    DropSession(aState, aUpstream, aActions);
-  }
-}
-
 std::optional<SendStart> Start(State& aState,
                                std::string_view aUpstream,
                                const Run& aRun,
