Refuse submissions that their owner may have given up

A submission now names the process that is meant and the time on its clock until which the owner stands by it; an owner numbers each submission anew; an entry counts as living only while it echoes a recent time of this one, so that messages held up on the way do not make it look alive. Leases are 700 ms, and a silent holder's jobs are submitted again 1,300 ms after its last sign. Entries claim nothing in their first 500 ms, in which holders make themselves known.

--- a/src/include/pollenwall/entry.h
+++ b/src/include/pollenwall/entry.h
@@ -37,12 +37,12 @@
   dispatch::Options mDispatch;
   holding::Options mHolding;
   std::chrono::milliseconds mPresenceInterval{ 100 };
-  /// An entry not heard for this long is treated as gone. Five presences may be lost or late.
+  /// An entry that has echoed no time of this one for this long is treated as gone. An echo is up to
+  /// two intervals old, so three presences may be lost or late.
   std::chrono::milliseconds mSilentAfter{ 500 };
   /// From the last sign of a holder until its runs are certainly over: the silence after which it
-  /// stops an owner's jobs, the time that a stop takes, and some delay on the way. Callers whose
-  /// connection broke come back later than this.
-  std::chrono::milliseconds mRunsOverAfter{ 1100 };
+  /// stops an owner's jobs and the lease. Callers whose connection broke come back no earlier.
+  std::chrono::milliseconds mRunsOverAfter{ 1300 };
   /// An upstream that the platform's list no longer names is kept for this long: entries of the
   /// list that lapsed while the platform's store was away come back within 2 s.
   std::chrono::milliseconds mMissingUpstreamKept{ 2500 };
--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -36,7 +36,7 @@
   std::uint16_t mTokenSalt = 0; ///< Of this entry.
   /// Time for which what runs on an upstream is kept alive by one renewal. The platform allows at
   /// most 1 s; less shortens the wait before lost tasks may start elsewhere.
-  std::chrono::milliseconds mLease{ 900 };
+  std::chrono::milliseconds mLease{ 700 };
   /// Longest wait of one look for an end while tasks run. A look renews the lease.
   std::chrono::milliseconds mLookWait{ 250 };
   /// Pause between looks at an upstream on which nothing runs.
--- a/src/include/pollenwall/messages.h
+++ b/src/include/pollenwall/messages.h
@@ -103,6 +103,9 @@
   bool mWait = true;
   JobSpec mJob;
   std::uint32_t mHops = 1; ///< Times that it has been sent, this one included.
+  /// On the receiver's monotonic clock; the receiver refuses what it handles later. 0: always valid.
+  std::int64_t mValidUntilMs = 0;
+  Incarnation mTo; ///< The process that is meant; 0: any at the address.
 
   friend bool operator==(const Submit&, const Submit&) = default;
 };
@@ -233,11 +236,11 @@
   friend bool operator==(const ServiceLoad&, const ServiceLoad&) = default;
 };
 
-/// How long ago an entry last heard another.
+/// The time of the latest presence that an entry has from another.
 struct Heard
 {
   Incarnation mIncarnation;
-  std::chrono::milliseconds mAge{ 0 };
+  std::int64_t mTimeMs = 0; ///< On the other's clock, as it said.
 
   friend bool operator==(const Heard&, const Heard&) = default;
 };
@@ -249,6 +252,7 @@
   std::string mName;
   std::string mDataCentre;
   std::string mPeerAddress;
+  std::int64_t mTimeMs = 0; ///< The sender's monotonic clock.
   bool mLeaving = false;
   configuration::Version mConfigurationVersion = 0;
   std::vector<std::uint64_t> mHeld; ///< Hash64 of the keys of the upstreams that it holds.
--- a/src/libentry/calls.cpp
+++ b/src/libentry/calls.cpp
@@ -128,8 +128,11 @@
     RunJob(aState, { std::nullopt, aNumber, job.mId }, std::move(job), aNow, aActions);
     return;
   }
-  auto* peer = FindPeer(aState, holder);
-  aActions.emplace_back(SendPeer{ peer->mAddress, message::Submit{ aNumber, true, std::move(job) } });
+  const auto* peer = FindPeer(aState, holder);
+  // While the holder handles it within this time, this entry has not given the holder up.
+  const auto valid = peer->mPresence.mTimeMs + aState.mOptions.mSilentAfter.count();
+  aActions.emplace_back(
+    SendPeer{ peer->mAddress, message::Submit{ aNumber, true, std::move(job), 1, valid, holder } });
 }
 
 /// Offers a call to the best holder. Without one it waits a little, and is refused in the end.
@@ -170,14 +173,23 @@
   call.mForwardAt = aNow.mTime + kForwardAgain;
 }
 
-/// Submits a call elsewhere, once the runs of its former holder are over.
+/// Submits a call elsewhere, once the runs of its former holder are over. It gets a new number, so
+/// that nothing that is still on its way can be taken for the new submission.
 void Resubmit(State& aState,
               CallNumber aNumber,
               std::string_view aReason,
               Time aNotBefore,
               Actions& aActions)
 {
-  auto& call = aState.mCalls.at(aNumber);
+  auto node = aState.mCalls.extract(aNumber);
+  node.key() = ++aState.mLastCall;
+  auto& call = aState.mCalls.insert(std::move(node)).position->second;
+  aState.mCallByRequest[call.mRequest] = aState.mLastCall;
+  const auto* peer = call.mHolder ? FindPeer(aState, *call.mHolder) : nullptr;
+  if (peer != nullptr) {
+    aActions.emplace_back(
+      SendPeer{ peer->mAddress, message::Cancel{ aNumber, call.mJob.mId, call.mJob.mTeam } });
+  }
   ++aState.mCounts.mResubmitted;
   call.mHolder.reset();
   call.mRefusedBy.clear();
@@ -228,7 +240,7 @@
   if (call.mHolder == aState.mOptions.mIncarnation) {
     for (const auto& [request, origin] : aState.mOrigins) {
       if (!origin.mPeer && origin.mNumber == number) {
-        CancelOrigin(aState, request, aNow, aActions);
+        CancelOrigin(aState, request, aNow);
         break;
       }
     }
@@ -302,6 +314,7 @@
 
 void AdvanceCalls(State& aState, const Now& aNow, Actions& aActions)
 {
+  std::vector<std::pair<CallNumber, Time>> silent;
   std::vector<CallNumber> expired;
   std::vector<CallNumber> due;
   for (auto& [number, call] : aState.mCalls) {
@@ -323,7 +336,10 @@
       continue;
     }
     call.mVerdict = Verdict::MayHaveRun;
-    const auto heard = peer != nullptr && peer->mHeardAt ? *peer->mHeardAt : aNow.mTime;
+    silent.emplace_back(number,
+                        peer != nullptr && peer->mHeardAt ? *peer->mHeardAt : aNow.mTime);
+  }
+  for (const auto& [number, heard] : silent) {
     Resubmit(
       aState, number, "holder_silent", heard + Duration(aState.mOptions.mRunsOverAfter), aActions);
   }
--- a/src/libentry/entry.cpp
+++ b/src/libentry/entry.cpp
@@ -40,22 +40,11 @@
   }
   const auto peer = it->second.mIncarnation;
   if (const auto* submit = std::get_if<message::Submit>(&aEvent.mMessage)) {
-    if (aState.mDraining) {
-      aActions.emplace_back(SendPeer{
-        aEvent.mFrom,
-        message::Reply{ submit->mNumber,
-                        std::nullopt,
-                        Error{ ErrorCode::Stopping, Verdict::NotRun, "The holder stops.", {} } } });
-      return;
-    }
-    RunJob(aState, { peer, submit->mNumber, submit->mJob.mId }, submit->mJob, aNow, aActions);
+    RunPeerJob(aState, peer, *submit, aNow, aActions);
   } else if (const auto* reply = std::get_if<message::Reply>(&aEvent.mMessage)) {
     HandleOutcome(aState, reply->mNumber, peer, reply->mAnswer, reply->mError, aNow, aActions);
   } else if (const auto* cancel = std::get_if<message::Cancel>(&aEvent.mMessage)) {
-    const auto origin = aState.mRemote.find({ peer, cancel->mNumber });
-    if (origin != aState.mRemote.end()) {
-      CancelOrigin(aState, origin->second, aNow, aActions);
-    }
+    CancelPeerJob(aState, peer, cancel->mNumber, aNow);
   }
 }
 
@@ -183,6 +172,7 @@
                .mDispatch = dispatch::MakeState(options.mDispatch, aOptions.mSeed + 1) },
     [](State* aState) { delete aState; });
   state->mHolding.mOptions = options.mHolding;
+  state->mStarted = aNow.mTime;
   state->mLastEvent = aNow.mTime;
   return state;
 }
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -12,6 +12,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kClaimInterval{ 100 };
+/// A submission held up for longer than this on a connection is not expected.
+constexpr milliseconds kCancelledKept{ 10000 };
 /// A job whose earlier runs are still being stopped is asked for again after this.
 constexpr milliseconds kStoppingRetryAfter{ 100 };
 /// A claim that failed says only that a higher token is in use. The next one exceeds what a clock
@@ -312,7 +314,50 @@
   Dispatch(aState, dispatch::Submit{ request, std::move(aJob) }, aNow);
 }
 
-void CancelOrigin(State& aState, RequestId aRequest, const Now& aNow, Actions& /*aActions*/)
+void RunPeerJob(State& aState,
+                Incarnation aPeer,
+                const message::Submit& aSubmit,
+                const Now& aNow,
+                Actions& aActions)
+{
+  const auto refuse = [&](ErrorCode aCode, std::string aMessage) {
+    if (const auto* peer = FindPeer(aState, aPeer)) {
+      aActions.emplace_back(SendPeer{
+        peer->mAddress,
+        message::Reply{
+          aSubmit.mNumber,
+          std::nullopt,
+          Error{ aCode, Verdict::NotRun, std::move(aMessage), kStoppingRetryAfter } } });
+    }
+  };
+  if (aState.mDraining) {
+    return refuse(ErrorCode::Stopping, "The holder is stopping.");
+  }
+  if (aState.mCancelled.contains({ aPeer, aSubmit.mNumber })) {
+    return;
+  }
+  const auto nowMs =
+    std::chrono::duration_cast<milliseconds>(aNow.mTime.time_since_epoch()).count();
+  const bool forOther =
+    aSubmit.mTo.mValue != 0 && aSubmit.mTo != aState.mOptions.mIncarnation;
+  if (forOther || (aSubmit.mValidUntilMs != 0 && nowMs > aSubmit.mValidUntilMs)) {
+    AddReport(aActions, "submission_stale", { { "job", aSubmit.mJob.mId } }, true);
+    CancelPeerJob(aState, aPeer, aSubmit.mNumber, aNow);
+    return refuse(ErrorCode::OwnerUnreachable, "The submission arrived too late.");
+  }
+  RunJob(aState, { aPeer, aSubmit.mNumber, aSubmit.mJob.mId }, aSubmit.mJob, aNow, aActions);
+}
+
+void CancelPeerJob(State& aState, Incarnation aPeer, CallNumber aNumber, const Now& aNow)
+{
+  aState.mCancelled[{ aPeer, aNumber }] = aNow.mTime + Duration(kCancelledKept);
+  const auto it = aState.mRemote.find({ aPeer, aNumber });
+  if (it != aState.mRemote.end()) {
+    CancelOrigin(aState, it->second, aNow);
+  }
+}
+
+void CancelOrigin(State& aState, RequestId aRequest, const Now& aNow)
 {
   const auto it = aState.mOrigins.find(aRequest);
   if (it == aState.mOrigins.end()) {
@@ -322,6 +367,7 @@
   aState.mOrigins.erase(it);
   if (origin.mPeer) {
     aState.mRemote.erase({ *origin.mPeer, origin.mNumber });
+    aState.mCancelled[{ *origin.mPeer, origin.mNumber }] = aNow.mTime + Duration(kCancelledKept);
   }
   Dispatch(aState, dispatch::Unwait{ aRequest }, aNow);
   const bool waited = std::any_of(
@@ -377,8 +423,10 @@
                                                              "The owner was not heard.",
                                                              kStoppingRetryAfter } } });
     }
-    CancelOrigin(aState, request, aNow, aActions);
+    CancelOrigin(aState, request, aNow);
   }
+  std::erase_if(aState.mCancelled,
+                [&aNow](const auto& aEntry) { return aEntry.second <= aNow.mTime; });
 }
 
 void ReturnUnstartedJobs(State& aState, const Now& aNow, Actions& aActions)
@@ -479,6 +527,10 @@
     return;
   }
   aState.mNextClaims = aNow.mTime + kClaimInterval;
+  // Whoever holds upstreams now makes itself known within this time.
+  if (aNow.mTime - aState.mStarted < aState.mOptions.mSilentAfter) {
+    return;
+  }
   const auto self = aState.mOptions.mIncarnation;
   for (const auto& [share, keys] : SharesOf(aState)) {
     const auto candidates = CandidatesOf(aState, share.mDataCentre, aNow);
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -12,16 +12,19 @@
 
 /// A connection on which the peer has not heard this entry for this long is replaced.
 constexpr milliseconds kDeafConnection{ 350 };
-/// A peer that was heard this long ago is still named in presences, with its age.
+/// A peer that was heard this long ago is still named in presences.
 constexpr milliseconds kHeardListed{ 10000 };
 
+std::int64_t ToMs(Time aTime)
+{
+  return duration_cast<milliseconds>(aTime.time_since_epoch()).count();
+}
+
 } // namespace
 
 bool IsLiving(const State& aState, const Peer& aPeer, const Now& aNow)
 {
-  const auto since = aNow.mTime - aState.mOptions.mSilentAfter;
-  return aPeer.mHeardAt && *aPeer.mHeardAt >= since && aPeer.mHeardUsAt &&
-         *aPeer.mHeardUsAt >= since;
+  return aPeer.mEchoedAt && *aPeer.mEchoedAt >= aNow.mTime - aState.mOptions.mSilentAfter;
 }
 
 Peer* FindPeer(State& aState, Incarnation aIncarnation)
@@ -69,7 +72,7 @@
     aState.mPeerAddresses.erase(peer.mIncarnation);
     aState.mPeerAddresses[aPresence.mIncarnation] = aFrom;
     peer.mIncarnation = aPresence.mIncarnation;
-    peer.mHeardUsAt.reset();
+    peer.mEchoedAt.reset();
     AddReport(aActions,
               "peer_started",
               { { "name", aPresence.mName },
@@ -79,7 +82,7 @@
   peer.mHeardAt = aNow.mTime;
   for (const auto& heard : aPresence.mHeard) {
     if (heard.mIncarnation == aState.mOptions.mIncarnation) {
-      peer.mHeardUsAt = aNow.mTime - Duration(heard.mAge);
+      peer.mEchoedAt = Time(Duration(milliseconds(heard.mTimeMs)));
     }
   }
   peer.mPresence = aPresence;
@@ -99,6 +102,7 @@
   presence.mName = aState.mOptions.mName;
   presence.mDataCentre = aState.mOptions.mDataCentre;
   presence.mPeerAddress = aState.mOptions.mPeerAddress;
+  presence.mTimeMs = ToMs(aNow.mTime);
   presence.mLeaving = aState.mDraining;
   presence.mConfigurationVersion =
     aState.mConfiguration ? aState.mConfiguration->mVersion : configuration::Version{ 0 };
@@ -112,7 +116,7 @@
   for (const auto& [address, peer] : aState.mPeers) {
     const auto age = peer.mHeardAt ? aNow.mTime - *peer.mHeardAt : Duration(kHeardListed);
     if (age < kHeardListed) {
-      presence.mHeard.push_back({ peer.mIncarnation, duration_cast<milliseconds>(age) });
+      presence.mHeard.push_back({ peer.mIncarnation, peer.mPresence.mTimeMs });
     }
   }
   for (const auto& [address, peer] : aState.mPeers) {
@@ -131,7 +135,7 @@
                 { { "name", peer.mPresence.mName }, { "address", address } },
                 !living);
     }
-    const bool hears = peer.mHeardUsAt && aNow.mTime - *peer.mHeardUsAt <= kDeafConnection;
+    const bool hears = peer.mEchoedAt && aNow.mTime - *peer.mEchoedAt <= kDeafConnection;
     const bool heard = peer.mHeardAt && aNow.mTime - *peer.mHeardAt <= kDeafConnection;
     if (heard && !hears && aNow.mTime - peer.mConnectedAt > kDeafConnection) {
       peer.mConnectedAt = aNow.mTime;
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -41,7 +41,9 @@
   bool mListed = false; ///< By the platform or the settings.
   Incarnation mIncarnation;
   std::optional<Time> mHeardAt;
-  std::optional<Time> mHeardUsAt; ///< When it last heard this entry, by its own word.
+  /// The latest time of this entry that the peer has echoed. All that the peer has sent with or
+  /// after the echo is younger, however long it was held up on the way.
+  std::optional<Time> mEchoedAt;
   Time mConnectedAt{};
   message::Presence mPresence;
   std::set<std::uint64_t> mHeld;
@@ -87,9 +89,12 @@
   CallNumber mLastCall = 0;
   std::map<RequestId, Origin> mOrigins;                            ///< By the core's request.
   std::map<std::pair<Incarnation, CallNumber>, RequestId> mRemote; ///< Origins of peers.
+  /// Submissions of peers that must not run any more, and when that can be forgotten.
+  std::map<std::pair<Incarnation, CallNumber>, Time> mCancelled;
   RequestId mLastOrigin = 0;
   dispatch::Actions mDispatchActions;
   holding::Actions mHoldingActions;
+  Time mStarted{};
   Time mLastEvent{};
   Time mNextPresence{};
   Time mNextClaims{};
@@ -130,11 +135,21 @@
 void RunJob(State& aState, Origin aOrigin, JobSpec aJob, const Now& aNow, Actions& aActions);
 
 /// Nobody waits for the job any more.
-void CancelOrigin(State& aState, RequestId aRequest, const Now& aNow, Actions& aActions);
+void CancelOrigin(State& aState, RequestId aRequest, const Now& aNow);
 
 /// Carries out what the scheduling core and the holds want until neither wants anything.
 void Settle(State& aState, const Now& aNow, Actions& aActions);
 
+/// Runs a peer's job unless the peer has given it up meanwhile.
+void RunPeerJob(State& aState,
+                Incarnation aPeer,
+                const message::Submit& aSubmit,
+                const Now& aNow,
+                Actions& aActions);
+
+/// Stops a peer's job, now or when its submission arrives late.
+void CancelPeerJob(State& aState, Incarnation aPeer, CallNumber aNumber, const Now& aNow);
+
 /// Stops the jobs of owners that are no longer heard.
 void DropLostOwners(State& aState, const Now& aNow, Actions& aActions);
 
@@ -152,7 +167,7 @@
 
 // peers.cpp
 
-/// Heard within the time allowed, and hears this entry as well.
+/// Has echoed a time of this entry within the time allowed: each hears the other.
 bool IsLiving(const State& aState, const Peer& aPeer, const Now& aNow);
 Peer* FindPeer(State& aState, Incarnation aIncarnation);
 void ApplyEntries(State& aState, const EntriesListed& aEvent, Actions& aActions);
--- a/src/libmessages/messages.cpp
+++ b/src/libmessages/messages.cpp
@@ -417,6 +417,8 @@
     a("wait", v.mWait);
     a("job", v.mJob);
     a("hops", v.mHops);
+    a("valid_until_ms", v.mValidUntilMs);
+    a("to", v.mTo);
   } else if constexpr (Is<T, Status>) {
     a("number", v.mNumber);
     a("id", v.mId);
@@ -471,13 +473,14 @@
     a("queued", v.mQueuedMilliCores);
   } else if constexpr (Is<T, Heard>) {
     a("of", v.mIncarnation);
-    a("age_ms", v.mAge);
+    a("time_ms", v.mTimeMs);
   } else {
     static_assert(Is<T, Presence>);
     a("incarnation", v.mIncarnation);
     a("name", v.mName);
     a("dc", v.mDataCentre);
     a("address", v.mPeerAddress);
+    a("time_ms", v.mTimeMs);
     a("leaving", v.mLeaving);
     a("config", v.mConfigurationVersion);
     a("held", v.mHeld);
