Holders follow what their owners still want

Presences now name the jobs that a holder should have and those that it has: a holder stops what is no longer named, and an owner sends again what a holder has not. Ruled out: late echoes (the holder's own echo was fresh).

--- a/src/include/pollenwall/entry.h
+++ b/src/include/pollenwall/entry.h
@@ -40,8 +40,9 @@
   /// An entry that has echoed no time of this one for this long is treated as gone. An echo is up to
   /// two intervals old, so three presences may be lost or late.
   std::chrono::milliseconds mSilentAfter{ 500 };
-  /// From the last sign of a holder until its runs are certainly over: the silence after which it
-  /// stops an owner's jobs and the lease. Callers whose connection broke come back no earlier.
+  /// From an owner's decision to give a holder up until the runs there are certainly over: by then
+  /// the holder has stopped the owner's jobs (mSilentAfter), and the lease of runs that it could
+  /// not stop has lapsed. Callers whose connection broke come back no earlier.
   std::chrono::milliseconds mRunsOverAfter{ 1300 };
   /// An upstream that the platform's list no longer names is kept for this long: entries of the
   /// list that lapsed while the platform's store was away come back within 2 s.
--- a/src/include/pollenwall/messages.h
+++ b/src/include/pollenwall/messages.h
@@ -258,6 +258,8 @@
   std::vector<std::uint64_t> mHeld; ///< Hash64 of the keys of the upstreams that it holds.
   std::vector<ServiceLoad> mLoads;
   std::vector<Heard> mHeard;
+  std::vector<std::uint64_t> mOpen; ///< Numbers of the sender's jobs that the receiver should have.
+  std::vector<std::uint64_t> mTaken; ///< Numbers of the receiver's jobs that the sender has.
 
   friend bool operator==(const Presence&, const Presence&) = default;
 };
--- a/src/libentry/calls.cpp
+++ b/src/libentry/calls.cpp
@@ -124,6 +124,7 @@
   auto job = aCall.mJob;
   job.mDeadline = std::max(left, milliseconds{ 1 });
   const auto holder = *aCall.mHolder;
+  aCall.mForwardedAt = aNow.mTime;
   if (holder == aState.mOptions.mIncarnation) {
     RunJob(aState, { std::nullopt, aNumber, job.mId }, std::move(job), aNow, aActions);
     return;
@@ -312,9 +313,35 @@
   }
 }
 
+void ResendUntaken(State& aState, const Peer& aPeer, const Now& aNow, Actions& aActions)
+{
+  const auto& taken = aPeer.mPresence.mTaken;
+  for (auto& [number, call] : aState.mCalls) {
+    // What was sent before the echoed time has been handled by the peer.
+    if (call.mHolder != aPeer.mIncarnation || !aPeer.mEchoedAt ||
+        call.mForwardedAt >= *aPeer.mEchoedAt || aNow.mTime >= call.mDeadline ||
+        std::find(taken.begin(), taken.end(), number) != taken.end()) {
+      continue;
+    }
+    AddReport(aActions, "call_sent_again", { { "job", call.mJob.mId } }, true);
+    Forward(aState, number, call, aNow, aActions);
+  }
+}
+
+std::vector<std::uint64_t> OpenAt(const State& aState, Incarnation aPeer)
+{
+  std::vector<std::uint64_t> open;
+  for (const auto& [number, call] : aState.mCalls) {
+    if (call.mHolder == aPeer) {
+      open.push_back(number);
+    }
+  }
+  return open;
+}
+
 void AdvanceCalls(State& aState, const Now& aNow, Actions& aActions)
 {
-  std::vector<std::pair<CallNumber, Time>> silent;
+  std::vector<CallNumber> silent;
   std::vector<CallNumber> expired;
   std::vector<CallNumber> due;
   for (auto& [number, call] : aState.mCalls) {
@@ -336,12 +363,14 @@
       continue;
     }
     call.mVerdict = Verdict::MayHaveRun;
-    silent.emplace_back(number,
-                        peer != nullptr && peer->mHeardAt ? *peer->mHeardAt : aNow.mTime);
+    silent.push_back(number);
   }
-  for (const auto& [number, heard] : silent) {
-    Resubmit(
-      aState, number, "holder_silent", heard + Duration(aState.mOptions.mRunsOverAfter), aActions);
+  for (const auto number : silent) {
+    Resubmit(aState,
+             number,
+             "holder_silent",
+             aNow.mTime + Duration(aState.mOptions.mRunsOverAfter),
+             aActions);
   }
   for (const auto number : expired) {
     const auto& call = aState.mCalls.at(number);
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -320,21 +320,22 @@
                 const Now& aNow,
                 Actions& aActions)
 {
-  const auto refuse = [&](ErrorCode aCode, std::string aMessage) {
+  const auto refuse = [&](ErrorCode aCode, Verdict aVerdict, std::string aMessage) {
     if (const auto* peer = FindPeer(aState, aPeer)) {
       aActions.emplace_back(SendPeer{
         peer->mAddress,
         message::Reply{
           aSubmit.mNumber,
           std::nullopt,
-          Error{ aCode, Verdict::NotRun, std::move(aMessage), kStoppingRetryAfter } } });
+          Error{ aCode, aVerdict, std::move(aMessage), kStoppingRetryAfter } } });
     }
   };
   if (aState.mDraining) {
-    return refuse(ErrorCode::Stopping, "The holder is stopping.");
+    return refuse(ErrorCode::Stopping, Verdict::NotRun, "The holder is stopping.");
   }
   if (aState.mCancelled.contains({ aPeer, aSubmit.mNumber })) {
-    return;
+    return refuse(
+      ErrorCode::OwnerUnreachable, Verdict::MayHaveRun, "The submission was given up.");
   }
   const auto nowMs =
     std::chrono::duration_cast<milliseconds>(aNow.mTime.time_since_epoch()).count();
@@ -343,7 +344,8 @@
   if (forOther || (aSubmit.mValidUntilMs != 0 && nowMs > aSubmit.mValidUntilMs)) {
     AddReport(aActions, "submission_stale", { { "job", aSubmit.mJob.mId } }, true);
     CancelPeerJob(aState, aPeer, aSubmit.mNumber, aNow);
-    return refuse(ErrorCode::OwnerUnreachable, "The submission arrived too late.");
+    return refuse(
+      ErrorCode::OwnerUnreachable, Verdict::NotRun, "The submission arrived too late.");
   }
   RunJob(aState, { aPeer, aSubmit.mNumber, aSubmit.mJob.mId }, aSubmit.mJob, aNow, aActions);
 }
@@ -397,6 +399,30 @@
   }
 }
 
+std::vector<std::uint64_t> TakenFrom(const State& aState, Incarnation aPeer)
+{
+  std::vector<std::uint64_t> taken;
+  for (auto it = aState.mRemote.lower_bound({ aPeer, 0 });
+       it != aState.mRemote.end() && it->first.first == aPeer;
+       ++it) {
+    taken.push_back(it->first.second);
+  }
+  return taken;
+}
+
+void DropUnopened(State& aState, const Peer& aPeer, const Now& aNow, Actions& aActions)
+{
+  const std::set<std::uint64_t> open(aPeer.mPresence.mOpen.begin(), aPeer.mPresence.mOpen.end());
+  for (const auto number : TakenFrom(aState, aPeer.mIncarnation)) {
+    if (open.contains(number)) {
+      continue;
+    }
+    const auto request = aState.mRemote.at({ aPeer.mIncarnation, number });
+    AddReport(aActions, "job_given_up", { { "job", aState.mOrigins.at(request).mJob } });
+    CancelPeerJob(aState, aPeer.mIncarnation, number, aNow);
+  }
+}
+
 void DropLostOwners(State& aState, const Now& aNow, Actions& aActions)
 {
   std::vector<RequestId> lost;
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -65,8 +65,10 @@
     peer.mAddress = aFrom;
     aActions.emplace_back(ConnectPeer{ aFrom, false });
   }
-  if (aPresence.mIncarnation < peer.mIncarnation) {
-    return; // Sent before the process there started again.
+  if (aPresence.mIncarnation < peer.mIncarnation ||
+      (aPresence.mIncarnation == peer.mIncarnation &&
+       aPresence.mTimeMs < peer.mPresence.mTimeMs)) {
+    return; // Sent before the process there started again, or over an earlier connection.
   }
   if (peer.mIncarnation != aPresence.mIncarnation) {
     aState.mPeerAddresses.erase(peer.mIncarnation);
@@ -88,6 +90,8 @@
   peer.mPresence = aPresence;
   peer.mHeld = { aPresence.mHeld.begin(), aPresence.mHeld.end() };
   peer.mSentMilliCores.clear();
+  DropUnopened(aState, peer, aNow, aActions);
+  ResendUntaken(aState, peer, aNow, aActions);
 }
 
 void SendPresence(State& aState, const Now& aNow, Actions& aActions)
@@ -120,6 +124,8 @@
     }
   }
   for (const auto& [address, peer] : aState.mPeers) {
+    presence.mOpen = OpenAt(aState, peer.mIncarnation);
+    presence.mTaken = TakenFrom(aState, peer.mIncarnation);
     aActions.emplace_back(SendPeer{ address, presence });
   }
 }
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -24,6 +24,7 @@
   std::vector<Incarnation> mRefusedBy; ///< Since it was last submitted elsewhere.
   std::optional<Error> mRefusal;       ///< The last one.
   Time mForwardAt{};                   ///< When it waits: not before this.
+  Time mForwardedAt{};                 ///< When it was last sent to mHolder.
   Verdict mVerdict = Verdict::NotRun;  ///< Of earlier submissions.
 };
 
@@ -126,9 +127,15 @@
                    const Now& aNow,
                    Actions& aActions);
 
-/// Sends the calls that a peer has again, after its connection was lost.
+/// Sends the calls that a peer should have again, after the connection to it was lost.
 void ResendCalls(State& aState, const Peer& aPeer, const Now& aNow, Actions& aActions);
 
+/// Sends a call again that a peer does not have any more, because its answer was lost.
+void ResendUntaken(State& aState, const Peer& aPeer, const Now& aNow, Actions& aActions);
+
+/// Numbers of the calls that a peer should have.
+std::vector<std::uint64_t> OpenAt(const State& aState, Incarnation aPeer);
+
 // holder.cpp
 
 /// Runs a job for one of this entry's calls or for a peer.
@@ -150,6 +157,12 @@
 /// Stops a peer's job, now or when its submission arrives late.
 void CancelPeerJob(State& aState, Incarnation aPeer, CallNumber aNumber, const Now& aNow);
 
+/// Stops the jobs of a peer that its latest presence does not name.
+void DropUnopened(State& aState, const Peer& aPeer, const Now& aNow, Actions& aActions);
+
+/// Numbers of a peer's jobs that this entry has.
+std::vector<std::uint64_t> TakenFrom(const State& aState, Incarnation aPeer);
+
 /// Stops the jobs of owners that are no longer heard.
 void DropLostOwners(State& aState, const Now& aNow, Actions& aActions);
 
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -546,7 +546,8 @@
   auto& node = aWorld.mNodes[aNode];
   ++node.mLife;
   node.mOptions.mIncarnation =
-    MakeIncarnation(aWorld.mNow.mUnixMs, static_cast<std::uint32_t>(aWorld.mRandom()));
+    MakeIncarnation(aWorld.mNow.mUnixMs + static_cast<UnixMs>(aNode),
+                    static_cast<std::uint32_t>(aWorld.mRandom()));
   node.mOptions.mSeed = aWorld.mRandom();
   node.mState = MakeState(node.mOptions, aWorld.mNow);
   node.mAlive = true;
--- a/src/libmessages/messages.cpp
+++ b/src/libmessages/messages.cpp
@@ -486,6 +486,8 @@
     a("held", v.mHeld);
     a("loads", v.mLoads);
     a("heard", v.mHeard);
+    a("open", v.mOpen);
+    a("taken", v.mTaken);
   }
 }
 
