--- a/src/include/pollenwall/configuration.h
+++ b/src/include/pollenwall/configuration.h
@@ -29,7 +29,7 @@
   std::string mName;
   std::string mDataCentre;
   std::string mRack;
-  std::string mAddress; ///< IP number.
+  std::string mAddress;                           ///< IP number.
   std::uint32_t mMilliCores = kMilliCoresPerCore; ///< Thousandths of a core.
   std::uint64_t mMemoryBytes = 0;
   std::uint32_t mAccelerators = 0;
--- a/src/include/pollenwall/entry.h
+++ b/src/include/pollenwall/entry.h
@@ -37,8 +37,8 @@
   dispatch::Options mDispatch;
   holding::Options mHolding;
   std::chrono::milliseconds mPresenceInterval{ 100 };
-  /// An entry that has echoed no time of this one for this long is treated as gone. An echo is up to
-  /// two intervals old, so three presences may be lost or late.
+  /// An entry that has echoed no time of this one for this long is treated as gone. An echo is up
+  /// to two intervals old, so three presences may be lost or late.
   std::chrono::milliseconds mSilentAfter{ 500 };
   /// From an owner's decision to give a holder up until the runs there are certainly over: by then
   /// the holder has stopped the owner's jobs (mSilentAfter), and the lease of runs that it could
@@ -53,7 +53,10 @@
   std::chrono::milliseconds mIsolatedClaimAgain{ 3000 };
   /// Upstreams held by one entry. A data centre with more has several holders.
   std::size_t mUpstreamsPerHolder = 64;
-  /// A planned stop is complete after this in any case.
+  /// A planned stop takes new jobs for this long: the balancer needs 2 s to see that this entry is
+  /// not ready, and jobs that come later would not end before the process is killed.
+  std::chrono::milliseconds mDrainAccepts{ 2800 };
+  /// A planned stop is complete after this in any case. The platform kills the process after 6 s.
   std::chrono::milliseconds mDrainLimit{ 5000 };
 };
 
--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -192,8 +192,7 @@
   std::string mDetail;
 };
 
-using Action =
-  std::variant<SendStop, SendLook, Ended, UsableChanged, LostToOther, Note>;
+using Action = std::variant<SendStop, SendLook, Ended, UsableChanged, LostToOther, Note>;
 using Actions = std::vector<Action>;
 
 enum class RunPhase
@@ -235,10 +234,10 @@
   std::uint64_t mSeen = 0;
   std::optional<UnixMs> mBornMs;
   std::map<Run, OwnRun> mRuns;
-  std::vector<Run> mForeign;      ///< Runs of earlier holders, being stopped.
-  bool mLooking = false;          ///< A look is outstanding.
+  std::vector<Run> mForeign; ///< Runs of earlier holders, being stopped.
+  bool mLooking = false;     ///< A look is outstanding.
   Time mNextLook{};
-  std::uint32_t mLostLooks = 0; ///< In a row.
+  std::uint32_t mLostLooks = 0;         ///< In a row.
   std::optional<std::int64_t> mClockMs; ///< The upstream's clock at some moment between the two:
   Time mClockAfter{};
   Time mClockBefore{};
--- a/src/include/pollenwall/messages.h
+++ b/src/include/pollenwall/messages.h
@@ -103,7 +103,8 @@
   bool mWait = true;
   JobSpec mJob;
   std::uint32_t mHops = 1; ///< Times that it has been sent, this one included.
-  /// On the receiver's monotonic clock; the receiver refuses what it handles later. 0: always valid.
+  /// On the receiver's monotonic clock; the receiver refuses what it handles later. 0: always
+  /// valid.
   std::int64_t mValidUntilMs = 0;
   Incarnation mTo; ///< The process that is meant; 0: any at the address.
 
--- a/src/include/pollenwall/task_queue.h
+++ b/src/include/pollenwall/task_queue.h
@@ -37,8 +37,7 @@
 
   friend bool operator<(const JobKey& aOne, const JobKey& aOther)
   {
-    return std::tie(
-             aOne.mPriority, aOne.mCalm, aOne.mOrdinary, aOne.mWork, aOne.mSequence) <
+    return std::tie(aOne.mPriority, aOne.mCalm, aOne.mOrdinary, aOne.mWork, aOne.mSequence) <
            std::tie(
              aOther.mPriority, aOther.mCalm, aOther.mOrdinary, aOther.mWork, aOther.mSequence);
   }
--- a/src/libconfiguration/configuration_yaml.cpp
+++ b/src/libconfiguration/configuration_yaml.cpp
@@ -166,7 +166,8 @@
     yaml::AddProblem(aSection, "address", Quoted(aItem.mAddress), "an IP number");
   }
   aItem.mMilliCores = kMilliCoresPerCore *
-    static_cast<std::uint32_t>(yaml::GetInteger(aSection, "cores", 1, kMaxCores, aItem.mMilliCores / kMilliCoresPerCore));
+                      static_cast<std::uint32_t>(yaml::GetInteger(
+                        aSection, "cores", 1, kMaxCores, aItem.mMilliCores / kMilliCoresPerCore));
   aItem.mMemoryBytes = yaml::GetInteger(aSection, "memory_bytes", 0, kMaxMemoryBytes, 0);
   aItem.mAccelerators = yaml::GetInteger(aSection, "accelerators", 0, kMaxAccelerators, 0);
 }
--- a/src/libconfiguration/cost_main.cpp
+++ b/src/libconfiguration/cost_main.cpp
@@ -120,8 +120,8 @@
   for (std::uint32_t n = 0; n < aRepeats; ++n) {
     const auto before = wanted;
     for (std::uint32_t k = 0; k < aItems; ++k) {
-      wanted.mWorkers.at(Name("data-centre-worker-", (n * aItems + k) % aSize.mWorkers)).mMilliCores =
-        100 + n;
+      wanted.mWorkers.at(Name("data-centre-worker-", (n * aItems + k) % aSize.mWorkers))
+        .mMilliCores = 100 + n;
     }
     records.push_back(ChangeRecord(MakeChange(before, wanted, "change-" + std::to_string(n))));
     ++wanted.mVersion;
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -266,8 +266,9 @@
   const auto slot = aState.mFreeAttempts.back();
   aState.mFreeAttempts.pop_back();
   const auto& needs = job.mSpec->mTasks[aTask].mNeeds;
-  aState.mAttempts[slot] = { aIndex,     aTask, aUpstream, needs, aNow.mTime,
-                             task.mLong, false, false };
+  aState.mAttempts[slot] = {
+    aIndex, aTask, aUpstream, needs, aNow.mTime, task.mLong, false, false
+  };
   placement::CountStart(aState.mPlacement, aUpstream, needs, aNow);
   CountQueued(aState, job, 0, 1);
   ++aState.mRunningTasks;
@@ -967,7 +968,8 @@
     placement::MakeState({ .mDataCentre = aOptions.mDataCentre,
                            .mSignExpiry = aOptions.mSignExpiry,
                            .mHoldsWholeUpstreams = aOptions.mHoldsWholeUpstreams });
-  // Rehashing a table of the default size takes about 10 ms, in which nothing else would be handled.
+  // Rehashing a table of the default size takes about 10 ms, in which nothing else would be
+  // handled.
   state->mJobByName.reserve(aOptions.mExpectedJobs);
   state->mRetryBudget.mRatio = aOptions.mRetryRatio;
   state->mRetryBudget.mBurst = aOptions.mRetryBurst;
--- a/src/libdispatch/policy_test.cpp
+++ b/src/libdispatch/policy_test.cpp
@@ -535,7 +535,8 @@
   expect(ErrorCode::BadRequest, [](JobSpec& aJob) { aJob.mTasks.clear(); });
   expect(ErrorCode::BadRequest, [](JobSpec& aJob) { aJob.mDeadline = seconds(61); });
   expect(ErrorCode::TooLarge, [](JobSpec& aJob) { aJob.mTasks.resize(191); });
-  expect(ErrorCode::NeverRunnable, [](JobSpec& aJob) { aJob.mTasks[1].mNeeds.mMilliCores = 33 * kMilliCoresPerCore; });
+  expect(ErrorCode::NeverRunnable,
+         [](JobSpec& aJob) { aJob.mTasks[1].mNeeds.mMilliCores = 33 * kMilliCoresPerCore; });
   expect(ErrorCode::NeverRunnable, [](JobSpec& aJob) { aJob.mTasks[0].mNeeds.mAccelerators = 2; });
   // 12 tasks of 5 s on one slot.
   SubmitJob(bench, 12, seconds(5), "t0", seconds(60));
--- a/src/libdispatch/state.h
+++ b/src/libdispatch/state.h
@@ -39,9 +39,9 @@
   bool mRetryPaid = false;  ///< The retry budget has been charged for the next start.
   std::uint32_t mSlice = 0; ///< Position in the job's list of slices.
   std::uint32_t mAttempt = 0;
-  std::uint32_t mFailures = 0;          ///< Runs that ended as failed.
+  std::uint32_t mFailures = 0;         ///< Runs that ended as failed.
   Verdict mPastRuns = Verdict::NotRun; ///< Of all runs that are over.
-  std::uint32_t mSlot = kNone; ///< Of the attempt without an outcome yet.
+  std::uint32_t mSlot = kNone;         ///< Of the attempt without an outcome yet.
   UpstreamIndex mAvoid = kNone;
   Time mAvoidUntil{};
   Duration mMean{ 0 };
@@ -86,7 +86,7 @@
   std::uint32_t mMostFailures = 1;
   bool mRestartable = false;
   std::uint64_t mMilliCores = 0; ///< Asked for by all tasks together.
-  Duration mLongest{ 0 }; ///< Of its tasks, as far as learned; 95% are shorter.
+  Duration mLongest{ 0 };        ///< Of its tasks, as far as learned; 95% are shorter.
   std::uint32_t mQueued = 0;
   std::uint32_t mDelayed = 0;
   std::uint32_t mRan = 0;
--- a/src/libentry/calls.cpp
+++ b/src/libentry/calls.cpp
@@ -22,6 +22,8 @@
 /// A job that has waited this long for a holder is refused; the caller learns when to come back.
 constexpr milliseconds kMostWaitForHolder{ 400 };
 constexpr milliseconds kNoHolderRetryAfter{ 500 };
+/// The caller then reaches another entry.
+constexpr milliseconds kStoppingRetryAfter{ 50 };
 
 std::uint64_t MilliCoresOf(const JobSpec& aJob)
 {
@@ -80,11 +82,10 @@
     }
     const auto sent = peer.mSentMilliCores.find(aCall.mJob.mService);
     const bool isNear = peer.mPresence.mDataCentre == aState.mOptions.mDataCentre;
-    consider(peer.mIncarnation,
-             Pressure(*load,
-                      sent == peer.mSentMilliCores.end() ? 0 : sent->second,
-                      aCall.mMilliCores) +
-               (isNear ? 0 : kRemoteCost));
+    consider(
+      peer.mIncarnation,
+      Pressure(*load, sent == peer.mSentMilliCores.end() ? 0 : sent->second, aCall.mMilliCores) +
+        (isNear ? 0 : kRemoteCost));
   }
   return best;
 }
@@ -126,7 +127,8 @@
   const auto holder = *aCall.mHolder;
   aCall.mForwardedAt = aNow.mTime;
   if (holder == aState.mOptions.mIncarnation) {
-    RunJob(aState, { std::nullopt, aNumber, job.mId }, std::move(job), aNow, aActions);
+    Origin origin{ std::nullopt, aNumber, job.mId };
+    RunJob(aState, std::move(origin), std::move(job), aNow, aActions);
     return;
   }
   const auto* peer = FindPeer(aState, holder);
@@ -226,9 +228,35 @@
            aActions);
     return;
   }
+  if (aState.mDraining && aNow.mTime - aState.mDrainBegan > aState.mOptions.mDrainAccepts) {
+    Answer(aState,
+           number,
+           std::nullopt,
+           Error{ ErrorCode::Stopping,
+                  Verdict::NotRun,
+                  "The entry is stopping.",
+                  admission::RetryAfter(kStoppingRetryAfter, aState.mRandom) },
+           aActions);
+    return;
+  }
   Offer(aState, number, aNow, aActions);
 }
 
+void EndAllCalls(State& aState, Actions& aActions)
+{
+  while (!aState.mCalls.empty()) {
+    const auto& [number, call] = *aState.mCalls.begin();
+    Answer(aState,
+           number,
+           std::nullopt,
+           Error{ ErrorCode::Stopping,
+                  call.mHolder ? Verdict::MayHaveRun : Verdict::NotRun,
+                  "The entry stopped before the job's end.",
+                  {} },
+           aActions);
+  }
+}
+
 void EndCall(State& aState, const CallerGone& aEvent, const Now& aNow, Actions& aActions)
 {
   const auto it = aState.mCallByRequest.find(aEvent.mRequest);
--- a/src/libentry/entry.cpp
+++ b/src/libentry/entry.cpp
@@ -77,9 +77,8 @@
     return; // An accepted configuration never reverts.
   }
   aState.mConfiguration = configuration;
-  AddReport(aActions,
-            "configuration_in_force",
-            { { "version", std::to_string(configuration.mVersion) } });
+  AddReport(
+    aActions, "configuration_in_force", { { "version", std::to_string(configuration.mVersion) } });
   Reconfigure(aState, aNow);
 }
 
@@ -121,6 +120,7 @@
                     aState.mHolding.mSessions.empty() && passed >= kQuietBeforeStop;
   if (done || passed >= aState.mOptions.mDrainLimit) {
     aState.mStopped = true;
+    EndAllCalls(aState, aActions);
     aActions.emplace_back(Stopped{});
   }
 }
@@ -148,8 +148,10 @@
   if (gap <= kPause) {
     return;
   }
-  AddReport(
-    aActions, "pause_noticed", { { "ms", std::to_string(gap / Duration(milliseconds{ 1 })) } }, true);
+  AddReport(aActions,
+            "pause_noticed",
+            { { "ms", std::to_string(gap / Duration(milliseconds{ 1 })) } },
+            true);
   DropLostOwners(aState, aNow, aActions);
 }
 
--- a/src/libentry/entry_test.cpp
+++ b/src/libentry/entry_test.cpp
@@ -71,9 +71,7 @@
   auto& w = *world;
   RunFor(w, seconds(2));
   Load(w, 40, seconds(16), milliseconds(60 + static_cast<int>(aSeed % 3) * 200));
-  const auto at = [&w] {
-    return Duration(static_cast<std::int64_t>(Unit(w) * 14e6));
-  };
+  const auto at = [&w] { return Duration(static_cast<std::int64_t>(Unit(w) * 14e6)); };
   const auto some = [&w](std::size_t aCount) { return w.mRandom() % aCount; };
   const auto worker = [&w, &some] {
     auto it = w.mWorkers.begin();
@@ -164,6 +162,33 @@
   return NothingBroken(w) && AllAnswered(w);
 }
 
+/// Guards against a planned stop that leaves callers without an answer: those whose jobs outlast
+/// it, and those that come when no job can end in time.
+bool StopAnswersAll()
+{
+  auto world = MakeWorld({});
+  auto& w = *world;
+  RunFor(w, seconds(2));
+  const auto longJob = SubmitJob(w, 0, 2, seconds(20), seconds(30));
+  const auto shortJob = SubmitJob(w, 0, 2, milliseconds(100));
+  BeginDrain(w, 0);
+  RunFor(w, milliseconds(2000));
+  const auto early = SubmitJob(w, 0, 2, milliseconds(100));
+  RunFor(w, milliseconds(1500));
+  const auto late = SubmitJob(w, 0, 2, milliseconds(100));
+  bool ok = Expect(w.mCalls.at(late).mAnswered.has_value(), "a late job is refused at once");
+  ok &= Expect(w.mCalls.at(late).mError && w.mCalls.at(late).mError->mCode == ErrorCode::Stopping &&
+                 w.mCalls.at(late).mError->mVerdict == Verdict::NotRun,
+               "a late job is refused as not run");
+  RunFor(w, seconds(4));
+  ok &= Expect(w.mCalls.at(shortJob).mComplete, "a job that was running completes");
+  ok &= Expect(w.mCalls.at(early).mComplete, "a job that came in time completes");
+  ok &=
+    Expect(w.mCalls.at(longJob).mAnswered.has_value(), "a job that outlasts the stop is answered");
+  ok &= Expect(!w.mNodes[0].mAlive, "the stop is complete");
+  return NothingBroken(w) && ok;
+}
+
 /// Guards against jobs that wait for a holder which has died, and against upstreams that stay
 /// without a holder.
 bool HolderDies()
@@ -196,6 +221,7 @@
   }
   bool ok = CalmDay();
   ok = HolderDies() && ok;
+  ok = StopAnswersAll() && ok;
   ok = ListLosesWorkers() && ok;
   constexpr std::uint64_t kSeeds = 60;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -199,10 +199,10 @@
   {
     mState.mCounts.mLooksLost += aAction.mEvent == "upstream_silent" ? 1 : 0;
     mState.mCounts.mStartsUnanswered += aAction.mEvent == "start_unanswered" ? 1 : 0;
-    AddReport(mActions,
-              std::move(aAction.mEvent),
-              { { "upstream", std::move(aAction.mUpstream) },
-                { "detail", std::move(aAction.mDetail) } });
+    AddReport(
+      mActions,
+      std::move(aAction.mEvent),
+      { { "upstream", std::move(aAction.mUpstream) }, { "detail", std::move(aAction.mDetail) } });
   }
 };
 
@@ -324,28 +324,24 @@
     if (const auto* peer = FindPeer(aState, aPeer)) {
       aActions.emplace_back(SendPeer{
         peer->mAddress,
-        message::Reply{
-          aSubmit.mNumber,
-          std::nullopt,
-          Error{ aCode, aVerdict, std::move(aMessage), kStoppingRetryAfter } } });
+        message::Reply{ aSubmit.mNumber,
+                        std::nullopt,
+                        Error{ aCode, aVerdict, std::move(aMessage), kStoppingRetryAfter } } });
     }
   };
   if (aState.mDraining) {
     return refuse(ErrorCode::Stopping, Verdict::NotRun, "The holder is stopping.");
   }
   if (aState.mCancelled.contains({ aPeer, aSubmit.mNumber })) {
-    return refuse(
-      ErrorCode::OwnerUnreachable, Verdict::MayHaveRun, "The submission was given up.");
+    return refuse(ErrorCode::OwnerUnreachable, Verdict::MayHaveRun, "The submission was given up.");
   }
   const auto nowMs =
     std::chrono::duration_cast<milliseconds>(aNow.mTime.time_since_epoch()).count();
-  const bool forOther =
-    aSubmit.mTo.mValue != 0 && aSubmit.mTo != aState.mOptions.mIncarnation;
+  const bool forOther = aSubmit.mTo.mValue != 0 && aSubmit.mTo != aState.mOptions.mIncarnation;
   if (forOther || (aSubmit.mValidUntilMs != 0 && nowMs > aSubmit.mValidUntilMs)) {
     AddReport(aActions, "submission_stale", { { "job", aSubmit.mJob.mId } }, true);
     CancelPeerJob(aState, aPeer, aSubmit.mNumber, aNow);
-    return refuse(
-      ErrorCode::OwnerUnreachable, Verdict::NotRun, "The submission arrived too late.");
+    return refuse(ErrorCode::OwnerUnreachable, Verdict::NotRun, "The submission arrived too late.");
   }
   RunJob(aState, { aPeer, aSubmit.mNumber, aSubmit.mJob.mId }, aSubmit.mJob, aNow, aActions);
 }
@@ -372,8 +368,8 @@
     aState.mCancelled[{ *origin.mPeer, origin.mNumber }] = aNow.mTime + Duration(kCancelledKept);
   }
   Dispatch(aState, dispatch::Unwait{ aRequest }, aNow);
-  const bool waited = std::any_of(
-    aState.mOrigins.begin(), aState.mOrigins.end(), [&origin](const auto& aOther) {
+  const bool waited =
+    std::any_of(aState.mOrigins.begin(), aState.mOrigins.end(), [&origin](const auto& aOther) {
       return aOther.second.mJob == origin.mJob;
     });
   if (!waited) {
@@ -568,12 +564,12 @@
         holding::Keep(aState.mHolding, key, aState.mHoldingActions);
       } else if (held && !own) {
         holding::Release(aState.mHolding, key, aState.mHoldingActions);
-      } else if (own && !held && !upstream.mRecord.mLeaving && !upstream.mMissingSince && aNow.mTime >= upstream.mClaimNotBefore &&
+      } else if (own && !held && !upstream.mRecord.mLeaving && !upstream.mMissingSince &&
+                 aNow.mTime >= upstream.mClaimNotBefore &&
                  !IsHeldByLivingPeer(aState, upstream.mHash, aNow)) {
         ++aState.mCounts.mClaims;
         AddReport(aActions, "upstream_claimed", { { "upstream", key } });
-        holding::Claim(
-          aState.mHolding, key, upstream.mLeastToken, aNow, aState.mHoldingActions);
+        holding::Claim(aState.mHolding, key, upstream.mLeastToken, aNow, aState.mHoldingActions);
         upstream.mLeastToken = holding::TokenOf(aState.mHolding, key);
         aState.mPresenceDue = true;
       }
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -46,9 +46,8 @@
     peer.mListed = true;
     if (peer.mAddress.empty()) {
       peer.mAddress = record.mPeerAddress;
-      AddReport(aActions,
-                "peer_listed",
-                { { "name", record.mName }, { "address", record.mPeerAddress } });
+      AddReport(
+        aActions, "peer_listed", { { "name", record.mName }, { "address", record.mPeerAddress } });
       aActions.emplace_back(ConnectPeer{ record.mPeerAddress, false });
     }
   }
@@ -66,8 +65,7 @@
     aActions.emplace_back(ConnectPeer{ aFrom, false });
   }
   if (aPresence.mIncarnation < peer.mIncarnation ||
-      (aPresence.mIncarnation == peer.mIncarnation &&
-       aPresence.mTimeMs < peer.mPresence.mTimeMs)) {
+      (aPresence.mIncarnation == peer.mIncarnation && aPresence.mTimeMs < peer.mPresence.mTimeMs)) {
     return; // Sent before the process there started again, or over an earlier connection.
   }
   if (peer.mIncarnation != aPresence.mIncarnation) {
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -113,6 +113,8 @@
 // calls.cpp
 
 void SubmitCall(State& aState, const CallerSubmit& aEvent, const Now& aNow, Actions& aActions);
+/// Answers every caller that still waits, at the end of a planned stop.
+void EndAllCalls(State& aState, Actions& aActions);
 void EndCall(State& aState, const CallerGone& aEvent, const Now& aNow, Actions& aActions);
 
 /// Forwards calls that are due, moves those of silent holders, ends those past their deadline.
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -7,10 +7,10 @@
 namespace pollenwall::entry::test {
 namespace {
 
+using holding::OrderStatus;
 using std::chrono::duration_cast;
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
-using holding::OrderStatus;
 
 constexpr const char* kService = "s";
 constexpr std::uint32_t kWorkerMilliCores = 32000;
@@ -90,7 +90,10 @@
   aWorker.mLeaseEndMs = std::max(aWorker.mLeaseEndMs, std::min(aEndMs, most));
 }
 
-OrderStatus CarryOutStart(World& aWorld, Worker& aWorker, const holding::SendStart& aOrder, Duration aRun)
+OrderStatus CarryOutStart(World& aWorld,
+                          Worker& aWorker,
+                          const holding::SendStart& aOrder,
+                          Duration aRun)
 {
   if (aOrder.mToken < aWorker.mToken) {
     return OrderStatus::Fenced;
@@ -333,17 +336,17 @@
     auto& last = mWorld.mLastArrival[{ mNode, to }];
     last = std::max(last, mWorld.mNow.mTime + Delay(mWorld));
     const auto life = it->mLife;
-    After(mWorld,
-          last - mWorld.mNow.mTime,
-          [&world = mWorld,
-           to,
-           life,
-           event = Event(PeerMessage{ mWorld.mNodes[mNode].mOptions.mPeerAddress,
-                                      aAction.mMessage })] {
-            if (world.mNodes[to].mLife == life) {
-              Step(world, to, event);
-            }
-          });
+    After(
+      mWorld,
+      last - mWorld.mNow.mTime,
+      [&world = mWorld,
+       to,
+       life,
+       event = Event(PeerMessage{ mWorld.mNodes[mNode].mOptions.mPeerAddress, aAction.mMessage })] {
+        if (world.mNodes[to].mLife == life) {
+          Step(world, to, event);
+        }
+      });
   }
 
   void operator()(const ConnectPeer& aAction) const
@@ -447,8 +450,9 @@
   world->mRandom.seed(aOptions.mSeed);
   auto& configuration = world->mConfiguration;
   configuration.mVersion = 1;
-  configuration.mServices[kService] = { kService, {}, std::chrono::hours(1),
-                                        milliseconds(200), std::chrono::hours(1), 1.0 };
+  configuration.mServices[kService] = {
+    kService, {}, std::chrono::hours(1), milliseconds(200), std::chrono::hours(1), 1.0
+  };
   configuration.mTeams["callers"] = { "callers", 1, 1e12, 1e12 };
   for (std::size_t dc = 0; dc < aOptions.mDataCentres; ++dc) {
     const auto name = "dc" + std::to_string(dc);
@@ -545,9 +549,8 @@
 {
   auto& node = aWorld.mNodes[aNode];
   ++node.mLife;
-  node.mOptions.mIncarnation =
-    MakeIncarnation(aWorld.mNow.mUnixMs + static_cast<UnixMs>(aNode),
-                    static_cast<std::uint32_t>(aWorld.mRandom()));
+  node.mOptions.mIncarnation = MakeIncarnation(aWorld.mNow.mUnixMs + static_cast<UnixMs>(aNode),
+                                               static_cast<std::uint32_t>(aWorld.mRandom()));
   node.mOptions.mSeed = aWorld.mRandom();
   node.mState = MakeState(node.mOptions, aWorld.mNow);
   node.mAlive = true;
@@ -632,8 +635,10 @@
 
 std::size_t Complete(const World& aWorld)
 {
-  return static_cast<std::size_t>(std::count_if(
-    aWorld.mCalls.begin(), aWorld.mCalls.end(), [](const auto& aCall) { return aCall.second.mComplete; }));
+  return static_cast<std::size_t>(
+    std::count_if(aWorld.mCalls.begin(), aWorld.mCalls.end(), [](const auto& aCall) {
+      return aCall.second.mComplete;
+    }));
 }
 
 } // namespace pollenwall::entry::test
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -22,8 +22,8 @@
 {
   UpstreamRecord mRecord;
   bool mAlive = true;
-  bool mHangs = false;   ///< Its tasks stand still.
-  double mSlowness = 1;  ///< Run times are multiplied by this.
+  bool mHangs = false;  ///< Its tasks stand still.
+  double mSlowness = 1; ///< Run times are multiplied by this.
   bool mFailsAll = false;
   UnixMs mBornMs = 0;
   std::uint64_t mToken = 0;
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -52,8 +52,8 @@
                Duration aRunTime,
                Actions& aActions)
 {
-  aActions.emplace_back(Ended{
-    std::string(aUpstream), aRun.mTask, aRun.mNumber, { aVerdict, aCode, "", aRunTime } });
+  aActions.emplace_back(
+    Ended{ std::string(aUpstream), aRun.mTask, aRun.mNumber, { aVerdict, aCode, "", aRunTime } });
 }
 
 void ReportAll(std::string_view aUpstream, Session& aSession, ErrorCode aCode, Actions& aActions)
@@ -77,8 +77,7 @@
 /// at least mLease away on it.
 std::int64_t NextLeaseEnd(const State& aState, Session& aSession, const Now& aNow)
 {
-  const auto end = aSession.mClockMs.value_or(0) +
-                   Milliseconds(aNow.mTime - aSession.mClockAfter) +
+  const auto end = aSession.mClockMs.value_or(0) + Milliseconds(aNow.mTime - aSession.mClockAfter) +
                    aState.mOptions.mLease.count();
   aSession.mLeaseEndMs = std::max(aSession.mLeaseEndMs, end);
   return aSession.mLeaseEndMs;
@@ -88,8 +87,8 @@
 bool HasLapsed(const State& aState, const Session& aSession, const Now& aNow)
 {
   const double passed = static_cast<double>(Milliseconds(aNow.mTime - aSession.mClockBefore));
-  const double clock = static_cast<double>(aSession.mClockMs.value_or(0)) +
-                       passed * (1 - aState.mOptions.mClockSlow);
+  const double clock =
+    static_cast<double>(aSession.mClockMs.value_or(0)) + passed * (1 - aState.mOptions.mClockSlow);
   return clock > static_cast<double>(aSession.mLeaseEndMs + aState.mOptions.mLapseMargin.count());
 }
 
@@ -115,7 +114,10 @@
   }
 }
 
-void SendStopOf(std::string_view aUpstream, const Session& aSession, const Run& aRun, Actions& aActions)
+void SendStopOf(std::string_view aUpstream,
+                const Session& aSession,
+                const Run& aRun,
+                Actions& aActions)
 {
   aActions.emplace_back(
     SendStop{ std::string(aUpstream), aSession.mNumber, aRun, aSession.mToken });
@@ -139,7 +141,9 @@
                   Actions& aActions)
 {
   const auto& options = aState.mOptions;
-  SendLook look{ std::string(aUpstream), aSession.mNumber, aSession.mToken, aSession.mSeen, {}, {} };
+  SendLook look{
+    std::string(aUpstream), aSession.mNumber, aSession.mToken, aSession.mSeen, {}, {}
+  };
   if (aSession.mPhase == SessionPhase::Ready && !aSession.mRuns.empty()) {
     look.mLeaseEndMs = NextLeaseEnd(aState, aSession, aNow);
     look.mWait = options.mLookWait;
@@ -362,7 +366,6 @@
       DropSession(aState, aEvent.mUpstream, aActions);
       return;
     case OrderStatus::Superseded:
-      return end(Verdict::NotRun, ErrorCode::Expired);
     case OrderStatus::Late:
       return end(Verdict::NotRun, ErrorCode::Expired);
     case OrderStatus::NoRoom:
@@ -464,8 +467,8 @@
       ReportAll(
         upstream, session, lost ? ErrorCode::OwnerUnsettled : ErrorCode::UpstreamLost, aActions);
     }
-    if (session.mRuns.empty() &&
-        (session.mPhase == SessionPhase::Lost || (session.mReleasing && session.mForeign.empty()))) {
+    if (session.mRuns.empty() && (session.mPhase == SessionPhase::Lost ||
+                                  (session.mReleasing && session.mForeign.empty()))) {
       it = aState.mSessions.erase(it);
       continue;
     }
--- a/src/libmessages/messages.cpp
+++ b/src/libmessages/messages.cpp
@@ -494,8 +494,7 @@
 /// Values of the key "type", in the order of Message's alternatives.
 constexpr std::array<std::string_view, std::variant_size_v<Message>> kTypes{
   "hello", "heartbeat", "submit",   "status",         "cancel",       "submit_reply", "borrow",
-  "grant", "return",    "handover", "handover_reply", "config_fetch", "config_items",
-  "presence",
+  "grant", "return",    "handover", "handover_reply", "config_fetch", "config_items", "presence",
 };
 constexpr std::string_view kTypeKey = "type";
 
--- a/src/libnet/http_pool.cpp
+++ b/src/libnet/http_pool.cpp
@@ -162,17 +162,17 @@
   connection->mCall = std::move(aCall);
   aPool->mConnections.push_back(connection);
   ++aPool->mOpened;
-  connection->mSocket.async_connect(
-    aPool->mServer, [connection](const boost::system::error_code& aEc) {
-      const auto pool = connection->mPool.lock();
-      if (aEc || connection->mClosed || !pool) {
-        Close(connection);
-        return;
-      }
-      ConfigureSocket(connection->mSocket);
-      Write(connection, pool->mLimits);
-      Read(connection);
-    });
+  connection->mSocket.async_connect(aPool->mServer,
+                                    [connection](const boost::system::error_code& aEc) {
+                                      const auto pool = connection->mPool.lock();
+                                      if (aEc || connection->mClosed || !pool) {
+                                        Close(connection);
+                                        return;
+                                      }
+                                      ConfigureSocket(connection->mSocket);
+                                      Write(connection, pool->mLimits);
+                                      Read(connection);
+                                    });
 }
 
 /// An idle connection that the server has not closed, or null.
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -298,22 +298,19 @@
 
 } // namespace
 
-GoneWatch::GoneWatch(HttpConnection& aConnection,
-                     std::function<void()> aFunction,
-                     GoneSign aSign)
+GoneWatch::GoneWatch(HttpConnection& aConnection, std::function<void()> aFunction, GoneSign aSign)
   : mConnection(aConnection)
   , mFunction(std::make_shared<std::function<void()>>(std::move(aFunction)))
 {
   if (aSign == GoneSign::Closed) {
     auto& socket = mConnection.mStream.mSocket;
     // Readable without input means that the other side has closed. Input is a further request.
-    socket.async_wait(
-      Socket::wait_read,
-      [&socket, function = mFunction](const boost::system::error_code& aEc) {
-        if (!aEc && *function && !HasInput(socket)) {
-          std::exchange(*function, nullptr)();
-        }
-      });
+    socket.async_wait(Socket::wait_read,
+                      [&socket, function = mFunction](const boost::system::error_code& aEc) {
+                        if (!aEc && *function && !HasInput(socket)) {
+                          std::exchange(*function, nullptr)();
+                        }
+                      });
   }
   // An orderly close of the sending side wakes readers only; a reset sets the error condition.
   mConnection.mStream.mSocket.async_wait(
--- a/src/libplacement/placement.cpp
+++ b/src/libplacement/placement.cpp
@@ -668,7 +668,8 @@
 
 bool Suits(const Needs& aCapacity, const Needs& aNeeds)
 {
-  return aNeeds.mMilliCores <= aCapacity.mMilliCores && aNeeds.mMemoryBytes <= aCapacity.mMemoryBytes &&
+  return aNeeds.mMilliCores <= aCapacity.mMilliCores &&
+         aNeeds.mMemoryBytes <= aCapacity.mMemoryBytes &&
          aNeeds.mAccelerators <= aCapacity.mAccelerators;
 }
 
--- a/src/pollenwalld/entry_links.cpp
+++ b/src/pollenwalld/entry_links.cpp
@@ -42,7 +42,7 @@
       aLinks.mOut[aAddress] = link;
       Post(aLinks.mLoop, entry::PeerConnected{ aAddress });
       // The peer sends nothing on this connection; the read notices its end.
-      ReadMessages(*link, aLinks.mLimits, [](message::Message) {});
+      ReadMessages(*link, aLinks.mLimits, [](const message::Message&) {});
       CloseLink(*link);
       const auto it = aLinks.mOut.find(aAddress);
       if (it != aLinks.mOut.end()) {
@@ -67,7 +67,8 @@
 void Send(EntryLinks& aLinks, const entry::SendPeer& aAction)
 {
   const auto it = aLinks.mOut.find(aAction.mAddress);
-  if (it != aLinks.mOut.end() && it->second && !SendOn(*it->second, aAction.mMessage, aLinks.mLimits)) {
+  if (it != aLinks.mOut.end() && it->second &&
+      !SendOn(*it->second, aAction.mMessage, aLinks.mLimits)) {
     log::Warning("peer_too_slow", { { "address", aAction.mAddress } });
   }
 }
@@ -126,10 +127,8 @@
     aLinks.mAcceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
   }
   if (ec) {
-    return boost::leaf::new_error(Error{ ErrorCode::Internal,
-                                         Verdict::NotRun,
-                                         "cannot listen for peers: " + ec.message(),
-                                         {} });
+    return boost::leaf::new_error(Error{
+      ErrorCode::Internal, Verdict::NotRun, "cannot listen for peers: " + ec.message(), {} });
   }
   aLinks.mLimits.mMaxFrameBytes = settings.mMaxFrameBytes;
   aLinks.mLimits.mMaxQueuedBytes = kMaxQueuedBytes;
