Move runs that stand still or are far slower than their job's others

A look lists how far each run is, which was not read. The scheduling core now projects each run from two reports: one that stands still for 200 ms, or takes three times as long as another task of its job, is stopped and started elsewhere, and its upstream gets probes only. Two failures of different jobs in a row exclude an upstream, and a task that has failed once starts only where others succeed.

--- a/src/include/pollenwall/dispatch.h
+++ b/src/include/pollenwall/dispatch.h
@@ -94,6 +94,16 @@
   TaskOutcome mOutcome;
 };
 
+/// How far a started task is, as its upstream says. Runs that stand still or are far slower than
+/// the job's others move to another upstream, if the job is restartable.
+struct TaskProgress
+{
+  TaskId mTask;
+  std::uint32_t mAttempt = 0;
+  UpstreamIndex mUpstream = 0;
+  double mPart = 0; ///< Of its work, 0 to 1.
+};
+
 /// How many slots of an upstream this entry may fill now: its own by the view, less lent, plus
 /// borrowed. Sent whenever that changes. Running tasks beyond a lowered number end normally.
 struct SetCredits
@@ -154,6 +164,7 @@
                            Unwait,
                            Cancel,
                            TaskEnded,
+                           TaskProgress,
                            SetCredits,
                            UpstreamSign,
                            ConfigurationApplied,
--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -37,8 +37,9 @@
   /// Time for which what runs on an upstream is kept alive by one renewal. The platform allows at
   /// most 1 s; less shortens the wait before lost tasks may start elsewhere.
   std::chrono::milliseconds mLease{ 700 };
-  /// Longest wait of one look for an end while tasks run. A look renews the lease.
-  std::chrono::milliseconds mLookWait{ 250 };
+  /// Longest wait of one look for an end while tasks run. A look renews the lease and shows how far
+  /// each run is, so this bounds the time to find a run that stands still.
+  std::chrono::milliseconds mLookWait{ 120 };
   /// Pause between looks at an upstream on which nothing runs.
   std::chrono::milliseconds mIdleLook{ 1000 };
   /// An answer later than this counts as lost.
@@ -74,6 +75,15 @@
   Alone,   ///< The other members of its group did not arrive.
 };
 
+/// A run that an upstream lists as running.
+struct ListedRun
+{
+  Run mRun;
+  double mPart = 0; ///< Of its work that is done, 0 to 1.
+
+  friend bool operator==(const ListedRun&, const ListedRun&) = default;
+};
+
 /// One end in an upstream's list. Numbers start at 1 in each incarnation of the upstream.
 struct ListedEnd
 {
@@ -128,7 +138,7 @@
   std::optional<std::int64_t> mClockMs;
   std::optional<UnixMs> mBornMs; ///< When the upstream's process started; it may keep its name.
   Time mSentAt{};
-  std::vector<Run> mRunning;
+  std::vector<ListedRun> mRunning;
   std::vector<ListedEnd> mEnds;
 };
 
@@ -171,6 +181,15 @@
   TaskOutcome mOutcome;
 };
 
+/// How far a run of this entry is.
+struct Progress
+{
+  std::string mUpstream;
+  TaskId mTask;
+  std::uint32_t mNumber = 0;
+  double mPart = 0;
+};
+
 /// Whether the upstream can be given new tasks has changed.
 struct UsableChanged
 {
@@ -192,7 +211,7 @@
   std::string mDetail;
 };
 
-using Action = std::variant<SendStop, SendLook, Ended, UsableChanged, LostToOther, Note>;
+using Action = std::variant<SendStop, SendLook, Ended, Progress, UsableChanged, LostToOther, Note>;
 using Actions = std::vector<Action>;
 
 enum class RunPhase
--- a/src/include/pollenwall/placement.h
+++ b/src/include/pollenwall/placement.h
@@ -33,6 +33,8 @@
   /// Probes are callers' tasks, and a probe that fails fails its job, so the interval doubles up to
   /// this.
   std::chrono::milliseconds mMostProbe{ 30000 };
+  /// So many failures in a row exclude an upstream whose peers rarely fail; 0: the rate decides.
+  std::uint32_t mFailuresInRow = 0;
   /// This entry alone starts tasks on the upstreams that it has credits for, so the needs of what
   /// runs on one are kept within its worker's capacity. Otherwise other entries' tasks run there
   /// too, unknown to this one, and only credits bound what it starts.
@@ -46,6 +48,8 @@
   double mRanWell = 0;
   double mFailed = 0;
   std::uint32_t mOutcomes = 0;
+  std::uint32_t mFailedInRow = 0;
+  std::optional<std::uint64_t> mSlowJob; ///< The last one, if no run has been normal since.
   double mLogRatio = 0; ///< Mean natural logarithm of run time over expected run time.
   double mLogRatioWeight = 0;
   std::uint32_t mRatios = 0;
@@ -177,6 +181,7 @@
   const std::vector<std::pair<std::uint32_t, std::uint32_t>>* mRacks = nullptr;
   UpstreamIndex mAvoid = kNone;
   bool mMayProbe = true; ///< An upstream due for a probe goes first; otherwise last.
+  bool mProven = false;  ///< Upstreams on trial or with recent failures go last.
 };
 
 /// Whether any upstream of these shapes can take a task of these needs now.
@@ -224,6 +229,16 @@
 /// shows only when its first tasks end.
 void CountOverdue(State& aState, UpstreamIndex aUpstream, double aRatio, const Now& aNow);
 
+/// A running task shows that the upstream stands still or is far slower than others: it gets
+/// nothing but probes from now on.
+void ExcludeSlow(State& aState, UpstreamIndex aUpstream, const Now& aNow);
+
+/// A job's task takes far longer here than its kind does. Two jobs in a row exclude the upstream.
+void CountSlowJob(State& aState,
+                  UpstreamIndex aUpstream,
+                  std::uint64_t aJob,
+                  const Now& aNow);
+
 /// Configured, not leaving, not unhealthy.
 bool IsUsable(const State& aState, UpstreamIndex aUpstream);
 
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -33,6 +33,26 @@
 /// A job goes first once no more than this many times its longest task is left to its deadline.
 constexpr int kUrgentSlack = 2;
 constexpr double kLeastWeight = 0.001;
+/// One failure may be the task's own; two jobs in a row that fail on one of many sound upstreams are
+/// not a coincidence.
+constexpr std::uint32_t kFailuresInRow = 2;
+/// A run whose part has not risen for this long stands still. Reports are rounded to 1%, so this
+/// holds for tasks of up to 20 s.
+constexpr milliseconds kStalledAfter{ 200 };
+/// Least time between two progress reports that show a run's speed, and least part gained. Runs
+/// that gain less in the longer time are slow whatever the rounding.
+constexpr milliseconds kLeastProjection{ 30 };
+constexpr milliseconds kSlowProjection{ 150 };
+constexpr double kLeastGain = 0.05;
+constexpr double kRounding = 0.01;
+/// Tasks of one job differ by about 15%, and workers in speed by up to 1.6 times.
+constexpr double kSlowRatio = 3;
+/// Tasks of one kind differ more: some take seven times as long.
+constexpr double kSlowKindRatio = 4;
+/// A task starts elsewhere when that takes this much less than the rest of its run: a stop and a
+/// start take some tens of milliseconds.
+constexpr milliseconds kMoveCost{ 60 };
+constexpr double kFreshMargin = 1.3;
 /// A stop takes some tens of milliseconds to show.
 constexpr milliseconds kStoppingRetryAfter{ 100 };
 
@@ -266,9 +286,15 @@
   const auto slot = aState.mFreeAttempts.back();
   aState.mFreeAttempts.pop_back();
   const auto& needs = job.mSpec->mTasks[aTask].mNeeds;
-  aState.mAttempts[slot] = {
-    aIndex, aTask, aUpstream, needs, aNow.mTime, task.mLong, false, false
-  };
+  auto& attempt = aState.mAttempts[slot];
+  attempt = Attempt{};
+  attempt.mJob = aIndex;
+  attempt.mTask = aTask;
+  attempt.mUpstream = aUpstream;
+  attempt.mNeeds = needs;
+  attempt.mStarted = aNow.mTime;
+  attempt.mLong = task.mLong;
+  attempt.mPartChanged = aNow.mTime;
   placement::CountStart(aState.mPlacement, aUpstream, needs, aNow);
   CountQueued(aState, job, 0, 1);
   ++aState.mRunningTasks;
@@ -370,7 +396,8 @@
                                       group.mNeeds,
                                       &job.mRacks,
                                       avoid ? task.mAvoid : kNone,
-                                      job.mTasks.size() <= kMostTasksToProbe };
+                                      job.mTasks.size() <= kMostTasksToProbe && task.mFailures == 0,
+                                      task.mFailures > 0 };
     const auto upstream = placement::Choose(aState.mPlacement, request, aState.mRandom);
     queue::Serve(queue, job.mTeam);
     queue::TakeTask(queue, slice);
@@ -719,6 +746,103 @@
         aNow.mTime + Jittered(aState, Duration(kRetryDelay) * (1U << doublings)));
 }
 
+/// Notes how long a task of the job takes at an upstream.
+void NoteRun(Job& aJob, Duration aRun, UpstreamIndex aUpstream)
+{
+  if (aJob.mFastest.count() == 0 || aRun < aJob.mFastest) {
+    aJob.mFastest = aRun;
+    aJob.mFastestAt = aUpstream;
+  }
+}
+
+/// The attempt's whole run at its present speed; nothing until that is known.
+std::optional<Duration> ProjectedRun(const Attempt& aAttempt, const Now& aNow)
+{
+  if (!aAttempt.mFirstPart) {
+    return std::nullopt;
+  }
+  const auto elapsed = aNow.mTime - aAttempt.mFirstPartAt;
+  const double gained = aAttempt.mPart - *aAttempt.mFirstPart;
+  if (elapsed < kLeastProjection || (gained < kLeastGain && elapsed < kSlowProjection)) {
+    return std::nullopt;
+  }
+  return Duration{ std::llround(static_cast<double>(elapsed.count()) /
+                                std::max(gained, kRounding)) };
+}
+
+/// Stops a run so that its task starts elsewhere.
+void Move(Job& aJob, Attempt& aAttempt, std::uint64_t& aCount, Actions& aActions)
+{
+  ++aCount;
+  aAttempt.mMoving = true;
+  aActions.emplace_back(StopTask{ { *aJob.mId, aAttempt.mTask }, aAttempt.mUpstream });
+}
+
+/// Decides whether a run is worth its time where it is.
+void JudgeProgress(State& aState, Job& aJob, Attempt& aAttempt, const Now& aNow, Actions& aActions)
+{
+  auto& placement = aState.mPlacement;
+  if (aNow.mTime - aAttempt.mPartChanged > kStalledAfter && aAttempt.mFirstPart &&
+      aNow.mTime - aAttempt.mFirstPartAt > kStalledAfter / 2) {
+    placement::ExcludeSlow(placement, aAttempt.mUpstream, aNow);
+    Move(aJob, aAttempt, aState.mCounts.mTasksStalled, aActions);
+    return;
+  }
+  const auto projected = ProjectedRun(aAttempt, aNow);
+  if (!projected) {
+    return;
+  }
+  NoteRun(aJob, *projected, aAttempt.mUpstream);
+  const auto& task = aJob.mTasks[aAttempt.mTask];
+  const auto run = static_cast<double>(projected->count());
+  auto fresh = static_cast<double>(aJob.mFastest.count());
+  bool slow = aJob.mFastestAt != aAttempt.mUpstream && run > kSlowRatio * fresh;
+  if (slow) {
+    placement::ExcludeSlow(placement, aAttempt.mUpstream, aNow);
+  } else if (aJob.mFastestAt == aAttempt.mUpstream && task.mLearned &&
+             run > kSlowKindRatio * static_cast<double>(task.mMedian.count())) {
+    // No task of the job runs elsewhere, so other jobs have to confirm it.
+    if (!std::exchange(aAttempt.mFoundSlow, true)) {
+      placement::CountSlowJob(placement, aAttempt.mUpstream, aJob.mSequence, aNow);
+    }
+    slow = !placement::IsUsable(placement, aAttempt.mUpstream);
+    fresh = static_cast<double>(task.mMedian.count());
+  }
+  const double rest = run * (1 - aAttempt.mPart);
+  if (slow && rest > kFreshMargin * fresh + static_cast<double>(Duration(kMoveCost).count())) {
+    Move(aJob, aAttempt, aState.mCounts.mTasksSlow, aActions);
+  }
+}
+
+void Apply(State& aState, const TaskProgress& aEvent, const Now& aNow, Actions& aActions)
+{
+  const auto it = aState.mJobByName.find(aEvent.mTask.mJob);
+  if (it == aState.mJobByName.end() ||
+      aEvent.mTask.mIndex >= aState.mJobs[it->second].mTasks.size()) {
+    return;
+  }
+  auto& job = aState.mJobs[it->second];
+  const auto& task = job.mTasks[aEvent.mTask.mIndex];
+  if (task.mSlot == kNone || task.mAttempt != aEvent.mAttempt) {
+    return;
+  }
+  auto& attempt = aState.mAttempts[task.mSlot];
+  if (attempt.mUpstream != aEvent.mUpstream || attempt.mStopped || attempt.mMoving) {
+    return;
+  }
+  if (!attempt.mFirstPart) {
+    attempt.mFirstPart = aEvent.mPart;
+    attempt.mFirstPartAt = aNow.mTime;
+  }
+  if (aEvent.mPart > attempt.mPart) {
+    attempt.mPart = aEvent.mPart;
+    attempt.mPartChanged = aNow.mTime;
+  }
+  if (job.mState == JobState::Running && job.mRestartable) {
+    JudgeProgress(aState, job, attempt, aNow, aActions);
+  }
+}
+
 void Apply(State& aState, const TaskEnded& aEvent, const Now& aNow, Actions& aActions)
 {
   const auto it = aState.mJobByName.find(aEvent.mTask.mJob);
@@ -744,7 +868,10 @@
   --service.mRunning[attempt.mLong ? 1 : 0];
 
   const auto& outcome = aEvent.mOutcome;
-  const auto report = ReportOf(outcome, attempt.mStopped);
+  auto report = ReportOf(outcome, attempt.mStopped || attempt.mMoving);
+  if (report == placement::Report::Failed && std::exchange(job.mHasFailed, true)) {
+    report = placement::Report::Ignored; // The job itself may be at fault.
+  }
   const auto ranFor =
     outcome.mRunTime.count() > 0 ? outcome.mRunTime : Duration(aNow.mTime - attempt.mStarted);
   std::optional<double> ratio;
@@ -764,6 +891,7 @@
     return;
   }
   if (report == placement::Report::RanWell) {
+    NoteRun(job, ranFor, attempt.mUpstream);
     const auto declared = job.mSpec->mTasks[aEvent.mTask.mIndex].mDeclaredRun;
     run_times::Observe(*job.mKind, declared, ranFor);
     task.mPhase = Phase::Ended;
@@ -967,6 +1095,7 @@
   state->mPlacement =
     placement::MakeState({ .mDataCentre = aOptions.mDataCentre,
                            .mSignExpiry = aOptions.mSignExpiry,
+                           .mFailuresInRow = aOptions.mHoldsWholeUpstreams ? kFailuresInRow : 0,
                            .mHoldsWholeUpstreams = aOptions.mHoldsWholeUpstreams });
   // Rehashing a table of the default size takes about 10 ms, in which nothing else would be
   // handled.
--- a/src/libdispatch/state.h
+++ b/src/libdispatch/state.h
@@ -61,6 +61,12 @@
   bool mLong = false;
   bool mStopped = false;
   bool mOverdue = false; ///< Counted as overdue already.
+  bool mMoving = false;  ///< Stopped in order to start elsewhere.
+  bool mFoundSlow = false; ///< Counted against its upstream already.
+  std::optional<double> mFirstPart; ///< The first progress report.
+  Time mFirstPartAt{};
+  double mPart = 0;    ///< The last one.
+  Time mPartChanged{}; ///< When the part last rose, or the start.
 };
 
 struct Job
@@ -86,6 +92,9 @@
   std::uint32_t mMostFailures = 1;
   bool mRestartable = false;
   std::uint64_t mMilliCores = 0; ///< Asked for by all tasks together.
+  Duration mFastest{ 0 }; ///< Shortest run of its tasks, done or projected; 0: none known.
+  UpstreamIndex mFastestAt = kNone;
+  bool mHasFailed = false; ///< A run of its tasks has failed.
   Duration mLongest{ 0 };        ///< Of its tasks, as far as learned; 95% are shorter.
   std::uint32_t mQueued = 0;
   std::uint32_t mDelayed = 0;
@@ -163,6 +172,8 @@
   std::uint64_t mTaskRefusals = 0;
   std::uint64_t mTaskRetries = 0;
   std::uint64_t mTaskRestarts = 0; ///< Retries of tasks that had run.
+  std::uint64_t mTasksStalled = 0; ///< Moved because they stood still.
+  std::uint64_t mTasksSlow = 0;    ///< Moved because they were far slower than others.
   std::uint64_t mRetriesDeferred = 0;
   std::uint64_t mLateOutcomes = 0;
   std::uint64_t mUnknownOutcomes = 0;
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -169,6 +169,15 @@
              mNow);
   }
 
+  void operator()(holding::Progress& aAction)
+  {
+    if (const auto index = dispatch::FindUpstream(*mState.mDispatch, aAction.mUpstream)) {
+      Dispatch(mState,
+               dispatch::TaskProgress{ aAction.mTask, aAction.mNumber, *index, aAction.mPart },
+               mNow);
+    }
+  }
+
   void operator()(holding::UsableChanged& aAction)
   {
     const auto it = mState.mUpstreams.find(aAction.mUpstream);
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -118,6 +118,7 @@
   ++aWorld.mStarts;
   WorkerRun run;
   run.mNeeds.mMilliCores = kTaskMilliCores;
+  run.mBegan = aWorld.mNow.mTime;
   run.mHow = aWorker.mFailsAll || Unit(aWorld) < aWorld.mOptions.mFailingTasks
                ? holding::RunEnd::Failed
                : holding::RunEnd::Done;
@@ -228,7 +229,9 @@
     return;
   }
   for (const auto& [run, running] : worker.mRunning) {
-    answer.mRunning.push_back(run);
+    const auto whole = static_cast<double>((running.mEnds - running.mBegan).count());
+    const auto done = static_cast<double>((aWorld.mNow.mTime - running.mBegan).count());
+    answer.mRunning.push_back({ run, std::floor(100 * done / whole) / 100 });
   }
   answer.mEnds = worker.mEnds;
   Reply(aWorld, aNode, aLife, Delay(aWorld), answer);
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -14,6 +14,7 @@
 struct WorkerRun
 {
   Needs mNeeds;
+  Time mBegan{};
   Time mEnds{};
   holding::RunEnd mHow = holding::RunEnd::Done;
 };
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace pollenwall::holding {
 namespace {
@@ -194,13 +195,17 @@
                    Actions& aActions)
 {
   std::vector<Run> foreign;
-  for (const auto& run : aEvent.mRunning) {
+  std::set<Run> listed;
+  for (const auto& [run, part] : aEvent.mRunning) {
+    listed.insert(run);
     const auto it = aSession.mRuns.find(run);
     if (it != aSession.mRuns.end()) {
       if (it->second.mPhase != RunPhase::Running) {
         it->second.mPhase = RunPhase::Running;
         it->second.mKnownAt = aNow.mTime;
       }
+      aActions.emplace_back(
+        Progress{ std::string(aUpstream), run.mTask, run.mNumber, part });
       continue;
     }
     foreign.push_back(run);
@@ -209,7 +214,7 @@
   aSession.mForeign = std::move(foreign);
   std::vector<Run> gone;
   for (auto& [run, own] : aSession.mRuns) {
-    if (std::find(aEvent.mRunning.begin(), aEvent.mRunning.end(), run) != aEvent.mRunning.end()) {
+    if (listed.contains(run)) {
       continue;
     }
     const bool vanished = own.mPhase == RunPhase::Running && own.mKnownAt < aEvent.mSentAt;
--- a/src/libplacement/placement.cpp
+++ b/src/libplacement/placement.cpp
@@ -36,6 +36,9 @@
 constexpr milliseconds kFirstBusyBlock{ 20 };
 constexpr std::uint32_t kMostBusyDoublings = 5;
 constexpr milliseconds kLostBlock{ 250 };
+constexpr milliseconds kFailedBlock{ 50 };
+/// Mean failure rate of the peers below which failures in a row speak against an upstream.
+constexpr double kRareFailures = 0.2;
 constexpr milliseconds kPeerNoteLife{ 10000 };
 /// Free upstreams compared for one start.
 constexpr std::size_t kDraws = 6;
@@ -54,6 +57,8 @@
 constexpr std::uint64_t kMemoryStepBytes = std::uint64_t{ 256 } << 20;
 /// Larger than any other cost.
 constexpr double kProbeCost = 1e9;
+/// Larger than any cost but that of a probe.
+constexpr double kUnprovenCost = 1e6;
 
 bool IsLeaving(const Upstream& aUpstream)
 {
@@ -265,8 +270,13 @@
     return;
   }
   const auto needed = aNow.mTime < health.mPeerNoteUntil ? 1 : kOutcomesForVerdict;
-  const double threshold = 0.5 + 0.5 * PeerFailureRate(pool, upstream);
-  if (pool.mServiceFault || health.mOutcomes < needed || FailureRate(health) <= threshold) {
+  const double peers = PeerFailureRate(pool, upstream);
+  const bool inRow = aState.mOptions.mFailuresInRow > 0 &&
+                     health.mFailedInRow >= aState.mOptions.mFailuresInRow &&
+                     peers < kRareFailures;
+  const bool byRate =
+    health.mOutcomes >= needed && FailureRate(health) > 0.5 + 0.5 * peers;
+  if (pool.mServiceFault || (!inRow && !byRate)) {
     return;
   }
   health.mFailing = true;
@@ -350,6 +360,9 @@
     return aRequest.mMayProbe ? -kProbeCost : kProbeCost;
   }
   double cost = 4 * FailureRate(health);
+  if (aRequest.mProven && (upstream.mOnTrial || health.mFailedInRow > 0)) {
+    cost += kUnprovenCost;
+  }
   if (health.mRatios > 0) {
     const double ratio = health.mLogRatio / health.mLogRatioWeight;
     const double excess = ratio - aState.mPools[upstream.mService].mLogRatio;
@@ -614,10 +627,14 @@
     health.mRanWell = kDecay * health.mRanWell + (failed ? 0 : 1);
     health.mFailed = kDecay * health.mFailed + (failed ? 1 : 0);
     ++health.mOutcomes;
+    health.mFailedInRow = failed ? health.mFailedInRow + 1 : 0;
     Refresh(aState, aUpstream, aNow);
     JudgeFailures(aState, aUpstream, failed, probe, aNow);
     if (aRatio && !failed) {
       AddRatio(aState, aUpstream, *aRatio, probe, aNow);
+      if (std::log(std::max(*aRatio, 1e-6)) < kGoodLogRatio) {
+        health.mSlowJob.reset();
+      }
     }
   }
   if (aReport == Report::RanWell || aReport == Report::Failed) {
@@ -625,6 +642,11 @@
     upstream.mOnTrial = false;
   }
   milliseconds block{ 0 };
+  if (aReport == Report::Failed && aState.mOptions.mFailuresInRow > 0) {
+    // Tasks that fail end early, so a faulty upstream would otherwise draw all that comes.
+    upstream.mOnTrial = true;
+    block = kFailedBlock;
+  }
   if (aReport == Report::Busy || aReport == Report::Stale) {
     block = kFirstBusyBlock * (1U << std::min(upstream.mBusyInRow, kMostBusyDoublings));
     // Refusals of starts that were sent together count once.
@@ -653,6 +675,29 @@
   JudgeService(aState, aState.mUpstreams[aUpstream].mService, aNow);
 }
 
+void ExcludeSlow(State& aState, UpstreamIndex aUpstream, const Now& aNow)
+{
+  auto& health = aState.mUpstreams[aUpstream].mHealth;
+  if (health.mSlow || health.mFailing || aState.mPools[aState.mUpstreams[aUpstream].mService].mServiceFault) {
+    return;
+  }
+  health.mSlow = true;
+  ++aState.mExclusions;
+  StartProbing(aState, aUpstream, aNow);
+  Refresh(aState, aUpstream, aNow);
+  JudgeService(aState, aState.mUpstreams[aUpstream].mService, aNow);
+}
+
+void CountSlowJob(State& aState, UpstreamIndex aUpstream, std::uint64_t aJob, const Now& aNow)
+{
+  auto& health = aState.mUpstreams[aUpstream].mHealth;
+  if (health.mSlowJob && *health.mSlowJob != aJob) {
+    ExcludeSlow(aState, aUpstream, aNow);
+    return;
+  }
+  health.mSlowJob = aJob;
+}
+
 bool IsUsable(const State& aState, UpstreamIndex aUpstream)
 {
   const auto& upstream = aState.mUpstreams[aUpstream];
