Let jobs that cannot keep their target wait for those that can

Cause: while more work comes than fits, jobs were served by least work alone, and those near their deadline first, although their answer was worth little by then. Within a priority the order is now: can keep its target, cannot, far past it.

--- a/src/include/pollenwall/job.h
+++ b/src/include/pollenwall/job.h
@@ -35,6 +35,11 @@
   std::chrono::milliseconds mDeadline{ 0 }; ///< From acceptance to the answer.
   std::uint64_t mBodyHash = 0;              ///< Of all that must be equal in a resubmission.
   std::uint32_t mPriority = 0;              ///< 0 is served first.
+  /// The answer is wanted within so many times the longest task's run time, and mTargetSlack more;
+  /// 0: at any time before the deadline. Jobs that can no longer keep it wait for those that can.
+  double mTargetStretch = 0;
+  std::chrono::milliseconds mTargetSlack{ 0 };
+  std::chrono::milliseconds mWaited{ 0 }; ///< Since the caller's submission, before this one.
   /// Runs of one task that may fail before the job fails.
   std::uint32_t mMostFailures = 1;
   /// A task whose run is certainly over without success may be started again. Otherwise a task that
--- a/src/include/pollenwall/task_queue.h
+++ b/src/include/pollenwall/task_queue.h
@@ -34,12 +34,21 @@
   bool mCalm = true; ///< False for a job that has to start now to meet its deadline; it goes before
                      ///< all others of its priority.
   std::uint32_t mPriority = 0; ///< 0 goes first.
+  /// 0: can still keep its target; 1: cannot; 2: is far past it. While more work comes than can be
+  /// done, work that is late already would otherwise make all other work late as well.
+  std::uint32_t mLateness = 0;
 
   friend bool operator<(const JobKey& aOne, const JobKey& aOther)
   {
-    return std::tie(aOne.mPriority, aOne.mCalm, aOne.mOrdinary, aOne.mWork, aOne.mSequence) <
-           std::tie(
-             aOther.mPriority, aOther.mCalm, aOther.mOrdinary, aOther.mWork, aOther.mSequence);
+    const auto rank = [](const JobKey& aKey) {
+      return std::tie(aKey.mPriority,
+                      aKey.mLateness,
+                      aKey.mCalm,
+                      aKey.mOrdinary,
+                      aKey.mWork,
+                      aKey.mSequence);
+    };
+    return rank(aOne) < rank(aOther);
   }
 };
 
--- a/src/libdispatch/accept.cpp
+++ b/src/libdispatch/accept.cpp
@@ -162,6 +162,7 @@
     task.mLearned = estimate.mLearned;
     task.mMean = std::max(estimate.mMean, Duration{ 1 });
     task.mMedian = estimate.mMedian;
+    job.mExpectedRun = std::max(job.mExpectedRun, task.mMedian);
     if (estimate.mLearned) {
       job.mLongest =
         std::max(job.mLongest, std::min(estimate.mHigh, kMostHighRatio * estimate.mMedian));
@@ -170,6 +171,11 @@
     task.mSlice = 2 * GroupOf(aState, job.mService, *rounded) + (task.mLong ? 1 : 0);
     job.mQueuedWork[task.mLong ? 1 : 0] += task.mMean.count();
   }
+  if (spec.mTargetStretch > 0) {
+    job.mTarget = Duration(spec.mTargetSlack) +
+                  Duration{ std::llround(spec.mTargetStretch *
+                                         static_cast<double>(job.mExpectedRun.count())) };
+  }
   return job;
 }
 
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -33,6 +33,9 @@
 /// A job goes first once no more than this many times its longest task is left to its deadline.
 constexpr int kUrgentSlack = 2;
 constexpr double kLeastWeight = 0.001;
+/// An answer after this many times its target is worth little more than none.
+constexpr int kFarPastTarget = 3;
+constexpr std::uint32_t kMostLateness = 2;
 /// One failure may be the task's own; two jobs in a row that fail on one of many sound upstreams are
 /// not a coincidence.
 constexpr std::uint32_t kFailuresInRow = 2;
@@ -93,7 +96,8 @@
            aJob.mQueuedWork[0] + aJob.mQueuedWork[1] + std::llround(ageing),
            aJob.mSequence,
            !aJob.mUrgent,
-           aJob.mPriority };
+           aJob.mPriority,
+           aJob.mLateness };
 }
 
 /// Gives the job's slices its present place in the queue.
@@ -456,6 +460,33 @@
   }
 }
 
+/// The moment from which a job that still waits has the next lateness.
+Time NextLateness(const Job& aJob, Duration aWaited)
+{
+  const auto submitted = aJob.mAccepted - aWaited;
+  const auto target = aJob.mLateness == 0 ? aJob.mTarget : kFarPastTarget * aJob.mTarget;
+  return submitted + target - aJob.mExpectedRun;
+}
+
+/// Puts jobs that can no longer keep their target behind those that can.
+void LowerLateJobs(State& aState, const Now& aNow)
+{
+  while (!aState.mTargets.empty() && aState.mTargets.top().mAt <= aNow.mTime) {
+    auto timer = aState.mTargets.top();
+    aState.mTargets.pop();
+    auto& job = aState.mJobs[timer.mJob];
+    if (job.mGeneration != timer.mGeneration || job.mState != JobState::Running) {
+      continue;
+    }
+    ++job.mLateness;
+    SetKeys(aState, job);
+    if (job.mLateness < kMostLateness) {
+      timer.mAt = NextLateness(job, job.mSpec->mWaited);
+      aState.mTargets.push(timer);
+    }
+  }
+}
+
 /// Puts delayed tasks back into the queue, as far as the retry budget allows.
 void EndDelays(State& aState, const Now& aNow)
 {
@@ -649,11 +680,16 @@
   aState.mJobs[index] = std::move(*job);
   aState.mDeadlines.push(
     { aState.mJobs[index].mDeadline, index, aState.mJobs[index].mGeneration, 0 });
-  aState.mUrgencies.push(
-    { aState.mJobs[index].mDeadline - kUrgentSlack * aState.mJobs[index].mLongest,
-      index,
-      aState.mJobs[index].mGeneration,
-      0 });
+  const auto& accepted = aState.mJobs[index];
+  if (accepted.mTarget.count() > 0) {
+    aState.mTargets.push(
+      { NextLateness(accepted, spec.mWaited), index, accepted.mGeneration, 0 });
+  } else {
+    aState.mUrgencies.push({ accepted.mDeadline - kUrgentSlack * accepted.mLongest,
+                             index,
+                             accepted.mGeneration,
+                             0 });
+  }
   ++aState.mCounts.mJobsAccepted;
   EnterQueue(aState, index);
   AddWaiter(aState, index, aEvent.mRequest, aActions);
@@ -1045,6 +1081,7 @@
 {
   placement::Advance(aState.mPlacement, aNow);
   RaiseUrgentJobs(aState, aNow);
+  LowerLateJobs(aState, aNow);
   EndDelays(aState, aNow);
   ForgetJobs(aState, aNow);
   SweepAttempts(aState, aNow);
--- a/src/libdispatch/state.h
+++ b/src/libdispatch/state.h
@@ -88,6 +88,9 @@
   std::vector<RequestId> mWaiters;
   queue::WorkByClass mQueuedWork{};
   bool mUrgent = false;
+  std::uint32_t mLateness = 0; ///< See queue::JobKey.
+  Duration mExpectedRun{ 0 };  ///< Of its longest task.
+  Duration mTarget{ 0 };       ///< From the submission; 0: none.
   std::uint32_t mPriority = 0;
   std::uint32_t mMostFailures = 1;
   bool mRestartable = false;
@@ -203,6 +206,7 @@
   JobTimers mDeadlines;
   std::vector<std::uint32_t> mBorrowed; ///< Credits that may be recalled, by upstream.
   JobTimers mUrgencies; ///< When a job that still waits has to go first to meet its deadline.
+  JobTimers mTargets; ///< When a waiting job can no longer keep its target, or is far past it.
   JobTimers mDelays;
   std::deque<JobTimer> mKept;        ///< Ended jobs, in the order of their end.
   std::deque<JobTimer> mKeptResults; ///< Those among them that hold results.
--- a/src/libentry/calls.cpp
+++ b/src/libentry/calls.cpp
@@ -124,6 +124,7 @@
   const auto left = duration_cast<milliseconds>(aCall.mDeadline - aNow.mTime);
   auto job = aCall.mJob;
   job.mDeadline = std::max(left, milliseconds{ 1 });
+  job.mWaited = std::max(aCall.mJob.mDeadline - left, milliseconds{ 0 });
   const auto holder = *aCall.mHolder;
   aCall.mForwardedAt = aNow.mTime;
   if (holder == aState.mOptions.mIncarnation) {
--- a/src/libmessages/messages.cpp
+++ b/src/libmessages/messages.cpp
@@ -361,6 +361,9 @@
     a("deadline_ms", v.mDeadline);
     a("body_hash", v.mBodyHash);
     a("priority", v.mPriority);
+    a("target_stretch", v.mTargetStretch);
+    a("target_slack_ms", v.mTargetSlack);
+    a("waited_ms", v.mWaited);
     a("most_failures", v.mMostFailures);
     a("restartable", v.mRestartable);
     a("tasks", v.mTasks);
