--- a/src/libentry/entry_test.cpp
+++ b/src/libentry/entry_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <iostream>
 #include <set>
 
@@ -189,6 +190,101 @@
   return NothingBroken(w) && ok;
 }
 
+/// Answered calls that took at most this long.
+std::size_t CompleteWithin(const World& aWorld, Duration aTime)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aWorld.mCalls.begin(), aWorld.mCalls.end(), [aTime](const auto& aCall) {
+      const auto& call = aCall.second;
+      return call.mComplete && *call.mAnswered - call.mSubmitted <= aTime;
+    }));
+}
+
+/// One worker of each data centre, changed by the function.
+template<typename Change>
+void ChangeWorkers(World& aWorld, Change aChange)
+{
+  for (const auto* id : { "dc0-w0", "dc1-w0", "dc2-w0" }) {
+    aChange(aWorld.mWorkers.at(id));
+  }
+}
+
+/// Guards against jobs that wait until their deadline for tasks that stand still. Load: a third of
+/// the places, one worker in eight hangs for the whole time.
+bool StalledRun()
+{
+  auto world = MakeWorld({});
+  auto& w = *world;
+  RunFor(w, seconds(2));
+  ChangeWorkers(w, [](Worker& aWorker) { aWorker.mHangs = true; });
+  Load(w, 40, seconds(10), milliseconds(100));
+  RunFor(w, seconds(14));
+  bool ok = NothingBroken(w) && AllAnswered(w);
+  ok &= Expect(Complete(w) == w.mCalls.size(), "all jobs complete although workers hang");
+  // The stall shows after two looks of 120 ms, a stop takes 30 ms, and the run starts anew.
+  ok &= Expect(CompleteWithin(w, milliseconds(1000)) == w.mCalls.size(),
+               "a job that met a hanging worker completes within 1 s");
+  return ok;
+}
+
+/// Guards against jobs that take as long as the slowest worker. Load: a third of the places, one
+/// worker in eight is 6.5 times as slow.
+bool SlowRun()
+{
+  auto world = MakeWorld({});
+  auto& w = *world;
+  RunFor(w, seconds(2));
+  ChangeWorkers(w, [](Worker& aWorker) { aWorker.mSlowness = 6.5; });
+  Load(w, 10, seconds(10), milliseconds(400));
+  RunFor(w, seconds(16));
+  bool ok = NothingBroken(w) && AllAnswered(w);
+  ok &= Expect(Complete(w) == w.mCalls.size(), "all jobs complete although workers are slow");
+  const auto slow = w.mCalls.size() - CompleteWithin(w, milliseconds(1400));
+  ok &= Expect(slow * 100 <= w.mCalls.size(), "of 100 jobs of 400 ms at most one takes over 1.4 s");
+  return ok;
+}
+
+/// Guards against a worker that fails all it starts and so is always free to draw more. Load: a
+/// third of the places, two runs of a task may fail.
+bool FailingUpstream()
+{
+  WorldOptions options;
+  options.mMostFailures = 2;
+  auto world = MakeWorld(options);
+  auto& w = *world;
+  RunFor(w, seconds(2));
+  ChangeWorkers(w, [](Worker& aWorker) { aWorker.mFailsAll = true; });
+  Load(w, 40, seconds(10), milliseconds(100));
+  RunFor(w, seconds(14));
+  bool ok = NothingBroken(w) && AllAnswered(w);
+  const auto failed = w.mCalls.size() - Complete(w);
+  ok &= Expect(failed * 200 <= w.mCalls.size(), "of 200 jobs at most one fails");
+  return ok;
+}
+
+/// Jobs answered within the target when 1.3 times as much work comes as fits for 4 s.
+std::size_t InTimeUnderOverload(double aStretch)
+{
+  WorldOptions options;
+  options.mTargetStretch = aStretch;
+  auto world = MakeWorld(options);
+  auto& w = *world;
+  RunFor(w, seconds(2));
+  // 24 workers with 2 places each and tasks of 200 ms end 240 tasks a second; a job has 3.5.
+  Load(w, 1.3 * 240 / 3.5, seconds(4), milliseconds(200));
+  RunFor(w, seconds(9));
+  return CompleteWithin(w, milliseconds(380));
+}
+
+/// Guards against late jobs that make all others late as well while more comes than fits.
+bool LateJobsWait()
+{
+  const auto without = InTimeUnderOverload(0);
+  const auto with = InTimeUnderOverload(1.6);
+  std::cerr << "in time under overload: " << with << " with targets, " << without << " without\n";
+  return Expect(with > without, "more jobs are in time when late ones wait");
+}
+
 /// Guards against jobs that wait for a holder which has died, and against upstreams that stay
 /// without a holder.
 bool HolderDies()
@@ -222,6 +318,10 @@
   bool ok = CalmDay();
   ok = HolderDies() && ok;
   ok = StopAnswersAll() && ok;
+  ok = StalledRun() && ok;
+  ok = SlowRun() && ok;
+  ok = FailingUpstream() && ok;
+  ok = LateJobsWait() && ok;
   ok = ListLosesWorkers() && ok;
   constexpr std::uint64_t kSeeds = 60;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -504,7 +504,9 @@
   call.mJob.mTeam = "callers";
   call.mJob.mKind = "k" + std::to_string(aRun.count());
   call.mJob.mDeadline = aDeadline;
-  call.mJob.mMostFailures = 3;
+  call.mJob.mMostFailures = aWorld.mOptions.mMostFailures;
+  call.mJob.mTargetStretch = aWorld.mOptions.mTargetStretch;
+  call.mJob.mTargetSlack = aWorld.mOptions.mTargetSlack;
   call.mJob.mRestartable = true;
   TaskSpec task;
   task.mPayload = std::to_string(aRun.count());
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -66,6 +66,9 @@
   double mLostAnswers = 0;  ///< Of orders to workers: carried out, but the answer is lost.
   double mLateOrders = 0;   ///< Of orders: no answer, carried out seconds later.
   double mFailingTasks = 0; ///< Of runs.
+  std::uint32_t mMostFailures = 3;
+  double mTargetStretch = 0; ///< Of jobs; see JobSpec.
+  std::chrono::milliseconds mTargetSlack{ 60 };
   std::uint64_t mSeed = 1;
 };
 
