Logs on standard output within a budget; settings of the platform tested and explained

Lines never block: one is written only when the pipe takes it, info lines of jobs are thinned out by the id's hash beyond 200 a second, and what was dropped is counted and logged. Tests that gave workers' cores as positional values now give thousandths.

--- a/src/include/pollenwall/placement.h
+++ b/src/include/pollenwall/placement.h
@@ -234,10 +234,7 @@
 void ExcludeSlow(State& aState, UpstreamIndex aUpstream, const Now& aNow);
 
 /// A job's task takes far longer here than its kind does. Two jobs in a row exclude the upstream.
-void CountSlowJob(State& aState,
-                  UpstreamIndex aUpstream,
-                  std::uint64_t aJob,
-                  const Now& aNow);
+void CountSlowJob(State& aState, UpstreamIndex aUpstream, std::uint64_t aJob, const Now& aNow);
 
 /// Configured, not leaving, not unhealthy.
 bool IsUsable(const State& aState, UpstreamIndex aUpstream);
--- a/src/include/pollenwall/task_queue.h
+++ b/src/include/pollenwall/task_queue.h
@@ -41,12 +41,8 @@
   friend bool operator<(const JobKey& aOne, const JobKey& aOther)
   {
     const auto rank = [](const JobKey& aKey) {
-      return std::tie(aKey.mPriority,
-                      aKey.mLateness,
-                      aKey.mCalm,
-                      aKey.mOrdinary,
-                      aKey.mWork,
-                      aKey.mSequence);
+      return std::tie(
+        aKey.mPriority, aKey.mLateness, aKey.mCalm, aKey.mOrdinary, aKey.mWork, aKey.mSequence);
     };
     return rank(aOne) < rank(aOther);
   }
--- a/src/libconfiguration/configuration_log_test.cpp
+++ b/src/libconfiguration/configuration_log_test.cpp
@@ -25,7 +25,10 @@
 {
   Configuration small;
   PutItem(small, DataCentre{ "north", "south-east", std::chrono::microseconds(1000) });
-  PutItem(small, Worker{ "w1", "north", "r1", "127.0.0.1", 64, std::uint64_t{ 1 } << 37, 0 });
+  PutItem(
+    small,
+    Worker{
+      "w1", "north", "r1", "127.0.0.1", 64 * kMilliCoresPerCore, std::uint64_t{ 1 } << 37, 0 });
   PutItem(small, Service{ "dispatch", { "quote", "route-reshuffle" } });
   PutItem(small, Upstream{ "dispatch", "w1", 9000, 8, 60 });
   PutItem(small, Team{ "team-1", 1.5, 100, 0.1 });
--- a/src/libdispatch/accept.cpp
+++ b/src/libdispatch/accept.cpp
@@ -172,9 +172,9 @@
     job.mQueuedWork[task.mLong ? 1 : 0] += task.mMean.count();
   }
   if (spec.mTargetStretch > 0) {
-    job.mTarget = Duration(spec.mTargetSlack) +
-                  Duration{ std::llround(spec.mTargetStretch *
-                                         static_cast<double>(job.mExpectedRun.count())) };
+    job.mTarget =
+      Duration(spec.mTargetSlack) +
+      Duration{ std::llround(spec.mTargetStretch * static_cast<double>(job.mExpectedRun.count())) };
   }
   return job;
 }
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -36,8 +36,8 @@
 /// An answer after this many times its target is worth little more than none.
 constexpr int kFarPastTarget = 3;
 constexpr std::uint32_t kMostLateness = 2;
-/// One failure may be the task's own; two jobs in a row that fail on one of many sound upstreams are
-/// not a coincidence.
+/// One failure may be the task's own; two jobs in a row that fail on one of many sound upstreams
+/// are not a coincidence.
 constexpr std::uint32_t kFailuresInRow = 2;
 /// A run whose part has not risen for this long stands still. Reports are rounded to 1%, so this
 /// holds for tasks of up to 20 s.
@@ -92,12 +92,9 @@
     2 * started >= tasks && started > 0 && aJob.mQueued <= std::max(1U, tasks / 10);
   const double ageing =
     aState.mOptions.mAgeing * static_cast<double>(aJob.mAccepted.time_since_epoch().count());
-  return { !nearlyComplete,
-           aJob.mQueuedWork[0] + aJob.mQueuedWork[1] + std::llround(ageing),
-           aJob.mSequence,
-           !aJob.mUrgent,
-           aJob.mPriority,
-           aJob.mLateness };
+  return { !nearlyComplete, aJob.mQueuedWork[0] + aJob.mQueuedWork[1] + std::llround(ageing),
+           aJob.mSequence,  !aJob.mUrgent,
+           aJob.mPriority,  aJob.mLateness };
 }
 
 /// Gives the job's slices its present place in the queue.
@@ -682,13 +679,10 @@
     { aState.mJobs[index].mDeadline, index, aState.mJobs[index].mGeneration, 0 });
   const auto& accepted = aState.mJobs[index];
   if (accepted.mTarget.count() > 0) {
-    aState.mTargets.push(
-      { NextLateness(accepted, spec.mWaited), index, accepted.mGeneration, 0 });
+    aState.mTargets.push({ NextLateness(accepted, spec.mWaited), index, accepted.mGeneration, 0 });
   } else {
-    aState.mUrgencies.push({ accepted.mDeadline - kUrgentSlack * accepted.mLongest,
-                             index,
-                             accepted.mGeneration,
-                             0 });
+    aState.mUrgencies.push(
+      { accepted.mDeadline - kUrgentSlack * accepted.mLongest, index, accepted.mGeneration, 0 });
   }
   ++aState.mCounts.mJobsAccepted;
   EnterQueue(aState, index);
--- a/src/libdispatch/state.h
+++ b/src/libdispatch/state.h
@@ -60,9 +60,9 @@
   Time mStarted{};
   bool mLong = false;
   bool mStopped = false;
-  bool mOverdue = false; ///< Counted as overdue already.
-  bool mMoving = false;  ///< Stopped in order to start elsewhere.
-  bool mFoundSlow = false; ///< Counted against its upstream already.
+  bool mOverdue = false;            ///< Counted as overdue already.
+  bool mMoving = false;             ///< Stopped in order to start elsewhere.
+  bool mFoundSlow = false;          ///< Counted against its upstream already.
   std::optional<double> mFirstPart; ///< The first progress report.
   Time mFirstPartAt{};
   double mPart = 0;    ///< The last one.
@@ -95,10 +95,10 @@
   std::uint32_t mMostFailures = 1;
   bool mRestartable = false;
   std::uint64_t mMilliCores = 0; ///< Asked for by all tasks together.
-  Duration mFastest{ 0 }; ///< Shortest run of its tasks, done or projected; 0: none known.
+  Duration mFastest{ 0 };        ///< Shortest run of its tasks, done or projected; 0: none known.
   UpstreamIndex mFastestAt = kNone;
   bool mHasFailed = false; ///< A run of its tasks has failed.
-  Duration mLongest{ 0 };        ///< Of its tasks, as far as learned; 95% are shorter.
+  Duration mLongest{ 0 };  ///< Of its tasks, as far as learned; 95% are shorter.
   std::uint32_t mQueued = 0;
   std::uint32_t mDelayed = 0;
   std::uint32_t mRan = 0;
@@ -206,7 +206,7 @@
   JobTimers mDeadlines;
   std::vector<std::uint32_t> mBorrowed; ///< Credits that may be recalled, by upstream.
   JobTimers mUrgencies; ///< When a job that still waits has to go first to meet its deadline.
-  JobTimers mTargets; ///< When a waiting job can no longer keep its target, or is far past it.
+  JobTimers mTargets;   ///< When a waiting job can no longer keep its target, or is far past it.
   JobTimers mDelays;
   std::deque<JobTimer> mKept;        ///< Ended jobs, in the order of their end.
   std::deque<JobTimer> mKeptResults; ///< Those among them that hold results.
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -204,8 +204,7 @@
         it->second.mPhase = RunPhase::Running;
         it->second.mKnownAt = aNow.mTime;
       }
-      aActions.emplace_back(
-        Progress{ std::string(aUpstream), run.mTask, run.mNumber, part });
+      aActions.emplace_back(Progress{ std::string(aUpstream), run.mTask, run.mNumber, part });
       continue;
     }
     foreign.push_back(run);
--- a/src/libmessages/messages_test.cpp
+++ b/src/libmessages/messages_test.cpp
@@ -65,6 +65,12 @@
   job.mBornMs = *rc::gen::arbitrary<std::int64_t>();
   job.mDeadline = AnyMs();
   job.mBodyHash = AnyNumber();
+  job.mPriority = AnyCount();
+  job.mTargetStretch = AnyRate();
+  job.mTargetSlack = AnyMs();
+  job.mWaited = AnyMs();
+  job.mMostFailures = AnyCount();
+  job.mRestartable = AnyBool();
   job.mTasks = AnyList([] {
     return TaskSpec{ AnyText(), AnyMs(), { AnyCount(), AnyNumber(), AnyCount() } };
   });
--- a/src/libnode/node_test.cpp
+++ b/src/libnode/node_test.cpp
@@ -1090,7 +1090,9 @@
     for (int n = 0; n < 2; ++n) {
       const auto worker = "w-" + name + "-" + std::to_string(n);
       const auto address = "10.1." + std::to_string(to.mWorkers.size()) + ".1";
-      to.mWorkers[worker] = { worker, name, "rack" + std::to_string(n), address, 64, 1 << 30, 0 };
+      to.mWorkers[worker] = {
+        worker, name, "rack" + std::to_string(n), address, 64 * kMilliCoresPerCore, 1 << 30, 0
+      };
       const auto slots = static_cast<std::uint32_t>(Uniform(aWorld, 3, 9));
       to.mUpstreams["s/" + worker] = { "s", worker, 80, slots, 60 };
       aWorld.mUpstreams["s/" + worker] = { slots, 0, Uniform(aWorld, -95, 95) };
--- a/src/libnode/rules_test.cpp
+++ b/src/libnode/rules_test.cpp
@@ -83,7 +83,7 @@
 {
   configuration::Configuration to;
   to.mDataCentres["dc"] = { "dc", "r", 1000us };
-  to.mWorkers["w"] = { "w", "dc", "rack", "10.1.0.1", 64, 1 << 30, 0 };
+  to.mWorkers["w"] = { "w", "dc", "rack", "10.1.0.1", 64 * kMilliCoresPerCore, 1 << 30, 0 };
   to.mUpstreams["s/w"] = { "s", "w", 80, 8, 60 };
   configuration::Service service;
   service.mName = "s";
--- a/src/libplacement/placement.cpp
+++ b/src/libplacement/placement.cpp
@@ -272,10 +272,8 @@
   const auto needed = aNow.mTime < health.mPeerNoteUntil ? 1 : kOutcomesForVerdict;
   const double peers = PeerFailureRate(pool, upstream);
   const bool inRow = aState.mOptions.mFailuresInRow > 0 &&
-                     health.mFailedInRow >= aState.mOptions.mFailuresInRow &&
-                     peers < kRareFailures;
-  const bool byRate =
-    health.mOutcomes >= needed && FailureRate(health) > 0.5 + 0.5 * peers;
+                     health.mFailedInRow >= aState.mOptions.mFailuresInRow && peers < kRareFailures;
+  const bool byRate = health.mOutcomes >= needed && FailureRate(health) > 0.5 + 0.5 * peers;
   if (pool.mServiceFault || (!inRow && !byRate)) {
     return;
   }
@@ -678,7 +676,8 @@
 void ExcludeSlow(State& aState, UpstreamIndex aUpstream, const Now& aNow)
 {
   auto& health = aState.mUpstreams[aUpstream].mHealth;
-  if (health.mSlow || health.mFailing || aState.mPools[aState.mUpstreams[aUpstream].mService].mServiceFault) {
+  if (health.mSlow || health.mFailing ||
+      aState.mPools[aState.mUpstreams[aUpstream].mService].mServiceFault) {
     return;
   }
   health.mSlow = true;
--- a/src/libsettings/settings_test.cpp
+++ b/src/libsettings/settings_test.cpp
@@ -40,6 +40,36 @@
   return text;
 }
 
+/// Guards against platform settings whose stated defaults differ from the code's, against timings
+/// that contradict each other, and against TLS that is off by accident.
+bool PlatformSettings()
+{
+  std::ifstream file(EXAMPLES_FOLDER "/platform-entry.yaml");
+  const std::string text{ std::istreambuf_iterator<char>(file), {} };
+  const auto full = ReadSettings("platform-entry.yaml", text);
+  const auto brief = ReadSettings("platform-entry.yaml", text.substr(0, text.find("  lease_ms:")));
+  bool passed = Expect(full.mReport.mProblems.empty(), Problems(full));
+  passed &= Expect(brief.mReport.mProblems.empty(), Problems(brief));
+  const auto& a = full.mSettings.mPlatform->mEntry;
+  const auto& b = brief.mSettings.mPlatform->mEntry;
+  passed &=
+    Expect(a.mHolding.mLease == b.mHolding.mLease && a.mHolding.mLookWait == b.mHolding.mLookWait &&
+             a.mHolding.mIdleLook == b.mHolding.mIdleLook &&
+             a.mHolding.mAnswerTimeout == b.mHolding.mAnswerTimeout &&
+             a.mPresenceInterval == b.mPresenceInterval && a.mSilentAfter == b.mSilentAfter &&
+             a.mRunsOverAfter == b.mRunsOverAfter && a.mDrainLimit == b.mDrainLimit &&
+             a.mUpstreamsPerHolder == b.mUpstreamsPerHolder,
+           "platform defaults");
+  const auto refused = [&text](std::string_view aOld, std::string_view aNew) {
+    return !ReadSettings("e.yaml", Replace(text, aOld, aNew)).mReport.mProblems.empty();
+  };
+  passed &= Expect(refused("lease_ms: 700", "lease_ms: 400"), "a lease shorter than a look");
+  passed &= Expect(refused("silent_after_ms: 500", "silent_after_ms: 150"), "too few presences");
+  passed &= Expect(refused("peers: 127.0.0.1:8082", "peers: 10.0.0.1:8082"), "TLS off by accident");
+  passed &= Expect(refused("  store: 127.0.0.1:7001\n", ""), "no store");
+  return passed;
+}
+
 /// Guards against an example that the daemon refuses, and against defaults that differ from those
 /// that the example states.
 bool ExampleStatesTheDefaults()
@@ -161,6 +191,7 @@
 int main()
 {
   bool passed = ExampleStatesTheDefaults();
+  passed &= PlatformSettings();
   passed &= EachFaultIsReported();
   passed &= FaultsAreReportedTogether();
   passed &= ArbitraryTextNeverThrows();
--- a/src/libutil/log.cpp
+++ b/src/libutil/log.cpp
@@ -5,8 +5,11 @@
 
 #include <ctime>
 
+#include <poll.h>
 #include <unistd.h>
 
+#include <pollenwall/hash.h>
+
 namespace pollenwall::log {
 namespace {
 
@@ -41,10 +44,22 @@
     const std::string line = "{\"time\":\"" + std::string(time) + "\",\"program\":\"" + mProgram +
                              "\"," + body.substr(1) + "\n";
     // One write a line, so that lines of several processes on one terminal do not mix.
-    [[maybe_unused]] const auto written = ::write(STDERR_FILENO, line.data(), line.size());
+    if (IsWritable() && ::write(mFile, line.data(), line.size()) >= 0) {
+      return;
+    }
+    ++mMeter.mDropped;
+  }
+
+  /// A pipe that is writable takes a line of up to 4,096 bytes without blocking.
+  [[nodiscard]] bool IsWritable() const
+  {
+    pollfd file{ mFile, POLLOUT, 0 };
+    return ::poll(&file, 1, 0) == 1 && (file.revents & POLLOUT) != 0;
   }
 
   std::string mProgram;
+  int mFile = STDERR_FILENO;
+  Meter mMeter;
 };
 
 JsonSink& Sink()
@@ -67,12 +82,36 @@
 
 } // namespace
 
-void Init(std::string_view aProgram)
+bool Admit(Meter& aMeter, std::int64_t aSecond, Level aLevel, std::string_view aJob)
+{
+  if (aSecond != aMeter.mSecond) {
+    aMeter.mSecond = aSecond;
+    aMeter.mLines = 0;
+  }
+  const auto& budget = aMeter.mBudget;
+  const bool info = aLevel == Level::Info;
+  const bool thinned =
+    info && aMeter.mLines >= budget.mThinAfter && !aJob.empty() && Hash64(aJob) % kKeptJobs != 0;
+  if (thinned || aMeter.mLines >= (info ? budget.mInfo : budget.mMost)) {
+    ++aMeter.mDropped;
+    return false;
+  }
+  ++aMeter.mLines;
+  return true;
+}
+
+std::uint64_t TakeDropped(Meter& aMeter)
+{
+  return std::exchange(aMeter.mDropped, 0);
+}
+
+void Init(std::string_view aProgram, Output aOutput)
 {
   // glog keeps the pointer, so the name must outlive the call.
   static std::string program;
   program = aProgram;
   Sink().mProgram = program;
+  Sink().mFile = aOutput == Output::StandardOutput ? STDOUT_FILENO : STDERR_FILENO;
   FLAGS_logtostderr = false;
   FLAGS_stderrthreshold = google::NUM_SEVERITIES;
   google::InitGoogleLogging(program.c_str());
@@ -89,12 +128,33 @@
   return Format(aLevel, aEvent, aFields);
 }
 
-void Write(bool aWarning, std::string_view aEvent, const std::vector<Field>& aFields)
+void Write(Level aLevel, std::string_view aEvent, const std::vector<Field>& aFields)
 {
-  if (aWarning) {
-    LOG(WARNING) << Format("warning", aEvent, aFields);
-  } else {
-    LOG(INFO) << Format("info", aEvent, aFields);
+  std::string_view job;
+  for (const auto& [name, value] : aFields) {
+    if (name == "job" && std::holds_alternative<std::string>(value)) {
+      job = std::get<std::string>(value);
+    }
+  }
+  auto& meter = Sink().mMeter;
+  const auto second = static_cast<std::int64_t>(std::time(nullptr));
+  const bool next = second != meter.mSecond;
+  if (!Admit(meter, second, aLevel, job)) {
+    return;
+  }
+  if (const auto dropped = next ? TakeDropped(meter) : 0; dropped > 0) {
+    Warning("log_lines_dropped", { { "count", static_cast<std::int64_t>(dropped) } });
+  }
+  switch (aLevel) {
+    case Level::Info:
+      LOG(INFO) << Format("info", aEvent, aFields);
+      break;
+    case Level::Warning:
+      LOG(WARNING) << Format("warning", aEvent, aFields);
+      break;
+    case Level::Error:
+      LOG(ERROR) << Format("error", aEvent, aFields);
+      break;
   }
 }
 
--- a/src/libutil/util_test.cpp
+++ b/src/libutil/util_test.cpp
@@ -85,6 +85,31 @@
   return passed;
 }
 
+/// Guards against logs that grow with the load, drop failures before successes, or keep different
+/// jobs in different processes.
+bool LogBudget()
+{
+  log::Meter meter;
+  log::Meter other;
+  std::size_t same = 0;
+  std::size_t kept = 0;
+  for (int n = 0; n < 5000; ++n) {
+    const auto job = "job" + std::to_string(n);
+    const bool here = log::Admit(meter, 1, log::Level::Info, job);
+    const bool there = log::Admit(other, 1, log::Level::Info, job);
+    same += here == there ? 1 : 0;
+    kept += here ? 1 : 0;
+  }
+  bool ok = kept == meter.mBudget.mInfo && same == 5000;
+  std::size_t warnings = 0;
+  for (int n = 0; n < 5000; ++n) {
+    warnings += log::Admit(meter, 1, log::Level::Warning, "x") ? 1 : 0;
+  }
+  ok = ok && warnings == meter.mBudget.mMost - meter.mBudget.mInfo;
+  ok = ok && log::TakeDropped(meter) == 10000 - kept - warnings && log::TakeDropped(meter) == 0;
+  return ok && log::Admit(meter, 2, log::Level::Info, "x");
+}
+
 /// Guards against log lines that a collector cannot parse, for example with quotes or line breaks
 /// in a field.
 bool LogLinesAreJson()
@@ -126,6 +151,7 @@
   passed &= RemovingANodeMovesOnlyItsKeys();
   passed &= CodesSurviveTextForm();
   passed &= LogLinesAreJson();
+  passed &= LogBudget();
   passed &= HistogramTextIsCumulative();
   passed &= test::YamlReaderTests();
   return passed ? 0 : 1;
--- a/src/pollenwalld/caller_json_test.cpp
+++ b/src/pollenwalld/caller_json_test.cpp
@@ -50,7 +50,9 @@
     return false;
   }
   const auto& job = decoded.mSubmission->mJob;
-  const TaskSpec first{ "p\xC3\xA4\n", std::chrono::milliseconds(20), { 2, 1048576, 1 } };
+  const TaskSpec first{ "p\xC3\xA4\n",
+                        std::chrono::milliseconds(20),
+                        { 2 * kMilliCoresPerCore, 1048576, 1 } };
   return Expect(decoded.mSubmission->mWait && job.mService == "dispatch" && job.mTeam == "t1" &&
                   job.mKind == "quote" && job.mId == "north:k1" && job.mBornMs == 1700000000000 &&
                   !job.mResubmission && job.mIdempotent &&
--- a/src/pollenwalld/entry_loop.cpp
+++ b/src/pollenwalld/entry_loop.cpp
@@ -35,7 +35,7 @@
     for (auto& [name, value] : aAction.mFields) {
       fields.emplace_back(name, std::move(value));
     }
-    log::Write(aAction.mWarning, aAction.mEvent, fields);
+    log::Write(aAction.mWarning ? log::Level::Warning : log::Level::Info, aAction.mEvent, fields);
   }
 };
 
--- a/src/pollenwalld/main.cpp
+++ b/src/pollenwalld/main.cpp
@@ -237,7 +237,7 @@
     std::cout << file << ": valid\n";
     return 0;
   }
-  log::Init("pollenwalld");
+  log::Init("pollenwalld", log::Output::StandardOutput);
   const int code = Run(std::move(*settings), std::move(*tls));
   // Fibers that wait for sockets would keep the scheduler's destructor waiting for ever. All
   // services have stopped, so nothing is lost by leaving without it.
--- a/src/pollenwalld/node_loop.cpp
+++ b/src/pollenwalld/node_loop.cpp
@@ -41,7 +41,7 @@
     for (const auto& [name, value] : aAction.mFields) {
       fields.emplace_back(name, value);
     }
-    log::Write(aAction.mWarning, aAction.mEvent, fields);
+    log::Write(aAction.mWarning ? log::Level::Warning : log::Level::Info, aAction.mEvent, fields);
   }
 };
 
