Wait for the runs of a holder that gives a job up

After any answer but 'not run' the owner now waits until such runs are over. HolderLosesOwner fails without it.

--- a/src/libentry/calls.cpp
+++ b/src/libentry/calls.cpp
@@ -205,6 +205,12 @@
             true);
 }
 
+/// Time until a job may start elsewhere: the holder may still be stopping runs of it.
+Duration PauseAfter(const State& aState, Verdict aVerdict)
+{
+  return aVerdict == Verdict::NotRun ? kForwardAgain : aState.mOptions.mRunsOverAfter;
+}
+
 } // namespace
 
 void SubmitCall(State& aState, const CallerSubmit& aEvent, const Now& aNow, Actions& aActions)
@@ -306,7 +312,8 @@
       return;
     }
     call.mVerdict = Combine(call.mVerdict, aAnswer->mVerdict);
-    Resubmit(aState, aNumber, ToString(code), aNow.mTime + Duration(kForwardAgain), aActions);
+    const auto notBefore = aNow.mTime + PauseAfter(aState, aAnswer->mVerdict);
+    Resubmit(aState, aNumber, ToString(code), notBefore, aActions);
     return;
   }
   call.mVerdict = Combine(call.mVerdict, aError->mVerdict);
@@ -318,7 +325,7 @@
       Resubmit(aState,
                aNumber,
                ToString(aError->mCode),
-               aNow.mTime + Duration(aError->mRetryAfter.value_or(kForwardAgain)),
+               aNow.mTime + PauseAfter(aState, aError->mVerdict),
                aActions);
       return;
     default:
--- a/src/libentry/entry_test.cpp
+++ b/src/libentry/entry_test.cpp
@@ -83,7 +83,7 @@
     const auto node = some(w.mNodes.size());
     const auto start = at();
     const auto end = start + Duration(static_cast<std::int64_t>(300e3 + Unit(w) * 3e6));
-    switch (some(7)) {
+    switch (some(8)) {
       case 0:
         After(w, start, [&w, node] { Kill(w, node); });
         After(w, end, [&w, node] {
@@ -109,6 +109,12 @@
         After(w, end, [&w, node, id] { w.mCutFromWorkers.erase({ node, id }); });
         break;
       }
+      case 6:
+        After(w, start, [&w, node] {
+          w.mNodes[node].mSlowBy = Duration(100000 + w.mRandom() % 400000);
+        });
+        After(w, end, [&w, node] { w.mNodes[node].mSlowBy = Duration{ 0 }; });
+        break;
       case 5: {
         const auto id = worker();
         After(w, start, [&w, id] {
@@ -190,6 +196,26 @@
   return NothingBroken(w) && ok;
 }
 
+/// Guards against a job that starts elsewhere while its holder, which no longer hears the owner but
+/// is heard, cannot stop the runs that it has begun.
+bool HolderLosesOwner(std::size_t aOwner, std::size_t aHolder)
+{
+  auto world = MakeWorld({});
+  auto& w = *world;
+  RunFor(w, seconds(2));
+  SubmitJob(w, aOwner, 4, milliseconds(2500), seconds(8));
+  RunFor(w, milliseconds(200));
+  w.mCutNodes.insert({ aOwner, aHolder });
+  for (const auto& [id, worker] : w.mWorkers) {
+    w.mCutFromWorkers.insert({ aHolder, id });
+  }
+  RunFor(w, seconds(3));
+  w.mCutNodes.clear();
+  w.mCutFromWorkers.clear();
+  RunFor(w, seconds(8));
+  return NothingBroken(w) && AllAnswered(w);
+}
+
 /// Answered calls that took at most this long.
 std::size_t CompleteWithin(const World& aWorld, Duration aTime)
 {
@@ -318,6 +344,7 @@
   bool ok = CalmDay();
   ok = HolderDies() && ok;
   ok = StopAnswersAll() && ok;
+  ok = HolderLosesOwner(0, 1) && HolderLosesOwner(1, 0) && ok;
   ok = StalledRun() && ok;
   ok = SlowRun() && ok;
   ok = FailingUpstream() && ok;
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -373,6 +373,15 @@
   void operator()(const Stopped& /*aAction*/) const { Kill(mWorld, mNode); }
 };
 
+void StepNow(World& aWorld, std::size_t aNode, const Event& aEvent)
+{
+  Actions actions;
+  Handle(*aWorld.mNodes[aNode].mState, aEvent, aWorld.mNow, actions);
+  for (const auto& action : actions) {
+    std::visit(Carrier{ aWorld, aNode }, action);
+  }
+}
+
 void Step(World& aWorld, std::size_t aNode, const Event& aEvent)
 {
   auto& node = aWorld.mNodes[aNode];
@@ -383,11 +392,21 @@
     node.mHeldUp.push_back(aEvent);
     return;
   }
-  Actions actions;
-  Handle(*node.mState, aEvent, aWorld.mNow, actions);
-  for (const auto& action : actions) {
-    std::visit(Carrier{ aWorld, aNode }, action);
+  if (node.mSlowBy.count() == 0) {
+    StepNow(aWorld, aNode, aEvent);
+    return;
   }
+  After(aWorld, node.mSlowBy, [&aWorld, aNode, life = node.mLife, aEvent] {
+    auto& later = aWorld.mNodes[aNode];
+    if (later.mLife != life) {
+      return;
+    }
+    if (later.mFrozen) {
+      later.mHeldUp.push_back(aEvent);
+      return;
+    }
+    StepNow(aWorld, aNode, aEvent);
+  });
 }
 
 void TickNode(World& aWorld, std::size_t aNode, std::uint64_t aLife)
@@ -542,6 +561,7 @@
   auto& node = aWorld.mNodes[aNode];
   node.mAlive = false;
   node.mFrozen = false;
+  node.mSlowBy = Duration{ 0 };
   node.mHeldUp.clear();
   ++node.mLife;
   node.mState.reset();
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -42,6 +42,7 @@
   std::uint64_t mLife = 0; ///< Rises with each start and kill; what was under way is then lost.
   bool mAlive = false;
   bool mFrozen = false;
+  Duration mSlowBy{ 0 };      ///< Handles each event so much later.
   std::vector<Event> mHeldUp; ///< Arrived while frozen.
 };
 
