Choose holders by processor share; look at claims when something has changed

Cause: on the grown sites holders ran on machines of 0.12 cores, and each entry worked out the holders of 350 upstreams ten times a second (0.034 cores a process).

--- a/src/include/pollenwall/entry.h
+++ b/src/include/pollenwall/entry.h
@@ -34,6 +34,7 @@
   std::string mPeerAddress; ///< "IP:PORT" where this entry accepts peers.
   Incarnation mIncarnation;
   std::uint64_t mSeed = 0;
+  double mProcessorShare = 1; ///< Of a core. Holders are chosen among those with most.
   dispatch::Options mDispatch;
   holding::Options mHolding;
   std::chrono::milliseconds mPresenceInterval{ 100 };
--- a/src/include/pollenwall/messages.h
+++ b/src/include/pollenwall/messages.h
@@ -255,6 +255,7 @@
   std::string mPeerAddress;
   std::int64_t mTimeMs = 0; ///< The sender's monotonic clock.
   bool mLeaving = false;
+  double mProcessorShare = 0; ///< Of a core.
   configuration::Version mConfigurationVersion = 0;
   std::vector<std::uint64_t> mHeld; ///< Hash64 of the keys of the upstreams that it holds.
   std::vector<ServiceLoad> mLoads;
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <cmath>
+#include <tuple>
 
 #include <pollenwall/hash.h>
 
@@ -11,7 +13,8 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kClaimInterval{ 100 };
+/// Claims are looked at when something has changed, and this often for pauses that end.
+constexpr milliseconds kClaimInterval{ 500 };
 /// A submission held up for longer than this on a connection is not expected.
 constexpr milliseconds kCancelledKept{ 10000 };
 /// A job whose earlier runs are still being stopped is asked for again after this.
@@ -185,6 +188,7 @@
     Dispatch(
       mState, dispatch::SetCredits{ aAction.mUpstream, aAction.mUsable ? slots : 0, 0 }, mNow);
     mState.mPresenceDue = true;
+    mState.mClaimsDue = true;
   }
 
   void operator()(holding::LostToOther& aAction)
@@ -241,15 +245,6 @@
   return near.empty() ? all : near;
 }
 
-/// Upstreams of one data centre that one entry should hold.
-struct Share
-{
-  std::string mDataCentre;
-  std::size_t mNumber = 0; ///< Of the shares of this data centre.
-
-  friend auto operator<=>(const Share&, const Share&) = default;
-};
-
 std::map<Share, std::vector<std::string>> SharesOf(const State& aState)
 {
   std::map<std::string, std::vector<std::string>> byDataCentre;
@@ -278,21 +273,38 @@
          aState.mPeers.at(address->second).mHeld.contains(aState.mUpstreams.at(aKey).mHash);
 }
 
-/// The candidate that holds most of the share already; among equals by rendezvous hashing. So a
-/// share does not move when an entry joins.
+/// Classes of processor shares, each twice the one below. A holder needs about a tenth of a core
+/// for 64 busy upstreams; within a class a share does not move when an entry joins.
+int ProcessorClass(double aShare)
+{
+  constexpr double kLeast = 0.1;
+  return aShare < kLeast ? 0 : static_cast<int>(std::floor(std::log2(aShare / kLeast)));
+}
+
+double ProcessorShareOf(const State& aState, Incarnation aEntry)
+{
+  const auto it = aState.mPeerAddresses.find(aEntry);
+  return it == aState.mPeerAddresses.end() ? aState.mOptions.mProcessorShare
+                                           : aState.mPeers.at(it->second).mPresence.mProcessorShare;
+}
+
+/// The candidate of the highest processor class that holds most of the share already; among equals
+/// by rendezvous hashing.
 std::optional<Incarnation> HolderOf(const State& aState,
                                     const Share& aShare,
                                     const std::vector<std::string>& aKeys,
                                     const std::vector<Incarnation>& aCandidates)
 {
   std::optional<Incarnation> best;
-  std::pair<std::size_t, std::uint64_t> most;
+  std::tuple<int, std::size_t, std::uint64_t> most;
   const auto name = aShare.mDataCentre + "/" + std::to_string(aShare.mNumber);
   for (const auto entry : aCandidates) {
     const auto held = std::count_if(aKeys.begin(), aKeys.end(), [&](const std::string& aKey) {
       return IsHeldBy(aState, entry, aKey);
     });
-    const std::pair rank{ static_cast<std::size_t>(held), RendezvousWeight(name, entry.mValue) };
+    const std::tuple rank{ ProcessorClass(ProcessorShareOf(aState, entry)),
+                           static_cast<std::size_t>(held),
+                           RendezvousWeight(name, entry.mValue) };
     if (!best || rank > most) {
       best = entry;
       most = rank;
@@ -528,6 +540,8 @@
 
 void Reconfigure(State& aState, const Now& aNow)
 {
+  aState.mShares = SharesOf(aState);
+  aState.mClaimsDue = true;
   if (!aState.mConfiguration) {
     return;
   }
@@ -554,16 +568,17 @@
 
 void UpdateClaims(State& aState, const Now& aNow, Actions& aActions)
 {
-  if (aNow.mTime < aState.mNextClaims) {
+  if (aNow.mTime < aState.mNextClaims && !aState.mClaimsDue) {
     return;
   }
+  aState.mClaimsDue = false;
   aState.mNextClaims = aNow.mTime + kClaimInterval;
   // Whoever holds upstreams now makes itself known within this time.
   if (aNow.mTime - aState.mStarted < aState.mOptions.mSilentAfter) {
     return;
   }
   const auto self = aState.mOptions.mIncarnation;
-  for (const auto& [share, keys] : SharesOf(aState)) {
+  for (const auto& [share, keys] : aState.mShares) {
     const auto candidates = CandidatesOf(aState, share.mDataCentre, aNow);
     const bool own = HolderOf(aState, share, keys, candidates) == self;
     for (const auto& key : keys) {
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -85,6 +85,8 @@
       peer.mEchoedAt = Time(Duration(milliseconds(heard.mTimeMs)));
     }
   }
+  aState.mClaimsDue = aState.mClaimsDue || aPresence.mHeld != peer.mPresence.mHeld ||
+                      aPresence.mLeaving != peer.mPresence.mLeaving;
   peer.mPresence = aPresence;
   peer.mHeld = { aPresence.mHeld.begin(), aPresence.mHeld.end() };
   peer.mSentMilliCores.clear();
@@ -106,6 +108,7 @@
   presence.mPeerAddress = aState.mOptions.mPeerAddress;
   presence.mTimeMs = ToMs(aNow.mTime);
   presence.mLeaving = aState.mDraining;
+  presence.mProcessorShare = aState.mOptions.mProcessorShare;
   presence.mConfigurationVersion =
     aState.mConfiguration ? aState.mConfiguration->mVersion : configuration::Version{ 0 };
   for (const auto& [key, session] : aState.mHolding.mSessions) {
@@ -134,6 +137,7 @@
     const bool living = IsLiving(aState, peer, aNow);
     if (living != peer.mWasLiving) {
       peer.mWasLiving = living;
+      aState.mClaimsDue = true;
       AddReport(aActions,
                 living ? "peer_heard" : "peer_silent",
                 { { "name", peer.mPresence.mName }, { "address", address } },
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -61,6 +61,15 @@
   std::uint64_t mLeastToken = 0; ///< The next claim's token exceeds this.
 };
 
+/// Upstreams of one data centre that one entry should hold.
+struct Share
+{
+  std::string mDataCentre;
+  std::size_t mNumber = 0; ///< Of the shares of this data centre.
+
+  friend auto operator<=>(const Share&, const Share&) = default;
+};
+
 struct Counts
 {
   std::uint64_t mCalls = 0;
@@ -100,6 +109,8 @@
   Time mNextPresence{};
   Time mNextClaims{};
   bool mPresenceDue = false; ///< What this entry holds has changed.
+  bool mClaimsDue = false;   ///< What decides who should hold what has changed.
+  std::map<Share, std::vector<std::string>> mShares; ///< Keys of the upstreams listed.
   bool mDraining = false;
   bool mStopped = false;
   Time mDrainBegan{};
--- a/src/libmessages/messages.cpp
+++ b/src/libmessages/messages.cpp
@@ -485,6 +485,7 @@
     a("address", v.mPeerAddress);
     a("time_ms", v.mTimeMs);
     a("leaving", v.mLeaving);
+    a("processor", v.mProcessorShare);
     a("config", v.mConfigurationVersion);
     a("held", v.mHeld);
     a("loads", v.mLoads);
--- a/src/libsettings/settings.cpp
+++ b/src/libsettings/settings.cpp
@@ -170,6 +170,8 @@
   ReadMilliseconds(section, "silent_after_ms", 50, 60000, entry.mSilentAfter);
   ReadMilliseconds(section, "runs_over_after_ms", 100, 60000, entry.mRunsOverAfter);
   ReadMilliseconds(section, "drain_limit_ms", 100, kHourMs, entry.mDrainLimit);
+  entry.mProcessorShare =
+    yaml::GetNumber(section, "processor_share", 0.001, 1024, entry.mProcessorShare);
   ReadSize(section, "upstreams_per_holder", 1, 10000, entry.mUpstreamsPerHolder);
   const auto renewed = entry.mHolding.mLookWait + entry.mHolding.mAnswerTimeout;
   if (entry.mHolding.mLease < renewed) {
