--- a/src/include/pollenwall/entry.h
+++ b/src/include/pollenwall/entry.h
@@ -38,6 +38,9 @@
   dispatch::Options mDispatch;
   holding::Options mHolding;
   std::chrono::milliseconds mPresenceInterval{ 100 };
+  /// Between entries of different data centres of which neither holds upstreams: they forward
+  /// nothing to each other, and at 30 entries such pairs are most of all presences.
+  std::chrono::milliseconds mIdlePresenceInterval{ 1000 };
   /// An entry that has echoed no time of this one for this long is treated as gone. An echo is up
   /// to two intervals old, so three presences may be lost or late.
   std::chrono::milliseconds mSilentAfter{ 500 };
--- a/src/include/pollenwall/placement.h
+++ b/src/include/pollenwall/placement.h
@@ -49,6 +49,7 @@
   double mFailed = 0;
   std::uint32_t mOutcomes = 0;
   std::uint32_t mFailedInRow = 0;
+  Time mRanWellAt{};                     ///< The last good run.
   std::optional<std::uint64_t> mSlowJob; ///< The last one, if no run has been normal since.
   double mLogRatio = 0; ///< Mean natural logarithm of run time over expected run time.
   double mLogRatioWeight = 0;
@@ -181,7 +182,8 @@
   const std::vector<std::pair<std::uint32_t, std::uint32_t>>* mRacks = nullptr;
   UpstreamIndex mAvoid = kNone;
   bool mMayProbe = true; ///< An upstream due for a probe goes first; otherwise last.
-  bool mProven = false;  ///< Upstreams on trial or with recent failures go last.
+  bool mProven = false;  ///< Upstreams on trial or without a recent good run go last.
+  Time mNow{};
 };
 
 /// Whether any upstream of these shapes can take a task of these needs now.
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -398,7 +398,8 @@
                                       &job.mRacks,
                                       avoid ? task.mAvoid : kNone,
                                       job.mTasks.size() <= kMostTasksToProbe && task.mFailures == 0,
-                                      task.mFailures > 0 };
+                                      task.mFailures > 0 || task.mMoved,
+                                      aNow.mTime };
     const auto upstream = placement::Choose(aState.mPlacement, request, aState.mRandom);
     queue::Serve(queue, job.mTeam);
     queue::TakeTask(queue, slice);
@@ -805,6 +806,7 @@
 {
   ++aCount;
   aAttempt.mMoving = true;
+  aJob.mTasks[aAttempt.mTask].mMoved = true;
   aActions.emplace_back(StopTask{ { *aJob.mId, aAttempt.mTask }, aAttempt.mUpstream });
 }
 
--- a/src/libdispatch/state.h
+++ b/src/libdispatch/state.h
@@ -36,6 +36,7 @@
   Phase mPhase = Phase::Queued;
   bool mLong = false;
   bool mLearned = false;    ///< The estimate comes from outcomes.
+  bool mMoved = false;      ///< A run of it stood still or was slow.
   bool mRetryPaid = false;  ///< The retry budget has been charged for the next start.
   std::uint32_t mSlice = 0; ///< Position in the job's list of slices.
   std::uint32_t mAttempt = 0;
--- a/src/libentry/calls.cpp
+++ b/src/libentry/calls.cpp
@@ -344,6 +344,7 @@
 {
   for (auto& [number, call] : aState.mCalls) {
     if (call.mHolder == aPeer.mIncarnation && aNow.mTime < call.mDeadline) {
+      call.mVerdict = Verdict::MayHaveRun; // An answer to the first copy may have been lost.
       Forward(aState, number, call, aNow, aActions);
     }
   }
@@ -360,6 +361,7 @@
       continue;
     }
     AddReport(aActions, "call_sent_again", { { "job", call.mJob.mId } }, true);
+    call.mVerdict = Verdict::MayHaveRun;
     Forward(aState, number, call, aNow, aActions);
   }
 }
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -324,9 +324,6 @@
 
 void RunJob(State& aState, Origin aOrigin, JobSpec aJob, const Now& aNow, Actions& /*aActions*/)
 {
-  if (aOrigin.mPeer && aState.mRemote.contains({ *aOrigin.mPeer, aOrigin.mNumber })) {
-    return; // Sent again over a new connection; its answer is due.
-  }
   const auto request = ++aState.mLastOrigin;
   if (aOrigin.mPeer) {
     aState.mRemote.emplace(std::pair{ *aOrigin.mPeer, aOrigin.mNumber }, request);
@@ -356,6 +353,9 @@
   if (aState.mCancelled.contains({ aPeer, aSubmit.mNumber })) {
     return refuse(ErrorCode::OwnerUnreachable, Verdict::MayHaveRun, "The submission was given up.");
   }
+  if (aState.mRemote.contains({ aPeer, aSubmit.mNumber })) {
+    return; // Sent again over a new connection; its answer is due.
+  }
   const auto nowMs =
     std::chrono::duration_cast<milliseconds>(aNow.mTime.time_since_epoch()).count();
   const bool forOther = aSubmit.mTo.mValue != 0 && aSubmit.mTo != aState.mOptions.mIncarnation;
@@ -364,6 +364,12 @@
     CancelPeerJob(aState, aPeer, aSubmit.mNumber, aNow);
     return refuse(ErrorCode::OwnerUnreachable, Verdict::NotRun, "The submission arrived too late.");
   }
+  // The time until which it is valid is this entry's own, as the owner last heard it, and more.
+  if (auto* peer = FindPeer(aState, aPeer); peer != nullptr && aSubmit.mValidUntilMs != 0) {
+    const auto heard =
+      Time(Duration(milliseconds(aSubmit.mValidUntilMs) - aState.mOptions.mSilentAfter));
+    peer->mEchoedAt = std::max(peer->mEchoedAt.value_or(heard), heard);
+  }
   RunJob(aState, { aPeer, aSubmit.mNumber, aSubmit.mJob.mId }, aSubmit.mJob, aNow, aActions);
 }
 
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -15,6 +15,13 @@
 /// A peer that was heard this long ago is still named in presences.
 constexpr milliseconds kHeardListed{ 10000 };
 
+/// Neither side can forward anything to the other.
+bool IsIdlePair(const State& aState, const Peer& aPeer)
+{
+  return aPeer.mHeld.empty() && aState.mHolding.mSessions.empty() &&
+         aPeer.mPresence.mDataCentre != aState.mOptions.mDataCentre;
+}
+
 std::int64_t ToMs(Time aTime)
 {
   return duration_cast<milliseconds>(aTime.time_since_epoch()).count();
@@ -24,7 +31,10 @@
 
 bool IsLiving(const State& aState, const Peer& aPeer, const Now& aNow)
 {
-  return aPeer.mEchoedAt && *aPeer.mEchoedAt >= aNow.mTime - aState.mOptions.mSilentAfter;
+  const auto allowed = IsIdlePair(aState, aPeer)
+                         ? 2 * aState.mOptions.mIdlePresenceInterval + aState.mOptions.mSilentAfter
+                         : aState.mOptions.mSilentAfter;
+  return aPeer.mEchoedAt && *aPeer.mEchoedAt >= aNow.mTime - allowed;
 }
 
 Peer* FindPeer(State& aState, Incarnation aIncarnation)
@@ -124,7 +134,11 @@
       presence.mHeard.push_back({ peer.mIncarnation, peer.mPresence.mTimeMs });
     }
   }
-  for (const auto& [address, peer] : aState.mPeers) {
+  for (auto& [address, peer] : aState.mPeers) {
+    if (IsIdlePair(aState, peer) && aNow.mTime < peer.mNextIdlePresence) {
+      continue;
+    }
+    peer.mNextIdlePresence = aNow.mTime + Duration(aState.mOptions.mIdlePresenceInterval);
     presence.mOpen = OpenAt(aState, peer.mIncarnation);
     presence.mTaken = TakenFrom(aState, peer.mIncarnation);
     aActions.emplace_back(SendPeer{ address, presence });
@@ -143,6 +157,9 @@
                 { { "name", peer.mPresence.mName }, { "address", address } },
                 !living);
     }
+    if (IsIdlePair(aState, peer)) {
+      continue;
+    }
     const bool hears = peer.mEchoedAt && aNow.mTime - *peer.mEchoedAt <= kDeafConnection;
     const bool heard = peer.mHeardAt && aNow.mTime - *peer.mHeardAt <= kDeafConnection;
     if (heard && !hears && aNow.mTime - peer.mConnectedAt > kDeafConnection) {
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -46,6 +46,7 @@
   /// after the echo is younger, however long it was held up on the way.
   std::optional<Time> mEchoedAt;
   Time mConnectedAt{};
+  Time mNextIdlePresence{};
   message::Presence mPresence;
   std::set<std::uint64_t> mHeld;
   std::map<std::string, std::uint64_t, std::less<>> mSentMilliCores; ///< Since its last presence.
--- a/src/libplacement/placement.cpp
+++ b/src/libplacement/placement.cpp
@@ -40,6 +40,8 @@
 /// Mean failure rate of the peers below which failures in a row speak against an upstream.
 constexpr double kRareFailures = 0.2;
 constexpr milliseconds kPeerNoteLife{ 10000 };
+/// A busy upstream ends several short tasks in this time.
+constexpr milliseconds kProvenFor{ 1000 };
 /// Free upstreams compared for one start.
 constexpr std::size_t kDraws = 6;
 constexpr std::size_t kCompareAll = 8;
@@ -358,7 +360,8 @@
     return aRequest.mMayProbe ? -kProbeCost : kProbeCost;
   }
   double cost = 4 * FailureRate(health);
-  if (aRequest.mProven && (upstream.mOnTrial || health.mFailedInRow > 0)) {
+  if (aRequest.mProven && (upstream.mOnTrial || health.mFailedInRow > 0 ||
+                           aRequest.mNow - health.mRanWellAt > kProvenFor)) {
     cost += kUnprovenCost;
   }
   if (health.mRatios > 0) {
@@ -626,6 +629,7 @@
     health.mFailed = kDecay * health.mFailed + (failed ? 1 : 0);
     ++health.mOutcomes;
     health.mFailedInRow = failed ? health.mFailedInRow + 1 : 0;
+    health.mRanWellAt = failed ? health.mRanWellAt : aNow.mTime;
     Refresh(aState, aUpstream, aNow);
     JudgeFailures(aState, aUpstream, failed, probe, aNow);
     if (aRatio && !failed) {
