Claim upstreams of other data centres only when these have no entries

A data centre must now be without living entries for 2 s, a claim without an answer ends, and entries introduce themselves at the full rate for 3 s.

--- a/src/include/pollenwall/entry.h
+++ b/src/include/pollenwall/entry.h
@@ -55,6 +55,16 @@
   std::chrono::milliseconds mClaimAgain{ 1000 };
   /// The same for an entry that hears no other: the one with the others keeps the upstream.
   std::chrono::milliseconds mIsolatedClaimAgain{ 3000 };
+  /// Pause after a claim that the upstream did not answer, in the own data centre and in others. In
+  /// others it is mostly the network between them that fails; when it is back, their own entries
+  /// should be heard before the next claim reaches their upstreams.
+  std::chrono::milliseconds mClaimUnanswered{ 1000 };
+  std::chrono::milliseconds mRemoteClaimUnanswered{ 3000 };
+  /// Upstreams of a data centre without living entries are claimed by others after this. An entry
+  /// that was killed is back sooner.
+  std::chrono::milliseconds mAbandonedAfter{ 2000 };
+  /// After its start an entry speaks to all others at the full rate for this long.
+  std::chrono::milliseconds mIntroduction{ 3000 };
   /// Upstreams held by one entry. A data centre with more has several holders.
   std::size_t mUpstreamsPerHolder = 64;
   /// A planned stop takes new jobs for this long: the balancer needs 2 s to see that this entry is
--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -203,6 +203,12 @@
   std::string mUpstream;
 };
 
+/// The upstream did not answer the first look of a claim; it is not held.
+struct ClaimUnanswered
+{
+  std::string mUpstream;
+};
+
 /// A line for the log.
 struct Note
 {
@@ -211,7 +217,8 @@
   std::string mDetail;
 };
 
-using Action = std::variant<SendStop, SendLook, Ended, Progress, UsableChanged, LostToOther, Note>;
+using Action = std::
+  variant<SendStop, SendLook, Ended, Progress, UsableChanged, LostToOther, ClaimUnanswered, Note>;
 using Actions = std::vector<Action>;
 
 enum class RunPhase
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -208,6 +208,18 @@
     it->second.mLeastToken += kTokenStep;
   }
 
+  void operator()(holding::ClaimUnanswered& aAction)
+  {
+    const auto it = mState.mUpstreams.find(aAction.mUpstream);
+    if (it == mState.mUpstreams.end()) {
+      return;
+    }
+    const bool isNear = it->second.mRecord.mDataCentre == mState.mOptions.mDataCentre;
+    it->second.mClaimNotBefore = mNow.mTime + (isNear ? mState.mOptions.mClaimUnanswered
+                                                      : mState.mOptions.mRemoteClaimUnanswered);
+    mState.mPresenceDue = true;
+  }
+
   void operator()(holding::Note& aAction)
   {
     mState.mCounts.mLooksLost += aAction.mEvent == "upstream_silent" ? 1 : 0;
@@ -221,13 +233,15 @@
 
 // Claims.
 
-/// The entries that may hold upstreams of a data centre: its own, or all when it has none.
-std::vector<Incarnation> CandidatesOf(const State& aState,
-                                      std::string_view aDataCentre,
+/// The entries that may hold upstreams of a data centre: its own, or all when it has had none for
+/// some time or all that it has are stopping. Nothing while that is not certain.
+std::vector<Incarnation> CandidatesOf(State& aState,
+                                      const std::string& aDataCentre,
                                       const Now& aNow)
 {
   std::vector<Incarnation> near;
   std::vector<Incarnation> all;
+  bool stopping = false;
   const auto add = [&](Incarnation aEntry, std::string_view aOf) {
     all.push_back(aEntry);
     if (aOf == aDataCentre) {
@@ -238,11 +252,22 @@
     add(aState.mOptions.mIncarnation, aState.mOptions.mDataCentre);
   }
   for (const auto& [address, peer] : aState.mPeers) {
-    if (IsLiving(aState, peer, aNow) && !peer.mPresence.mLeaving) {
+    if (!IsLiving(aState, peer, aNow)) {
+      continue;
+    }
+    if (peer.mPresence.mLeaving) {
+      stopping = stopping || peer.mPresence.mDataCentre == aDataCentre;
+    } else {
       add(peer.mIncarnation, peer.mPresence.mDataCentre);
     }
   }
-  return near.empty() ? all : near;
+  if (!near.empty()) {
+    aState.mAbandonedSince.erase(aDataCentre);
+    return near;
+  }
+  const auto since = aState.mAbandonedSince.emplace(aDataCentre, aNow.mTime).first->second;
+  const bool abandoned = aNow.mTime - since >= aState.mOptions.mAbandonedAfter;
+  return stopping || abandoned ? all : near;
 }
 
 std::map<Share, std::vector<std::string>> SharesOf(const State& aState)
@@ -587,10 +612,11 @@
   for (const auto& [share, keys] : aState.mShares) {
     const auto candidates = CandidatesOf(aState, share.mDataCentre, aNow);
     const bool own = HolderOf(aState, share, keys, candidates) == self;
+    const bool unknown = candidates.empty() && !aState.mDraining;
     for (const auto& key : keys) {
       auto& upstream = aState.mUpstreams.at(key);
       const bool held = aState.mHolding.mSessions.contains(key);
-      if (held && own && !upstream.mMissingSince) {
+      if (held && (own || unknown) && !upstream.mMissingSince) {
         holding::Keep(aState.mHolding, key, aState.mHoldingActions);
       } else if (held && !own) {
         holding::Release(aState.mHolding, key, aState.mHoldingActions);
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -18,7 +18,7 @@
 /// Neither side can forward anything to the other.
 bool IsIdlePair(const State& aState, const Peer& aPeer)
 {
-  return aPeer.mHeld.empty() && aState.mHolding.mSessions.empty() &&
+  return !aState.mIntroducing && aPeer.mHeld.empty() && aState.mHolding.mSessions.empty() &&
          aPeer.mPresence.mDataCentre != aState.mOptions.mDataCentre;
 }
 
@@ -110,6 +110,7 @@
     return;
   }
   aState.mPresenceDue = false;
+  aState.mIntroducing = aNow.mTime - aState.mStarted < aState.mOptions.mIntroduction;
   aState.mNextPresence = aNow.mTime + Duration(aState.mOptions.mPresenceInterval);
   message::Presence presence;
   presence.mIncarnation = aState.mOptions.mIncarnation;
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -110,7 +110,10 @@
   Time mNextPresence{};
   Time mNextClaims{};
   bool mPresenceDue = false; ///< What this entry holds has changed.
-  bool mClaimsDue = false;   ///< What decides who should hold what has changed.
+  bool mIntroducing = true;  ///< Started a short time ago.
+  std::map<std::string, Time, std::less<>>
+    mAbandonedSince;       ///< Data centres without living entries.
+  bool mClaimsDue = false; ///< What decides who should hold what has changed.
   std::map<Share, std::vector<std::string>> mShares; ///< Keys of the upstreams listed.
   bool mDraining = false;
   bool mStopped = false;
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -424,6 +424,11 @@
       DropSession(aState, aEvent.mUpstream, aActions);
       return;
     default:
+      if (session->mPhase == SessionPhase::Claiming) {
+        aActions.emplace_back(ClaimUnanswered{ aEvent.mUpstream });
+        aState.mSessions.erase(aState.mSessions.find(aEvent.mUpstream));
+        return;
+      }
       ++session->mLostLooks;
       if (session->mPhase == SessionPhase::Ready &&
           session->mLostLooks < aState.mOptions.mLostLooks) {
