--- a/src/libentry/entry_test.cpp
+++ b/src/libentry/entry_test.cpp
@@ -329,6 +329,33 @@
   return Expect(refused > 0, "some jobs are refused") && ok;
 }
 
+/// Guards against entries that take upstreams from each other when all start at once, because they
+/// have not heard the others yet.
+bool RestartOfAll()
+{
+  auto world = MakeWorld({});
+  auto& w = *world;
+  RunFor(w, seconds(3));
+  for (std::size_t n = 0; n < w.mNodes.size(); ++n) {
+    Kill(w, n);
+  }
+  RunFor(w, milliseconds(800));
+  for (std::size_t n = 0; n < w.mNodes.size(); ++n) {
+    Restart(w, n);
+  }
+  RunFor(w, seconds(4));
+  std::uint64_t lost = 0;
+  for (const auto& node : w.mNodes) {
+    for (const auto& [name, value] : Counters(*node.mState)) {
+      lost += name == "upstream_holds_lost_total" ? value : 0;
+    }
+  }
+  Load(w, 20, seconds(2), milliseconds(100));
+  RunFor(w, seconds(4));
+  return Expect(lost == 0, "nothing is taken from a living entry") && NothingBroken(w) &&
+         Expect(Complete(w) == w.mCalls.size(), "all jobs complete 4 s after a restart of all");
+}
+
 /// Guards against late jobs that make all others late as well while more comes than fits.
 bool LateJobsWait()
 {
@@ -375,6 +402,7 @@
   ok = StalledRun() && ok;
   ok = SlowRun() && ok;
   ok = FailingUpstream() && ok;
+  ok = RestartOfAll() && ok;
   ok = LateJobsWait() && ok;
   ok = RefusedInTime() && ok;
   ok = ListLosesWorkers() && ok;
