--- a/src/libdispatch/state.h
+++ b/src/libdispatch/state.h
@@ -250,6 +250,14 @@
 /// Time in which the work that is queued now can be done, on places for tasks like the job's.
 Duration QueueTime(const State& aState, const Job& aJob);
 
+// progress.cpp
+
+/// Notes how long a task of the job takes at an upstream.
+void NoteRun(Job& aJob, Duration aRun, UpstreamIndex aUpstream);
+
+/// Takes a report and decides whether the run is worth its time where it is.
+void ApplyProgress(State& aState, const TaskProgress& aEvent, const Now& aNow, Actions& aActions);
+
 // dispatch.cpp
 
 /// The largest number of running long tasks of a service at this moment.
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -190,11 +190,16 @@
 void DropMissingUpstreams(State& aState, const Now& aNow);
 void Reconfigure(State& aState, const Now& aNow);
 
+std::vector<message::ServiceLoad> LoadsOf(const State& aState);
+
+// claims.cpp
+
+/// The listed upstreams by data centre, in shares for one holder each.
+std::map<Share, std::vector<std::string>> SharesOf(const State& aState);
+
 /// Claims and releases upstreams as the living entries demand.
 void UpdateClaims(State& aState, const Now& aNow, Actions& aActions);
 
-std::vector<message::ServiceLoad> LoadsOf(const State& aState);
-
 // peers.cpp
 
 /// Has echoed a time of this entry within the time allowed: each hears the other.
