Share the signal loop and the speed of an upstream; drop state that nothing reads

Found reading the whole change: HandleEntrySignals repeated the loop of HandleSignals; Cost worked out an upstream's relative run time beside SpeedCost; Peer::mListed and State::mUpstreamsListed were written and never read.

--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -1,6 +1,4 @@
 #include <algorithm>
-#include <cmath>
-#include <tuple>
 
 #include <pollenwall/hash.h>
 
@@ -147,7 +145,6 @@
 
   void operator()(holding::Ended& aAction)
   {
-    const auto it = mState.mUpstreams.find(aAction.mUpstream);
     const auto& outcome = aAction.mOutcome;
     if (outcome.mCode) {
       AddReport(mActions,
@@ -161,13 +158,13 @@
                 true);
     }
     const auto index = dispatch::FindUpstream(*mState.mDispatch, aAction.mUpstream);
-    if (it == mState.mUpstreams.end() && !index) {
-      return;
+    if (!index) {
+      return; // The core has never started anything there.
     }
-    Dispatch(mState,
-             dispatch::TaskEnded{
-               aAction.mTask, aAction.mNumber, index.value_or(0), std::move(aAction.mOutcome) },
-             mNow);
+    Dispatch(
+      mState,
+      dispatch::TaskEnded{ aAction.mTask, aAction.mNumber, *index, std::move(aAction.mOutcome) },
+      mNow);
   }
 
   void operator()(holding::Progress& aAction)
@@ -407,7 +404,6 @@
 
 void ApplyUpstreams(State& aState, const UpstreamsListed& aEvent, const Now& aNow)
 {
-  aState.mUpstreamsListed = true;
   std::set<std::string> listed;
   bool changed = false;
   for (const auto& record : aEvent.mUpstreams) {
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -45,15 +45,11 @@
 
 void ApplyEntries(State& aState, const EntriesListed& aEvent, Actions& aActions)
 {
-  for (auto& [address, peer] : aState.mPeers) {
-    peer.mListed = false;
-  }
   for (const auto& record : aEvent.mEntries) {
     if (record.mPeerAddress == aState.mOptions.mPeerAddress) {
       continue;
     }
     auto& peer = aState.mPeers[record.mPeerAddress];
-    peer.mListed = true;
     if (peer.mAddress.empty()) {
       peer.mAddress = record.mPeerAddress;
       AddReport(
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -39,7 +39,6 @@
 struct Peer
 {
   std::string mAddress;
-  bool mListed = false; ///< By the platform or the settings.
   Incarnation mIncarnation;
   std::optional<Time> mHeardAt;
   /// The latest time of this entry that the peer has echoed. All that the peer has sent with or
@@ -91,9 +90,8 @@
   std::unique_ptr<dispatch::State, void (*)(dispatch::State*)> mDispatch;
   holding::State mHolding;
   std::optional<configuration::Configuration> mConfiguration; ///< Services and teams.
-  bool mUpstreamsListed = false;
-  std::map<std::string, Upstream, std::less<>> mUpstreams; ///< By key "SERVICE/ID".
-  std::map<std::string, Peer, std::less<>> mPeers;         ///< By address.
+  std::map<std::string, Upstream, std::less<>> mUpstreams;    ///< By key "SERVICE/ID".
+  std::map<std::string, Peer, std::less<>> mPeers;            ///< By address.
   std::map<Incarnation, std::string> mPeerAddresses;
   std::map<CallNumber, Call> mCalls;
   std::map<RequestId, CallNumber> mCallByRequest;
--- a/src/libplacement/placement.cpp
+++ b/src/libplacement/placement.cpp
@@ -364,14 +364,11 @@
                            aRequest.mNow - health.mRanWellAt > kProvenFor)) {
     cost += kUnprovenCost;
   }
-  if (health.mRatios > 0) {
-    const double ratio = health.mLogRatio / health.mLogRatioWeight;
-    const double excess = ratio - aState.mPools[upstream.mService].mLogRatio;
-    cost += std::max(0.0, excess - kToleratedLogRatio);
-  }
+  const double speed = SpeedCost(aState, upstream);
+  cost += std::max(0.0, speed - kToleratedLogRatio);
   const auto& capacity = aState.mPools[upstream.mService].mShapes[upstream.mShape].mCapacity;
   if (aState.mOptions.mHoldsWholeUpstreams) {
-    return cost + SpeedCost(aState, upstream) +
+    return cost + speed +
            kEmptyCost * (1 - static_cast<double>(upstream.mUsed.mMilliCores) /
                                std::max(1U, capacity.mMilliCores));
   }
--- a/src/pollenwalld/signals.cpp
+++ b/src/pollenwalld/signals.cpp
@@ -1,6 +1,7 @@
 #include "signals.h"
 
 #include <csignal>
+#include <functional>
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/leaf/handle_errors.hpp>
@@ -54,55 +55,50 @@
                  { "state", node::StatusText(*loop.mState, ReadClocks()) } });
 }
 
-} // namespace
-
-void HandleEntrySignals(Shell& aShell)
+/// Calls the function for each signal until the process ends. The fiber has a large stack, because
+/// a dump formats the whole state.
+void WatchSignals(Shell& aShell, std::function<void(int)> aFunction)
 {
   net::Spawn(
-    [&aShell] {
+    [&aShell, function = std::move(aFunction)] {
       boost::asio::signal_set signals(aShell.mContext);
       for (const int signal : { SIGTERM, SIGINT, SIGUSR1, SIGHUP }) {
         signals.add(signal);
       }
-      auto& loop = *kernel::Find<EntryLoop>(aShell.mKernel, "entry");
       for (;;) {
         boost::system::error_code ec;
         const int signal = signals.async_wait(net::Await(ec));
-        if (ec) {
-          continue;
-        }
-        if (signal == SIGUSR1) {
-          log::Info("dump", { { "state", entry::Dump(*loop.mState, ReadClocks()) } });
-        } else if (signal == SIGHUP) {
-          // Nothing of the settings can change while the process runs.
-          log::Info("reload_requested");
-        } else {
-          log::Info("drain_requested", { { "source", std::string("signal") } });
-          BeginDrain(loop);
+        if (!ec) {
+          function(signal);
         }
       }
     },
     net::kLargeStackBytes);
 }
 
+} // namespace
+
+void HandleEntrySignals(Shell& aShell)
+{
+  auto& loop = *kernel::Find<EntryLoop>(aShell.mKernel, "entry");
+  WatchSignals(aShell, [&loop](int aSignal) {
+    if (aSignal == SIGUSR1) {
+      log::Info("dump", { { "state", entry::Dump(*loop.mState, ReadClocks()) } });
+    } else if (aSignal == SIGHUP) {
+      // Nothing of the settings can change while the process runs.
+      log::Info("reload_requested");
+    } else {
+      log::Info("drain_requested", { { "source", std::string("signal") } });
+      BeginDrain(loop);
+    }
+  });
+}
+
 void HandleSignals(Shell& aShell, std::shared_ptr<net::TlsKeys> aTls)
 {
-  // A fiber with a large stack, because a dump formats the whole state.
-  net::Spawn(
-    [&aShell, tls = std::move(aTls)] {
-      boost::asio::signal_set signals(aShell.mContext);
-      for (const int signal : { SIGTERM, SIGINT, SIGUSR1, SIGHUP }) {
-        signals.add(signal);
-      }
-      for (;;) {
-        boost::system::error_code ec;
-        const int signal = signals.async_wait(net::Await(ec));
-        if (!ec) {
-          HandleSignal(aShell, tls.get(), signal);
-        }
-      }
-    },
-    net::kLargeStackBytes);
+  WatchSignals(aShell, [&aShell, tls = std::move(aTls)](int aSignal) {
+    HandleSignal(aShell, tls.get(), aSignal);
+  });
 }
 
 } // namespace pollenwall::daemon
