Serve metrics through prometheus-cpp, with durations and gauges of the entry

The registry and the text format were code of our own; the core of prometheus-cpp-dev now does both. Dropped log lines are counted.

--- a/src/include/pollenwall/dispatch.h
+++ b/src/include/pollenwall/dispatch.h
@@ -182,6 +182,8 @@
   UpstreamIndex mUpstream = 0;
   std::shared_ptr<const std::string> mPayload;
   UnixMs mNotAfterMs = 0; ///< The upstream refuses the start after this.
+  Duration mWaited{ 0 };  ///< Of the job since its caller submitted it.
+  bool mFirstOfJob = false;
 };
 
 struct StopTask
--- a/src/include/pollenwall/entry.h
+++ b/src/include/pollenwall/entry.h
@@ -228,6 +228,13 @@
   std::vector<std::pair<std::string, std::string>> mFields;
 };
 
+/// A duration for the histogram of this name.
+struct Measured
+{
+  std::string_view mSeries; ///< A literal.
+  Duration mTime{ 0 };
+};
+
 /// A planned stop is complete.
 struct Stopped
 {};
@@ -240,6 +247,7 @@
                             ConnectPeer,
                             DisconnectPeer,
                             Report,
+                            Measured,
                             Stopped>;
 using Actions = std::vector<Action>;
 
@@ -263,6 +271,9 @@
 /// Counters by name, for metrics (values only rise).
 std::vector<std::pair<std::string, std::uint64_t>> Counters(const State& aState);
 
+/// Gauges by name: upstreams by state, room and queue by service, peers, calls.
+std::vector<std::pair<std::string, double>> Gauges(const State& aState, const Now& aNow);
+
 /// The whole state as JSON text.
 std::string Dump(const State& aState, const Now& aNow);
 
--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -108,6 +108,8 @@
   NotSent,          ///< No byte left this entry.
   Unknown,          ///< No answer; the order may be carried out now or later.
 };
+inline constexpr std::size_t kOrderStatuses = 10;
+std::string_view ToString(OrderStatus aStatus);
 
 // Events.
 
--- a/src/include/pollenwall/log.h
+++ b/src/include/pollenwall/log.h
@@ -50,12 +50,16 @@
   std::int64_t mSecond = 0;
   std::uint32_t mLines = 0;
   std::uint64_t mDropped = 0; ///< Since the last call of TakeDropped.
+  std::uint64_t mAllDropped = 0;
 };
 
 /// Whether a line may be written at this second. aJob is empty for lines that belong to no job.
 bool Admit(Meter& aMeter, std::int64_t aSecond, Level aLevel, std::string_view aJob);
 std::uint64_t TakeDropped(Meter& aMeter);
 
+/// Lines of this process that were not written, since its start.
+std::uint64_t DroppedLines();
+
 /// Starts glog for the program and sends its lines as JSON to the output. Call once, first in main.
 /// Lines have `time` (RFC 3339, UTC, microseconds), `level`, `program`, `event` and the event's own
 /// fields.
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -306,7 +306,7 @@
   task.mAnswer.mVerdict = Verdict::MayHaveRun;
   ++task.mAttempt;
   ++job.mOutstanding;
-  job.mEverStarted = true;
+  const bool first = !std::exchange(job.mEverStarted, true);
   const auto rack = aState.mPlacement.mUpstreams[aUpstream].mRack;
   const auto it = std::find_if(job.mRacks.begin(), job.mRacks.end(), [rack](const auto& aRack) {
     return aRack.first == rack;
@@ -322,7 +322,9 @@
                task.mAttempt,
                aUpstream,
                { job.mSpec, &job.mSpec->mTasks[aTask].mPayload },
-               aNow.mUnixMs + std::min(left, aState.mOptions.mStartWindow).count() });
+               aNow.mUnixMs + std::min(left, aState.mOptions.mStartWindow).count(),
+               aNow.mTime - job.mAccepted + Duration(job.mSpec->mWaited),
+               first });
 }
 
 /// The lane that gets the next free slot; nothing when no queued task can start.
--- a/src/libentry/entry.cpp
+++ b/src/libentry/entry.cpp
@@ -18,6 +18,23 @@
 /// that this entry is not ready and new calls have gone elsewhere.
 constexpr milliseconds kQuietBeforeStop{ 2200 };
 
+constexpr double kMilli = 1000;
+
+/// Orders of a kind by their outcome. Outcomes that never came are left out.
+void AddOrders(std::vector<std::pair<std::string, std::uint64_t>>& aCounters,
+               const std::string& aKind,
+               const std::array<std::uint64_t, holding::kOrderStatuses>& aCounts)
+{
+  for (std::size_t n = 0; n < aCounts.size(); ++n) {
+    if (aCounts[n] == 0) {
+      continue;
+    }
+    const auto outcome = std::string(ToString(static_cast<holding::OrderStatus>(n)));
+    aCounters.emplace_back("orders_total{order=\"" + aKind + "\",outcome=\"" + outcome + "\"}",
+                           aCounts[n]);
+  }
+}
+
 void Apply(State& aState, const CallerSubmit& aEvent, const Now& aNow, Actions& aActions)
 {
   SubmitCall(aState, aEvent, aNow, aActions);
@@ -84,16 +101,19 @@
 
 void Apply(State& aState, const holding::StartAnswered& aEvent, const Now& aNow, Actions&)
 {
+  ++aState.mCounts.mStarts.at(static_cast<std::size_t>(aEvent.mStatus));
   holding::Handle(aState.mHolding, aEvent, aNow, aState.mHoldingActions);
 }
 
 void Apply(State& aState, const holding::StopAnswered& aEvent, const Now& aNow, Actions&)
 {
+  ++aState.mCounts.mStops.at(static_cast<std::size_t>(aEvent.mStatus));
   holding::Handle(aState.mHolding, aEvent, aNow, aState.mHoldingActions);
 }
 
 void Apply(State& aState, const holding::LookAnswered& aEvent, const Now& aNow, Actions&)
 {
+  ++aState.mCounts.mLooks.at(static_cast<std::size_t>(aEvent.mStatus));
   holding::Handle(aState.mHolding, aEvent, aNow, aState.mHoldingActions);
 }
 
@@ -225,9 +245,47 @@
   counters.emplace_back("upstream_holds_lost_total", counts.mHoldsLost);
   counters.emplace_back("upstream_looks_lost_total", counts.mLooksLost);
   counters.emplace_back("starts_unanswered_total", counts.mStartsUnanswered);
+  AddOrders(counters, "start", counts.mStarts);
+  AddOrders(counters, "stop", counts.mStops);
+  AddOrders(counters, "look", counts.mLooks);
   return counters;
 }
 
+std::vector<std::pair<std::string, double>> Gauges(const State& aState, const Now& aNow)
+{
+  const auto count = [](const auto& aRange, const auto& aPredicate) {
+    return static_cast<double>(std::count_if(aRange.begin(), aRange.end(), aPredicate));
+  };
+  const auto loads = dispatch::UpstreamLoads(*aState.mDispatch);
+  std::vector<std::pair<std::string, double>> gauges{
+    { "upstreams{state=\"listed\"}", static_cast<double>(aState.mUpstreams.size()) },
+    { "upstreams{state=\"missing\"}",
+      count(aState.mUpstreams,
+            [](const auto& aIt) { return aIt.second.mMissingSince.has_value(); }) },
+    { "upstreams{state=\"leaving\"}",
+      count(aState.mUpstreams, [](const auto& aIt) { return aIt.second.mRecord.mLeaving; }) },
+    { "upstreams{state=\"held\"}", static_cast<double>(aState.mHolding.mSessions.size()) },
+    { "upstreams{state=\"usable\"}", count(loads, [](const auto& aIt) { return aIt.mUsable; }) },
+    { "upstreams{state=\"unhealthy\"}",
+      static_cast<double>(dispatch::UnhealthyUpstreams(*aState.mDispatch).size()) },
+    { "peers{state=\"known\"}", static_cast<double>(aState.mPeers.size()) },
+    { "peers{state=\"living\"}",
+      count(aState.mPeers, [&](const auto& aIt) { return IsLiving(aState, aIt.second, aNow); }) },
+    { "calls_open", static_cast<double>(aState.mCalls.size()) },
+    { "tasks_queued", static_cast<double>(dispatch::QueuedTasks(*aState.mDispatch)) },
+    { "configuration_version",
+      aState.mConfiguration ? static_cast<double>(aState.mConfiguration->mVersion) : 0 },
+  };
+  for (const auto& load : LoadsOf(aState)) {
+    const auto label = "{service=\"" + load.mService + "\"}";
+    gauges.emplace_back("room_cores" + label, static_cast<double>(load.mMilliCores) / kMilli);
+    gauges.emplace_back("free_cores" + label, static_cast<double>(load.mFreeMilliCores) / kMilli);
+    gauges.emplace_back("queued_cores" + label,
+                        static_cast<double>(load.mQueuedMilliCores) / kMilli);
+  }
+  return gauges;
+}
+
 std::string Dump(const State& aState, const Now& aNow)
 {
   namespace json = boost::json;
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -85,6 +85,12 @@
                 { "task", std::to_string(aAction.mTask.mIndex) },
                 { "run", std::to_string(aAction.mAttempt) },
                 { "upstream", address.mKey } });
+    if (aAction.mAttempt == 1) {
+      mActions.emplace_back(Measured{ "task_queue_seconds", aAction.mWaited });
+    }
+    if (aAction.mFirstOfJob) {
+      mActions.emplace_back(Measured{ "job_first_start_seconds", aAction.mWaited });
+    }
     auto order = holding::Start(mState.mHolding,
                                 address.mKey,
                                 { aAction.mTask, aAction.mAttempt },
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <map>
 #include <random>
 #include <set>
@@ -81,6 +82,9 @@
   std::uint64_t mHoldsLost = 0;
   std::uint64_t mLooksLost = 0;
   std::uint64_t mStartsUnanswered = 0;
+  std::array<std::uint64_t, holding::kOrderStatuses> mStarts{}; ///< By holding::OrderStatus.
+  std::array<std::uint64_t, holding::kOrderStatuses> mStops{};
+  std::array<std::uint64_t, holding::kOrderStatuses> mLooks{};
 };
 
 struct State
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -370,6 +370,7 @@
       std::cerr << "\n";
     }
   }
+  void operator()(const Measured& /*aAction*/) const {}
   void operator()(const Stopped& /*aAction*/) const { Kill(mWorld, mNode); }
 };
 
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -242,6 +242,15 @@
 
 } // namespace
 
+std::string_view ToString(OrderStatus aStatus)
+{
+  static constexpr std::array<std::string_view, kOrderStatuses> kNames{
+    "done",     "fenced",      "superseded",        "late",     "no_room",
+    "rejected", "unavailable", "other_incarnation", "not_sent", "unknown"
+  };
+  return kNames.at(static_cast<std::size_t>(aStatus));
+}
+
 std::uint64_t MakeToken(std::uint16_t aSalt, UnixMs aUnixMs, std::uint64_t aLeast)
 {
   const auto clock = static_cast<std::uint64_t>(std::max<UnixMs>(0, aUnixMs) / kTokenUnit.count());
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -141,7 +141,8 @@
   passed &= Expect(fixture.mRequests == 0, "no bad request reached the handler");
   passed &= Expect(fixture.Works(), "others are served");
   passed &=
-    Expect(fixture.mMetrics.mCounters["http_bad_requests_total{listener=\"test\"}"] == cases.size(),
+    Expect(metrics::CounterValue(fixture.mMetrics, "http_bad_requests_total{listener=\"test\"}") ==
+             cases.size(),
            "all are counted");
   return passed;
 }
--- a/src/libutil/log.cpp
+++ b/src/libutil/log.cpp
@@ -13,6 +13,12 @@
 namespace pollenwall::log {
 namespace {
 
+void Drop(Meter& aMeter)
+{
+  ++aMeter.mDropped;
+  ++aMeter.mAllDropped;
+}
+
 /// Turns each glog record into one JSON line. Records made by Info, Warning and LogError already
 /// are JSON objects; a record of a library becomes the event `message`.
 struct JsonSink : google::LogSink
@@ -47,7 +53,7 @@
     if (IsWritable() && ::write(mFile, line.data(), line.size()) >= 0) {
       return;
     }
-    ++mMeter.mDropped;
+    Drop(mMeter);
   }
 
   /// A pipe that is writable takes a line of up to 4,096 bytes without blocking.
@@ -93,7 +99,7 @@
   const bool thinned =
     info && aMeter.mLines >= budget.mThinAfter && !aJob.empty() && Hash64(aJob) % kKeptJobs != 0;
   if (thinned || aMeter.mLines >= (info ? budget.mInfo : budget.mMost)) {
-    ++aMeter.mDropped;
+    Drop(aMeter);
     return false;
   }
   ++aMeter.mLines;
@@ -105,6 +111,11 @@
   return std::exchange(aMeter.mDropped, 0);
 }
 
+std::uint64_t DroppedLines()
+{
+  return Sink().mMeter.mAllDropped;
+}
+
 void Init(std::string_view aProgram, Output aOutput)
 {
   // glog keeps the pointer, so the name must outlive the call.
--- a/src/libutil/metrics.cpp
+++ b/src/libutil/metrics.cpp
@@ -1,133 +1,152 @@
 #include <pollenwall/metrics.h>
 
+#include <algorithm>
 #include <cmath>
-#include <cstdio>
+#include <map>
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
 
 namespace pollenwall::metrics {
 namespace {
 
-template<typename Map>
-typename Map::mapped_type& Entry(Map& aMap, std::string_view aName)
-{
-  const auto it = aMap.find(aName);
-  if (it != aMap.end()) {
-    return it->second;
-  }
-  return aMap[std::string(aName)];
-}
-
-double Bound(int aBucket)
-{
-  return Histogram::kFirstBoundSeconds * std::ldexp(1.0, aBucket);
-}
+constexpr std::string_view kPrefix = "pollenwall_";
+constexpr int kBuckets = 21;
+constexpr double kFirstBoundSeconds = 0.0001;
 
-std::string Number(double aValue)
+const prometheus::Histogram::BucketBoundaries& Bounds()
 {
-  char buf[40];
-  std::snprintf(buf, sizeof buf, "%.9g", aValue);
-  return buf;
+  static const auto bounds = [] {
+    prometheus::Histogram::BucketBoundaries all;
+    for (int n = 0; n < kBuckets; ++n) {
+      all.push_back(kFirstBoundSeconds * std::ldexp(1.0, n));
+    }
+    return all;
+  }();
+  return bounds;
 }
 
-/// A name with labels is split so that suffixes go before the labels.
+/// A name with labels, as `name{key="value",...}` spells them.
 struct SplitName
 {
   std::string mBase;
-  std::string mLabels; ///< Without braces; empty when there are none.
+  prometheus::Labels mLabels;
 };
 
-SplitName Split(const std::string& aName)
+SplitName Split(std::string_view aName)
 {
+  SplitName split;
   const auto brace = aName.find('{');
-  if (brace == std::string::npos) {
-    return { aName, "" };
+  split.mBase = std::string(kPrefix) + std::string(aName.substr(0, brace));
+  if (brace == std::string_view::npos) {
+    return split;
+  }
+  auto rest = aName.substr(brace + 1);
+  for (;;) {
+    const auto equals = rest.find("=\"");
+    if (equals == std::string_view::npos) {
+      return split;
+    }
+    const auto end = rest.find('"', equals + 2);
+    split.mLabels.emplace(rest.substr(0, equals), rest.substr(equals + 2, end - equals - 2));
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+    if (rest.starts_with(',')) {
+      rest.remove_prefix(1);
+    }
   }
-  return { aName.substr(0, brace), aName.substr(brace + 1, aName.size() - brace - 2) };
 }
 
-std::string Series(const SplitName& aName, std::string_view aSuffix, const std::string& aLabel)
+} // namespace
+
+struct Registry::Series
 {
-  std::string labels = aName.mLabels;
-  if (!aLabel.empty()) {
-    labels += (labels.empty() ? "" : ",") + aLabel;
-  }
-  return "pollenwall_" + aName.mBase + std::string(aSuffix) +
-         (labels.empty() ? "" : "{" + labels + "}");
-}
+  prometheus::Registry mFamilies;
+  std::map<std::string, prometheus::Counter*, std::less<>> mCounters;
+  std::map<std::string, prometheus::Gauge*, std::less<>> mGauges;
+  std::map<std::string, prometheus::Histogram*, std::less<>> mHistograms;
+};
 
-void AppendType(std::string& aText, std::string& aLast, const SplitName& aName, const char* aType)
+Registry::Registry()
+  : mSeries(std::make_unique<Series>())
 {
-  if (aLast == aName.mBase) {
-    return;
-  }
-  aLast = aName.mBase;
-  aText += "# TYPE pollenwall_" + aName.mBase + " " + aType + "\n";
 }
 
-} // namespace
+Registry::~Registry() = default;
 
 void Add(Registry& aRegistry, std::string_view aName, std::uint64_t aAmount)
 {
-  Entry(aRegistry.mCounters, aName) += aAmount;
+  auto& all = aRegistry.All();
+  auto it = all.mCounters.find(aName);
+  if (it == all.mCounters.end()) {
+    const auto name = Split(aName);
+    auto& family = prometheus::BuildCounter().Name(name.mBase).Register(all.mFamilies);
+    it = all.mCounters.emplace(aName, &family.Add(name.mLabels)).first;
+  }
+  it->second->Increment(static_cast<double>(aAmount));
 }
 
 void Set(Registry& aRegistry, std::string_view aName, double aValue)
 {
-  Entry(aRegistry.mGauges, aName) = aValue;
+  auto& all = aRegistry.All();
+  auto it = all.mGauges.find(aName);
+  if (it == all.mGauges.end()) {
+    const auto name = Split(aName);
+    auto& family = prometheus::BuildGauge().Name(name.mBase).Register(all.mFamilies);
+    it = all.mGauges.emplace(aName, &family.Add(name.mLabels)).first;
+  }
+  it->second->Set(aValue);
 }
 
 void Observe(Registry& aRegistry, std::string_view aName, double aSeconds)
 {
-  auto& histogram = Entry(aRegistry.mHistograms, aName);
-  int bucket = 0;
-  while (bucket < Histogram::kBuckets && aSeconds > Bound(bucket)) {
-    ++bucket;
+  auto& all = aRegistry.All();
+  auto it = all.mHistograms.find(aName);
+  if (it == all.mHistograms.end()) {
+    const auto name = Split(aName);
+    auto& family = prometheus::BuildHistogram().Name(name.mBase).Register(all.mFamilies);
+    it = all.mHistograms.emplace(aName, &family.Add(name.mLabels, Bounds())).first;
   }
-  ++histogram.mCounts[static_cast<std::size_t>(bucket)];
-  histogram.mSumSeconds += aSeconds;
-  ++histogram.mCount;
+  it->second->Observe(aSeconds);
 }
 
-double Quantile(const Histogram& aHistogram, double aQuantile)
+std::uint64_t CounterValue(const Registry& aRegistry, std::string_view aName)
 {
-  const double wanted = aQuantile * static_cast<double>(aHistogram.mCount);
-  double seen = 0;
-  for (int bucket = 0; bucket <= Histogram::kBuckets; ++bucket) {
-    seen += static_cast<double>(aHistogram.mCounts[static_cast<std::size_t>(bucket)]);
-    if (seen > 0 && seen >= wanted) {
-      return Bound(bucket);
-    }
-  }
-  return 0;
+  const auto& counters = aRegistry.All().mCounters;
+  const auto it = counters.find(aName);
+  return it == counters.end() ? 0 : static_cast<std::uint64_t>(it->second->Value());
 }
 
-std::string ToText(const Registry& aRegistry)
+std::string ToText(const Registry& aRegistry, const Readings& aReadings)
 {
-  std::string text;
-  std::string last;
-  for (const auto& [name, value] : aRegistry.mCounters) {
-    const auto split = Split(name);
-    AppendType(text, last, split, "counter");
-    text += Series(split, "", "") + " " + std::to_string(value) + "\n";
+  // The format demands that all series of a name stand together.
+  std::map<std::string, prometheus::MetricFamily> read;
+  const auto add = [&read](const std::string& aName, prometheus::MetricType aType) -> auto&
+  {
+    auto name = Split(aName);
+    auto& family = read[name.mBase];
+    family.name = name.mBase;
+    family.type = aType;
+    auto& metric = family.metric.emplace_back();
+    for (auto& [key, value] : name.mLabels) {
+      metric.label.push_back({ key, value });
+    }
+    return metric;
+  };
+  for (const auto& [name, value] : aReadings.mCounters) {
+    add(name, prometheus::MetricType::Counter).counter.value = static_cast<double>(value);
   }
-  for (const auto& [name, value] : aRegistry.mGauges) {
-    const auto split = Split(name);
-    AppendType(text, last, split, "gauge");
-    text += Series(split, "", "") + " " + Number(value) + "\n";
+  for (const auto& [name, value] : aReadings.mGauges) {
+    add(name, prometheus::MetricType::Gauge).gauge.value = value;
   }
-  for (const auto& [name, histogram] : aRegistry.mHistograms) {
-    const auto split = Split(name);
-    AppendType(text, last, split, "histogram");
-    std::uint64_t total = 0;
-    for (int bucket = 0; bucket < Histogram::kBuckets; ++bucket) {
-      total += histogram.mCounts[static_cast<std::size_t>(bucket)];
-      text += Series(split, "_bucket", "le=\"" + Number(Bound(bucket)) + "\"") + " " +
-              std::to_string(total) + "\n";
-    }
-    text += Series(split, "_bucket", "le=\"+Inf\"") + " " + std::to_string(histogram.mCount) + "\n";
-    text += Series(split, "_sum", "") + " " + Number(histogram.mSumSeconds) + "\n";
-    text += Series(split, "_count", "") + " " + std::to_string(histogram.mCount) + "\n";
+  auto families = aRegistry.All().mFamilies.Collect();
+  for (auto& [name, family] : read) {
+    families.push_back(std::move(family));
   }
-  return text;
+  return prometheus::TextSerializer().Serialize(families);
 }
 
 } // namespace pollenwall::metrics
--- a/src/libutil/util_test.cpp
+++ b/src/libutil/util_test.cpp
@@ -123,22 +123,54 @@
   });
 }
 
-/// Guards against histogram buckets that are not cumulative, which scrapers reject.
+/// The value of the text's line that begins with the series; nothing when there is none.
+std::optional<double> SeriesValue(const std::string& aText, const std::string& aSeries)
+{
+  const auto at = aText.find("\n" + aSeries + " ");
+  return at == std::string::npos ? std::nullopt
+                                 : std::optional(std::stod(aText.substr(at + aSeries.size() + 2)));
+}
+
+/// Guards against histogram buckets that are not cumulative, which scrapers reject, and against
+/// bounds that drift.
 bool HistogramTextIsCumulative()
 {
   metrics::Registry registry;
   metrics::Observe(registry, "job_seconds{service=\"a\"}", 0.001);
   metrics::Observe(registry, "job_seconds{service=\"a\"}", 1000);
   metrics::Add(registry, "jobs_total", 2);
-  const auto text = metrics::ToText(registry);
-  bool passed = test::Expect(
-    text.find("pollenwall_job_seconds_bucket{service=\"a\",le=\"+Inf\"} 2\n") != std::string::npos,
-    "the last bucket holds all");
-  passed &=
-    test::Expect(text.find("pollenwall_job_seconds_bucket{service=\"a\",le=\"0.0016\"} 1\n") !=
-                   std::string::npos,
-                 "a bucket holds all smaller values");
-  passed &= test::Expect(text.find("pollenwall_jobs_total 2\n") != std::string::npos, "counter");
+  const auto text = "\n" + metrics::ToText(registry);
+  const std::string buckets = "pollenwall_job_seconds_bucket{service=\"a\",le=\"";
+  bool passed =
+    test::Expect(SeriesValue(text, buckets + "+Inf\"}") == 2, "the last bucket holds all");
+  passed &= test::Expect(SeriesValue(text, buckets + "0.0008\"}") == 0, "a smaller bound");
+  passed &= test::Expect(SeriesValue(text, buckets + "0.0016\"}") == 1,
+                         "a bucket holds all smaller values");
+  passed &= test::Expect(SeriesValue(text, "pollenwall_jobs_total") == 2, "counter");
+  passed &= test::Expect(metrics::CounterValue(registry, "jobs_total") == 2, "read back");
+  return passed;
+}
+
+/// Guards against a name whose series are torn apart, or whose type comes twice, which scrapers
+/// reject.
+bool ReadingsOfOneNameStandTogether()
+{
+  const metrics::Registry registry;
+  metrics::Readings readings;
+  readings.mCounters = { { "moves_total{reason=\"slow\"}", 1 },
+                         { "others_total", 5 },
+                         { "moves_total{reason=\"stalled\"}", 2 } };
+  readings.mGauges = { { "age_seconds", 0.5 } };
+  const auto text = "\n" + metrics::ToText(registry, readings);
+  const auto type = text.find("# TYPE pollenwall_moves_total counter");
+  bool passed = test::Expect(type != std::string::npos && text.find("# TYPE pollenwall_moves_total",
+                                                                    type + 1) == std::string::npos,
+                             "one type line");
+  passed &= test::Expect(SeriesValue(text, "pollenwall_moves_total{reason=\"slow\"}") == 1 &&
+                           SeriesValue(text, "pollenwall_moves_total{reason=\"stalled\"}") == 2 &&
+                           SeriesValue(text, "pollenwall_others_total") == 5 &&
+                           SeriesValue(text, "pollenwall_age_seconds") == 0.5,
+                         "all values are there");
   return passed;
 }
 
@@ -153,6 +185,7 @@
   passed &= LogLinesAreJson();
   passed &= LogBudget();
   passed &= HistogramTextIsCumulative();
+  passed &= ReadingsOfOneNameStandTogether();
   passed &= test::YamlReaderTests();
   return passed ? 0 : 1;
 }
--- a/src/pollenwalld/entry_loop.cpp
+++ b/src/pollenwalld/entry_loop.cpp
@@ -27,6 +27,11 @@
   void operator()(entry::SendPeer& aAction) { Carry(mLoop.mTable.mSendPeer, aAction); }
   void operator()(entry::ConnectPeer& aAction) { Carry(mLoop.mTable.mConnectPeer, aAction); }
   void operator()(entry::DisconnectPeer& aAction) { Carry(mLoop.mTable.mDisconnectPeer, aAction); }
+  void operator()(entry::Measured& aAction)
+  {
+    metrics::Observe(
+      mLoop.mShell.mMetrics, aAction.mSeries, std::chrono::duration<double>(aAction.mTime).count());
+  }
   void operator()(entry::Stopped&) { mLoop.mStopped.Set(true); }
 
   void operator()(entry::Report& aAction)
@@ -62,6 +67,9 @@
   aLoop.mTick.expires_after(kTickInterval);
   aLoop.mTick.async_wait([&aLoop](const boost::system::error_code& aEc) {
     if (!aEc) {
+      const auto lag = std::chrono::steady_clock::now() - aLoop.mTick.expiry();
+      metrics::Observe(
+        aLoop.mShell.mMetrics, "loop_lag_seconds", std::chrono::duration<double>(lag).count());
       Post(aLoop, entry::Tick{});
       if (aLoop.mTable.mTicked) {
         aLoop.mTable.mTicked();
--- a/src/pollenwalld/operators.cpp
+++ b/src/pollenwalld/operators.cpp
@@ -1,10 +1,5 @@
 #include "operators.h"
 
-#include <fstream>
-
-#include <sys/resource.h>
-#include <unistd.h>
-
 #include <pollenwall/log.h>
 #include <pollenwall/net/fiber.h>
 #include <pollenwall/net/http_server.h>
@@ -12,6 +7,7 @@
 #include "callers.h"
 #include "node_loop.h"
 #include "peers.h"
+#include "process_metrics.h"
 #include "upstreams.h"
 
 namespace pollenwall::daemon {
@@ -31,37 +27,6 @@
   std::shared_ptr<net::HttpServer> mServer;
 };
 
-double Seconds(const timeval& aTime)
-{
-  return static_cast<double>(aTime.tv_sec) + 1e-6 * static_cast<double>(aTime.tv_usec);
-}
-
-std::uint64_t ResidentBytes()
-{
-  std::ifstream file("/proc/self/statm");
-  std::uint64_t total = 0;
-  std::uint64_t resident = 0;
-  file >> total >> resident;
-  return resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
-}
-
-std::string MetricsText(Operators& aOperators)
-{
-  auto registry = aOperators.mShell.mMetrics;
-  for (const auto& [name, value] : node::Counters(*aOperators.mLoop.mState)) {
-    registry.mCounters[name] = value;
-  }
-  for (const auto& [name, value] : node::Gauges(*aOperators.mLoop.mState)) {
-    registry.mGauges[name] = value;
-  }
-  rusage usage{};
-  ::getrusage(RUSAGE_SELF, &usage);
-  metrics::Set(registry, "process_cpu_seconds", Seconds(usage.ru_utime) + Seconds(usage.ru_stime));
-  metrics::Set(registry, "process_resident_bytes", static_cast<double>(ResidentBytes()));
-  metrics::Set(registry, "fibers", static_cast<double>(net::RunningFibers()));
-  return metrics::ToText(registry);
-}
-
 net::HttpResponse Refusal(http::status aStatus, std::string aMessage)
 {
   auto response =
@@ -93,9 +58,8 @@
     return Refusal(http::status::method_not_allowed, "use GET for this path");
   }
   if (path == "/metrics") {
-    auto response = net::JsonResponse(http::status::ok, MetricsText(aOperators));
-    response.set(http::field::content_type, "text/plain; version=0.0.4; charset=utf-8");
-    return response;
+    const auto& state = *aOperators.mLoop.mState;
+    return MetricsResponse(aOperators.mShell, { node::Counters(state), node::Gauges(state) });
   }
   if (path == "/dump") {
     return net::JsonResponse(http::status::ok, DumpText(aOperators.mShell));
--- a/src/pollenwalld/peers_test.cpp
+++ b/src/pollenwalld/peers_test.cpp
@@ -94,7 +94,7 @@
     return n;
   }
 
-  std::uint64_t Counter(const char* aName) { return mShell.mMetrics.mCounters[aName]; }
+  std::uint64_t Counter(const char* aName) { return metrics::CounterValue(mShell.mMetrics, aName); }
 
   Shell mShell;
   node::Options mOptions;
