A stand-in of the platform in real processes, and a randomized fault soak

scripts/soak runs entries, workers and the store as processes, leads every connection of an entry through a loopback proxy and injects faults from a seed: kills, pauses, planned stops, SIGHUP, workers that hang, crash, leave, answer late or not at all, a store that is away or slow, links that are delayed, reset, cut in one direction or silent, clocks that differ by 2 s, changes of the configuration. It checks from what callers and workers see: no two runs of a task at once, room, work that nobody asked for, untrue answers and refusals, calls that are held, broken-off answers, configuration in force, planned stops, recovery. Workers are now reached through the forwarders of the settings, as peers are.

EveryFailureHasALine goes through the table of error codes.

--- /dev/null
+++ b/scripts/harness/judge_test.py
@@ -0,0 +1,80 @@
+"""Tests of the soak's judge: each broken promise that it should see, and none that it should not."""
+
+import json
+import unittest
+
+from harness.judge import Job, Judge
+
+SPEC = '{"work_ms": 50}'
+
+
+def started(task, run=1, worker="w1", at=1000, used=2000, spec=SPEC):
+    return json.dumps({"event": "run_started", "worker": worker, "task": task, "run": run,
+                       "spec": spec, "used_millicores": used, "steady_ms": at})
+
+
+def ended(task, run=1, worker="w1", at=1050, how="done"):
+    return json.dumps({"event": "run_ended", "worker": worker, "task": task, "run": run,
+                       "how": how, "steady_ms": at})
+
+
+class JudgeTest(unittest.TestCase):
+    def setUp(self):
+        self.judge = Judge(8000)
+        self.job = self.judge.jobs["a"] = Job("a", SPEC, 1)
+
+    def rules(self, *lines):
+        for line in lines:
+            self.judge.line(line)
+        self.judge.check_all({"w1", "w2"})
+        return [it["rule"] for it in self.judge.violations]
+
+    def test_a_sound_job_breaks_nothing(self):
+        self.job.answers.append((1.06, 200, "completed"))
+        self.assertEqual(self.rules(started("a.0.0.0"), ended("a.0.0.0")), [])
+
+    def test_two_runs_at_once(self):
+        self.assertEqual(self.rules(started("a.0.0.0"), started("a.0.0.0", 2, "w2", 1020),
+                                    ended("a.0.0.0"), ended("a.0.0.0", 2, "w2", 1100)), ["twice"])
+
+    def test_a_run_after_the_other_has_ended(self):
+        self.assertEqual(self.rules(started("a.0.0.0"), ended("a.0.0.0", how="lapsed"),
+                                    started("a.0.0.0", 2, "w2", 1050),
+                                    ended("a.0.0.0", 2, "w2", 1100)), [])
+
+    def test_a_run_after_the_death_of_the_first_worker(self):
+        self.judge.line(started("a.0.0.0"))
+        self.judge.worker_died("w1", 1.03)
+        self.assertEqual(self.rules(started("a.0.0.0", 2, "w2", 1040),
+                                    ended("a.0.0.0", 2, "w2", 1100)), [])
+
+    def test_a_worker_beyond_its_room(self):
+        self.assertEqual(self.rules(started("a.0.0.0", used=9000), ended("a.0.0.0")), ["room"])
+
+    def test_a_task_that_nobody_asked_for(self):
+        self.assertEqual(self.rules(started("b.0.0.0"), ended("b.0.0.0"), started("a.0.0.1"),
+                                    ended("a.0.0.1")), ["unasked", "unasked"])
+
+    def test_another_spec(self):
+        self.assertEqual(self.rules(started("a.0.0.0", spec="{}"), ended("a.0.0.0")), ["unasked"])
+
+    def test_a_run_that_is_left(self):
+        self.assertEqual(self.rules(started("a.0.0.0")), ["left"])
+
+    def test_an_answer_without_the_work(self):
+        self.job.answers.append((1.06, 200, "completed"))
+        self.assertEqual(self.rules(started("a.0.0.0"), ended("a.0.0.0", how="stopped")),
+                         ["false_answer"])
+
+    def test_a_failure_after_one_failed_run(self):
+        self.job.answers.append((1.06, 200, "failed"))
+        self.assertEqual(self.rules(started("a.0.0.0"), ended("a.0.0.0", how="failed")),
+                         ["false_answer"])
+
+    def test_a_refused_job_that_ran(self):
+        self.job.answers.append((1.06, 503, None))
+        self.assertEqual(self.rules(started("a.0.0.0"), ended("a.0.0.0")), ["refused"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/scripts/harness/soak.py
@@ -0,0 +1,605 @@
+"""A randomized, seeded soak of real processes on one machine; see scripts/soak."""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+from harness.cluster import Failure, Process, binary, note
+from harness.judge import Job, Judge
+from harness.proxy import Link
+
+DATA_CENTRES = ("north", "south")
+MILLICORES = 8000  # Of a worker.
+DEADLINE = 1.5  # Seconds that a caller waits for an answer.
+RESEND_AFTER = 1.3  # `retryDelayMs`: callers without an answer come back after this.
+CONFIG_APPLIES = 2.0  # `configApplyMs`.
+CONTACT = 3.0  # `contactMs`: a process is in touch when nothing disturbed it for this long.
+RECOVERY = 12.0  # `recoveryS`.
+GRACE = 6.0  # `graceS`: SIGTERM to SIGKILL.
+CALM = 18.0  # Without faults at the end, longer than RECOVERY.
+HOST = "soak.example"
+TIMER_STEP = 0.01  # By which the event loop's timers may be early.
+MOST_KEPT = 30  # Open connections of callers.
+
+
+class Worker:
+    def __init__(self, name, data_centre, port):
+        self.name, self.data_centre, self.port = name, data_centre, port
+        self.control = port + 1
+        self.process = None
+        self.id = f"{name}-{port}"
+        self.read_to = 0
+        self.paused = False
+
+
+class Entry:
+    def __init__(self, name, data_centre, port):
+        self.name, self.data_centre = name, data_centre
+        self.callers, self.operators, self.peers, self.ready_port = port, port + 1, port + 2, port + 3
+        self.process = None
+        self.links = {}  # Target address: Link.
+        self.is_ready = False
+        self.stopping = False
+        self.disturbed = 0.0  # When a fault last touched it.
+
+
+class Soak:
+    def __init__(self, options):
+        self.options = options
+        self.random = random.Random(options.seed)
+        self.directory = tempfile.mkdtemp(prefix=f"pollenwall-soak-{options.seed}-")
+        self.base = options.base
+        self.judge = Judge(MILLICORES)
+        self.store_port = self.base
+        self.store = None
+        self.store_disturbed = 0.0
+        self.entries = []
+        self.workers = []
+        self.routes = {}  # Prefix: times (published, removed or None).
+        self.version = 0
+        self.log = []
+        self.served_after_recovery = [0, 0]  # Served, sent.
+        self.closing = False
+        self.kept = []
+        for index, name in enumerate(DATA_CENTRES):
+            for n in range(options.entries):
+                self.entries.append(Entry(f"{name}-e{n}", name,
+                                          self.base + 100 + 10 * len(self.entries)))
+            for n in range(options.workers):
+                self.workers.append(Worker(f"{name}-w{n}", name,
+                                           self.base + 500 + 10 * len(self.workers)))
+
+    # Processes.
+
+    def start_store(self):
+        self.store = Process("store", [binary("platform-store"), f"--port={self.store_port}"],
+                             self.directory)
+
+    def start_worker(self, worker):
+        name = f"{worker.name}-{len(self.log)}"
+        worker.paused = False
+        worker.read_to = 0
+        worker.process = Process(name, [
+            binary("platform-worker"), f"--name={worker.name}",
+            f"--ports={worker.port}-{worker.port}", f"--control_port={worker.control}",
+            f"--store=127.0.0.1:{self.store_port}", f"--data_centre={worker.data_centre}",
+            f"--millicores={MILLICORES}"], self.directory)
+
+    async def start_links(self, entry):
+        targets = [self.store_port]
+        targets += [it.peers for it in self.entries if it is not entry]
+        targets += [it.port for it in self.workers]
+        for port in targets:
+            link = Link(("127.0.0.1", port))
+            link.port = await link.listen()
+            entry.links[port] = link
+
+    def start_entry(self, entry):
+        forwarders = ", ".join(f'"127.0.0.1:{port}=127.0.0.1:{link.port}"'
+                               for port, link in entry.links.items() if port != self.store_port)
+        text = (f"name: {entry.name}\ndata_centre: {entry.data_centre}\n"
+                f"data_centres: [{', '.join(DATA_CENTRES)}]\n"
+                f"listen:\n  callers: 127.0.0.1:{entry.callers}\n"
+                f"  operators: 127.0.0.1:{entry.operators}\n  peers: 127.0.0.1:{entry.peers}\n"
+                f"seeds: [127.0.0.1:{self.entries[0].peers}]\ntls: off\n"
+                f"forwarders: [{forwarders}]\n"
+                f"platform:\n  readiness: 127.0.0.1:{entry.ready_port}\n"
+                f"  store: 127.0.0.1:{entry.links[self.store_port].port}\n"
+                f"  machines: 127.0.0.1:{self.store_port}\n")
+        path = os.path.join(self.directory, entry.name + ".yaml")
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(text)
+        offset = self.random.choice((0, 0, 0, -2000, 2000))
+        entry.stopping = False
+        entry.process = Process(f"{entry.name}-{len(self.log)}", [
+            binary("pollenwalld"), f"--settings={path}", f"--clock_offset_ms={offset}"],
+            self.directory)
+
+    # The operator.
+
+    async def publish(self):
+        self.version += self.random.randint(1, 5)
+        now = time.monotonic()
+        added = f"/route{self.version}/"
+        for times in self.routes.values():
+            if times[1] is None and len(self.routes) > 1 and self.random.random() < 0.3:
+                times[1] = now
+        live = [prefix for prefix, times in self.routes.items() if times[1] is None] + [added]
+        self.routes[added] = [None, None]
+        routes = [{"name": prefix.strip("/"), "host": HOST, "pathPrefix": prefix,
+                   "service": "dispatch", "timeoutMs": int(DEADLINE * 1000), "priority": n % 3,
+                   "attempts": 2, "stretch": 1.6, "targetRuntimeMs": 60}
+                  for n, prefix in enumerate(live)]
+        value = json.dumps({"version": self.version, "routes": routes, "limits": {},
+                            "services": [{"name": "dispatch", "enforcesCapacity": False}]}).encode()
+        record = bytes([6]) + b"config" + value
+        status, _ = await http_call(self.store_port, "POST", "/log-append?topic=keyed.op&part=0",
+                                    len(record).to_bytes(4, "big") + record)
+        acknowledged = time.monotonic()
+        if status == 200:
+            self.routes[added][0] = acknowledged
+            for times in self.routes.values():
+                if times[1] == now:
+                    times[1] = acknowledged
+        else:  # It may be in force or not.
+            self.routes = {prefix: times for prefix, times in self.routes.items()
+                           if prefix != added and times[1] != now}
+
+    # Callers.
+
+    def in_touch(self, entry, since):
+        disturbed = max(entry.disturbed, self.store_disturbed)
+        return disturbed + CONTACT < since and not entry.stopping
+
+    async def caller(self, prefix, job, leaves):
+        body = json.dumps({"spec": job.spec, "bestEffort": True, "steps": [
+            {"count": job.count, "cpu": 2000, "memMb": 64, "estimateMs": 100}]}).encode()
+        sent = time.monotonic()
+        while True:
+            entry = self.pick()
+            if entry is None:
+                await asyncio.sleep(0.2)
+                if time.monotonic() > sent + DEADLINE:
+                    return
+                continue
+            began = time.monotonic()
+            limit = leaves if leaves else DEADLINE + 4
+            connection = self.take_connection(entry)
+            entry = connection.entry
+            status, answer = await connection.call(
+                "POST", prefix + job.name, body, limit,
+                {"X-Pollenwall-Deadline-Ms": int(DEADLINE * 1000)})
+            if connection.writer and len(self.kept) < MOST_KEPT:
+                self.kept.append(connection)
+            ended = time.monotonic()
+            state = answer.get("state") if isinstance(answer, dict) else None
+            job.answers.append((ended, status, state))
+            if status is None and leaves and ended - began >= leaves - TIMER_STEP:
+                job.gave_up = True
+                return
+            self.check_answer(entry, prefix, job, status, answer, began, ended)
+            if status == 200:
+                break
+            if status not in (None, 502, 504) or ended > sent + 3 * DEADLINE:
+                break
+            await asyncio.sleep(RESEND_AFTER)
+        if self.calm_since and sent > self.calm_since + RECOVERY:
+            self.served_after_recovery[0] += status == 200
+            self.served_after_recovery[1] += 1
+
+    def take_connection(self, entry):
+        """Half of the calls use an open connection, also to an entry that is not ready any more."""
+        self.kept = [it for it in self.kept if not it.reader.at_eof()]
+        if self.kept and self.random.random() < 0.5:
+            return self.kept.pop(self.random.randrange(len(self.kept)))
+        return Connection(entry.callers, entry)
+
+    def check_answer(self, entry, prefix, job, status, problem, began, ended):
+        published, removed = self.routes.get(prefix, [None, None])
+        if status == 404 and published and removed is None and began > published + CONFIG_APPLIES \
+                and self.in_touch(entry, began):
+            self.judge.violation("config", f"{entry.name} answered 404 for {prefix}, acknowledged "
+                                           f"{began - published:.1f} s before")
+        if status not in (404, None) and removed and began > removed + CONFIG_APPLIES \
+                and self.in_touch(entry, began):
+            self.judge.violation("config", f"{entry.name} answered {status} for {prefix}, removed "
+                                           f"{began - removed:.1f} s before")
+        if ended - began > DEADLINE + 2 and self.in_touch(entry, began) and \
+                entry.disturbed < began:
+            self.judge.violation("held", f"{entry.name} held {job.name} for {ended - began:.1f} s")
+        if status is None and entry.disturbed + CONTACT < began and not entry.stopping:
+            self.judge.violation("lost", f"{entry.name} broke off {job.name} after "
+                                         f"{ended - began:.3f} s: {problem}")
+
+    def pick(self):
+        ready = [it for it in self.entries if it.is_ready]
+        return self.random.choice(ready or self.entries)
+
+    async def arrivals(self, until):
+        tasks = set()
+        while time.monotonic() < until:
+            await asyncio.sleep(self.random.expovariate(self.options.rate))
+            live = list(self.routes)
+            if not live:
+                continue
+            if self.random.random() < 0.9:  # Others ask for routes that were removed, too.
+                live = [it for it in live if self.routes[it][1] is None] or live
+            prefix = self.random.choice(live[-4:])
+            job = Job(f"{self.random.getrandbits(64):016x}", "", self.random.randint(1, 4))
+            job.spec = json.dumps({"work_ms": self.random.choice((20, 50, 50, 150, 400)),
+                                   "millicores": 2000, "fails": self.random.random() < 0.01})
+            self.judge.jobs[job.name] = job
+            leaves = self.random.uniform(0.02, 0.5) if self.random.random() < 0.05 else None
+            task = asyncio.ensure_future(self.caller(prefix, job, leaves))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+        if tasks:
+            await asyncio.wait(tasks, timeout=3 * DEADLINE + 5)
+
+    async def balancer(self):
+        async def look(entry):
+            misses = 0
+            while not self.closing:
+                status, _ = await http_call(entry.ready_port, "GET", "/readyz", limit=1.0)
+                misses = 0 if status == 200 else misses + 1
+                entry.is_ready = misses < 2 if entry.is_ready else status == 200
+                await asyncio.sleep(1.0)
+        await asyncio.gather(*(look(it) for it in self.entries))
+
+    # Workers' reports and processes that end by themselves.
+
+    def read_reports(self):
+        for worker in self.workers:
+            with open(worker.process.log_path, "rb") as file:
+                file.seek(worker.read_to)
+                data = file.read()
+            whole = data.rfind(b"\n") + 1
+            worker.read_to += whole
+            for line in data[:whole].splitlines():
+                self.judge.line(line.decode("utf-8", "replace"))
+
+    async def watch(self):
+        while not self.closing:
+            await asyncio.sleep(0.5)
+            self.read_reports()
+            paused = any(it.paused for it in self.workers)
+            if not paused and self.judge.check_ended(time.monotonic() - 2) and not self.closing:
+                note("a task ran twice; the run goes on to its end")
+            for entry in self.entries:
+                if entry.process and not entry.process.running() and not entry.stopping:
+                    self.judge.violation("ended", f"{entry.name} ended by itself with "
+                                                  f"{entry.process.child.returncode}")
+                    self.start_entry(entry)
+
+    # Faults. Each runs from its start to the end of its effect.
+
+    def disturb(self, entries):
+        for entry in entries:
+            entry.disturbed = time.monotonic()
+
+    async def kill_entry(self, seconds):
+        entry = self.random.choice(self.entries)
+        if entry.stopping:
+            return
+        entry.stopping = True
+        self.disturb([entry])
+        entry.process.signal(signal.SIGKILL)
+        entry.process.child.wait()
+        await asyncio.sleep(min(seconds, 3))
+        self.start_entry(entry)
+        self.disturb([entry])
+
+    async def kill_all(self, _):
+        entries = [it for it in self.entries if not it.stopping]
+        for entry in entries:
+            entry.stopping = True
+            entry.process.signal(signal.SIGKILL)
+        self.disturb(self.entries)
+        await asyncio.sleep(0.5)
+        for entry in entries:
+            entry.process.child.wait()
+            self.start_entry(entry)
+        self.disturb(self.entries)
+
+    async def pause_entry(self, seconds):
+        entry = self.random.choice(self.entries)
+        if entry.stopping:
+            return
+        self.disturb([entry])
+        entry.process.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        entry.process.signal(signal.SIGCONT)
+        self.disturb([entry])
+
+    async def stop_entry(self, _):
+        entry = self.random.choice(self.entries)
+        if entry.stopping:
+            return
+        entry.stopping = True
+        entry.process.signal(signal.SIGTERM)
+        self.disturb([entry])
+        until = time.monotonic() + GRACE
+        while entry.process.running() and time.monotonic() < until:
+            await asyncio.sleep(0.05)
+        if entry.process.running():
+            self.judge.violation("drain", f"{entry.name} did not stop within {GRACE} s")
+            entry.process.signal(signal.SIGKILL)
+        entry.process.child.wait()
+        self.start_entry(entry)
+        self.disturb([entry])
+
+    async def hang_up(self, _):
+        entry = self.random.choice(self.entries)
+        if not entry.stopping:
+            entry.process.signal(signal.SIGHUP)
+
+    async def kill_worker(self, seconds):
+        worker = self.random.choice(self.workers)
+        if worker.paused or not worker.process.running():
+            return
+        worker.paused = True  # No other fault picks it meanwhile.
+        worker.process.signal(signal.SIGKILL)
+        worker.process.child.wait()
+        died = time.monotonic()
+        self.read_reports()
+        self.judge.worker_died(worker.id, died)
+        await asyncio.sleep(seconds)
+        self.start_worker(worker)
+
+    async def pause_worker(self, seconds):
+        worker = self.random.choice(self.workers)
+        if worker.paused or not worker.process.running():
+            return
+        worker.paused = True
+        worker.process.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        worker.process.signal(signal.SIGCONT)
+        await asyncio.sleep(0.2)
+        worker.paused = False
+
+    async def retire_worker(self, _):
+        worker = self.random.choice(self.workers)
+        if worker.paused or not worker.process.running():
+            return
+        worker.paused = True
+        worker.process.signal(signal.SIGTERM)
+        while worker.process.running():
+            await asyncio.sleep(0.05)
+        self.read_reports()
+        self.judge.worker_died(worker.id, time.monotonic())
+        await asyncio.sleep(1.0)
+        self.start_worker(worker)
+
+    async def misbehave(self, seconds):
+        worker = self.random.choice(self.workers)
+        fault = self.random.choice(({"slowness": 6.5}, {"hangs": True}, {"fails_all": True}))
+        await http_call(worker.control, "POST", "/behaviour", json.dumps(fault).encode())
+        await asyncio.sleep(seconds)
+        await http_call(worker.control, "POST", "/behaviour", b"{}")
+
+    async def disturb_worker_calls(self, seconds):
+        worker = self.random.choice(self.workers)
+        kind = self.random.choice(("lose_answer", "late", "delay", "drop"))
+        ms = self.random.randint(500, 4000)
+        await self.fault(worker.port, kind, ms, seconds, self.random.randint(3, 60))
+
+    async def disturb_store(self, seconds):
+        kind = self.random.choice(("outage", "delay", "lose_answer", "refuse", "stall"))
+        self.store_disturbed = time.monotonic()
+        ms = self.random.randint(100, 1500) if kind == "delay" else 0
+        await self.fault(self.store_port, kind, ms, seconds)
+        self.store_disturbed = time.monotonic()
+
+    async def fault(self, port, kind, ms, seconds, count=0):
+        for body in ({"kind": kind, "ms": ms, "count": count}, {"kind": "none"}):
+            await http_call(port, "POST", "/fault", json.dumps(body).encode())
+            if body["kind"] != "none":
+                await asyncio.sleep(seconds)
+
+    async def with_links(self, pick, change, seconds):
+        links = [(entry, link) for entry in self.entries for port, link in entry.links.items()
+                 if pick(entry, port)]
+        entries = {entry.name: entry for entry, _ in links}.values()
+        self.disturb(entries)
+        for _, link in links:
+            change(link)
+        await asyncio.sleep(seconds)
+        for _, link in links:
+            link.heal()
+        self.disturb(entries)
+
+    async def harm_links(self, seconds):
+        """Delays, resets, cuts one way or silences the links of one entry or of a data centre."""
+        change = self.random.choice((
+            lambda it: setattr(it, "delay", 0.05), lambda it: setattr(it, "delay", 0.4),
+            Link.reset, Link.silence, lambda it: it.cut(["up"]), lambda it: it.cut(["down"]),
+            lambda it: it.cut(["up", "down"])))
+        one = self.random.choice(self.entries)
+        centre = self.random.choice(DATA_CENTRES)
+        kinds = {it.peers: it.data_centre for it in self.entries}
+        kinds.update({it.port: it.data_centre for it in self.workers})
+        pick = self.random.choice((
+            lambda entry, port: entry is one,
+            lambda entry, port: entry is one and port == self.store_port,
+            lambda entry, port: entry is one and port >= self.base + 500,
+            lambda entry, port: entry is one and self.base + 100 <= port < self.base + 500,
+            lambda entry, port: kinds.get(port, None) != entry.data_centre and
+            centre in (entry.data_centre, kinds.get(port))))
+        # A cut between an entry and its peers disturbs both sides.
+        self.disturb(self.entries)
+        await self.with_links(pick, change, seconds)
+        self.disturb(self.entries)
+
+    async def change_configuration(self, _):
+        await self.publish()
+
+    async def faults(self, until):
+        kinds = (self.kill_entry, self.kill_entry, self.kill_all, self.pause_entry, self.pause_entry,
+                 self.stop_entry, self.stop_entry, self.hang_up, self.kill_worker, self.pause_worker,
+                 self.retire_worker, self.misbehave, self.misbehave, self.disturb_worker_calls,
+                 self.disturb_worker_calls, self.disturb_store, self.harm_links, self.harm_links,
+                 self.harm_links, self.change_configuration, self.change_configuration)
+        running = set()
+        while time.monotonic() < until:
+            kind = self.random.choice(kinds)
+            seconds = min(self.random.uniform(0.3, 6.0), max(0.3, until - time.monotonic()))
+            self.log.append((round(time.monotonic(), 3), kind.__name__, round(seconds, 2)))
+            task = asyncio.ensure_future(kind(seconds))
+            running.add(task)
+            task.add_done_callback(running.discard)
+            await asyncio.sleep(self.random.uniform(0.3, 3.0))
+        if running:
+            await asyncio.gather(*running)
+
+    # The whole run.
+
+    async def run(self):
+        self.calm_since = None
+        self.start_store()
+        await self.answering(self.store_port, "/log-newest?topic=keyed.op&part=0")
+        for worker in self.workers:
+            self.start_worker(worker)
+        await self.publish()
+        for entry in self.entries:
+            await self.start_links(entry)
+        for entry in self.entries:
+            self.start_entry(entry)
+        self.disturb(self.entries)
+        self.store_disturbed = time.monotonic()
+        helpers = [asyncio.ensure_future(self.balancer()), asyncio.ensure_future(self.watch())]
+        until = time.monotonic() + 10
+        while not all(it.is_ready for it in self.entries):
+            if time.monotonic() > until:
+                raise Failure("not all entries became ready within 10 s")
+            await asyncio.sleep(0.1)
+        end = time.monotonic() + self.options.minutes * 60
+        traffic = asyncio.ensure_future(self.arrivals(end + CALM))
+        await self.faults(end)
+        self.calm_since = time.monotonic()
+        note(f"{len(self.log)} faults are over; {CALM} s without")
+        await traffic
+        await asyncio.sleep(2.0)
+        self.closing = True
+        await asyncio.gather(*helpers)
+        self.read_reports()
+        self.judge.check_all({it.id for it in self.workers})
+        served, sent = self.served_after_recovery
+        if sent == 0 or served < sent / 4:
+            self.judge.violation("recover", f"{served} of {sent} jobs served after {RECOVERY} s")
+        for connection in self.kept:
+            connection.close()
+        for entry in self.entries:
+            for link in entry.links.values():
+                link.close()
+        await asyncio.sleep(0.1)
+
+    @staticmethod
+    async def answering(port, path):
+        for _ in range(100):
+            if (await http_call(port, "GET", path, limit=1.0))[0] is not None:
+                return
+            await asyncio.sleep(0.05)
+        raise Failure(f"port {port} does not answer")
+
+    def stop(self):
+        processes = [it.process for it in self.entries + self.workers if it.process]
+        for process in processes + [self.store]:
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGKILL)
+        for process in processes + [self.store]:
+            process.child.wait()
+
+
+class Connection:
+    """A kept HTTP/1.1 connection, one call at a time."""
+
+    def __init__(self, port, entry=None):
+        self.port, self.entry = port, entry
+        self.reader = self.writer = None
+
+    def close(self):
+        if self.writer:
+            self.writer.close()
+        self.reader = self.writer = None
+
+    async def call(self, method, path, body=b"", limit=5.0, headers=None):
+        """Returns status and body; the status is None when no answer came within the limit or the
+        connection broke."""
+        try:
+            return await asyncio.wait_for(self._exchange(method, path, body, headers or {}), limit)
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
+            self.close()
+            return None, {"problem": repr(error)}
+
+    async def _exchange(self, method, path, body, headers):
+        if not self.writer:
+            self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
+        lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"Content-Length: {len(body)}"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        head = (await self.reader.readuntil(b"\r\n\r\n")).decode().lower()
+        fields = dict(it.split(": ", 1) for it in head.strip().split("\r\n")[1:])
+        data = await self.reader.readexactly(int(fields.get("content-length", "0")))
+        if fields.get("connection") == "close":
+            self.close()
+        status = int(head.split(" ", 2)[1])
+        try:
+            return status, json.loads(data)
+        except ValueError:
+            return status, data
+
+
+async def http_call(port, method, path, body=b"", limit=5.0):
+    """One call on a connection of its own."""
+    connection = Connection(port)
+    try:
+        return await connection.call(method, path, body, limit)
+    finally:
+        connection.close()
+
+
+def main():
+    parser = argparse.ArgumentParser(prog="scripts/soak")
+    parser.add_argument("--seed", type=int, required=True)
+    parser.add_argument("--minutes", type=float, default=1.0, help="of faults; calm seconds follow")
+    parser.add_argument("--entries", type=int, default=3, help="of each data centre")
+    parser.add_argument("--workers", type=int, default=4, help="of each data centre")
+    parser.add_argument("--rate", type=float, default=40.0, help="jobs a second")
+    parser.add_argument("--base", type=int,
+                        default=int(os.environ.get("POLLENWALL_BASE_PORT", "20000")))
+    parser.add_argument("--keep", action="store_true", help="keep the logs of a run that passes")
+    options = parser.parse_args()
+    soak = Soak(options)
+    try:
+        asyncio.run(soak.run())
+    except Failure as failure:
+        soak.judge.violation("harness", str(failure))
+    finally:
+        soak.stop()
+    judge = soak.judge
+    statuses = {}
+    for job in judge.jobs.values():
+        last = job.final()
+        name = "gave_up" if job.gave_up else str(last[2] or last[1]) if last else "none"
+        statuses[name] = statuses.get(name, 0) + 1
+    print(json.dumps({"seed": options.seed, "faults": len(soak.log), "jobs": len(judge.jobs),
+                      "starts": judge.starts, "answers": statuses,
+                      "served_after_recovery": soak.served_after_recovery,
+                      "violations": judge.violations[:20], "violation_count": len(judge.violations),
+                      "logs": soak.directory}))
+    with open(os.path.join(soak.directory, "faults.json"), "w", encoding="utf-8") as file:
+        json.dump(soak.log, file)
+    if not judge.violations and not options.keep:
+        shutil.rmtree(soak.directory)
+    return 1 if judge.violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/libentry/entry_test.cpp
+++ b/src/libentry/entry_test.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 using namespace pollenwall;
+using namespace pollenwall::entry;
 using namespace pollenwall::entry::test;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -388,6 +389,151 @@
   return ok;
 }
 
+/// An entry that owns one call, and a peer that holds the upstreams of its service.
+struct OwnerAndHolder
+{
+  OwnerAndHolder()
+  {
+    Options options;
+    options.mName = "owner";
+    options.mDataCentre = "a";
+    options.mPeerAddress = "10.0.0.1:1";
+    options.mIncarnation = Incarnation{ 1 };
+    mState = MakeState(options, mNow);
+    configuration::Configuration configuration;
+    configuration.mVersion = 1;
+    configuration.mServices["s"] = { "s", {}, seconds(60), milliseconds(100), seconds(60), 1.0 };
+    configuration.mTeams["t"] = { "t", 1, 1e9, 1e9 };
+    Step(ConfigurationListed{ configuration });
+    Hear();
+  }
+
+  void Step(const Event& aEvent) { Handle(*mState, aEvent, mNow, mActions); }
+
+  /// A presence of the holder that has heard all that the owner has said so far.
+  void Hear()
+  {
+    const auto nowMs =
+      std::chrono::duration_cast<milliseconds>(mNow.mTime.time_since_epoch()).count();
+    message::Presence presence;
+    presence.mIncarnation = kHolder;
+    presence.mName = "holder";
+    presence.mDataCentre = "a";
+    presence.mPeerAddress = kAddress;
+    presence.mTimeMs = nowMs;
+    presence.mLoads = { { "s", 64000, 64000, 0 } };
+    presence.mHeard = { { Incarnation{ 1 }, nowMs } };
+    if (mNumber) {
+      presence.mTaken = { *mNumber };
+    }
+    Step(PeerMessage{ kAddress, presence });
+  }
+
+  /// Submits one call. The number of the latest submission to the holder is kept.
+  void Submit()
+  {
+    JobSpec job;
+    job.mId = "j";
+    job.mService = "s";
+    job.mTeam = "t";
+    job.mDeadline = milliseconds(3000);
+    job.mRestartable = true;
+    job.mTasks.resize(1);
+    Step(CallerSubmit{ 7, job });
+    NoteSubmission();
+  }
+
+  void NoteSubmission()
+  {
+    for (const auto& action : mActions) {
+      const auto* send = std::get_if<SendPeer>(&action);
+      const auto* submit =
+        send == nullptr ? nullptr : std::get_if<message::Submit>(&send->mMessage);
+      mNumber = submit == nullptr ? mNumber : std::optional(submit->mNumber);
+    }
+  }
+
+  /// Lets time pass until the call is answered, at most past its deadline.
+  void RunToAnswer()
+  {
+    for (int n = 0; n < 100 && !Answered(); ++n) {
+      mNow.mTime += milliseconds(40);
+      mNow.mUnixMs += 40;
+      Hear();
+      Step(Tick{});
+    }
+  }
+
+  bool Answered() const
+  {
+    return std::any_of(mActions.begin(), mActions.end(), [](const Action& aAction) {
+      return std::holds_alternative<AnswerCaller>(aAction);
+    });
+  }
+
+  static constexpr Incarnation kHolder{ 2 };
+  static constexpr const char* kAddress = "10.0.0.2:1";
+  Now mNow{ Time{ seconds(1000) }, 1'700'000'000'000 };
+  std::unique_ptr<State, void (*)(State*)> mState{ nullptr, nullptr };
+  Actions mActions;
+  std::optional<std::uint64_t> mNumber;
+};
+
+/// Whether each failed answer comes after a line with the job's id, the code and the reason.
+bool FailuresHaveLines(const Actions& aActions, std::string_view aCase)
+{
+  bool reported = false;
+  bool answered = false;
+  bool ok = true;
+  for (const auto& action : aActions) {
+    if (const auto* report = std::get_if<Report>(&action);
+        report != nullptr && report->mEvent == "call_answered") {
+      const std::map<std::string, std::string> fields(report->mFields.begin(),
+                                                      report->mFields.end());
+      reported = fields.at("job") == "j" && !fields.at("code").empty() &&
+                 !fields.at("reason").empty() && !fields.at("verdict").empty();
+    }
+    if (std::holds_alternative<AnswerCaller>(action)) {
+      answered = true;
+      ok &= Expect(std::exchange(reported, false), aCase);
+    }
+  }
+  return ok && Expect(answered, aCase);
+}
+
+/// Guards against a caller who gets a refusal or a failure that no line explains. Runs through the
+/// table of codes, so that a new one is covered.
+bool EveryFailureHasALine()
+{
+  bool ok = true;
+  for (int n = 0; n <= static_cast<int>(ErrorCode::Internal); ++n) {
+    const auto code = static_cast<ErrorCode>(n);
+    for (const bool refused : { true, false }) {
+      OwnerAndHolder pair;
+      pair.Submit();
+      ok &= Expect(pair.mNumber.has_value(), "the call is forwarded");
+      const Error error{ code, refused ? Verdict::NotRun : Verdict::Ran, "Because of a test.", {} };
+      JobAnswer answer{ "j", JobState::Failed, Verdict::Ran, {}, error };
+      pair.Step(PeerMessage{ OwnerAndHolder::kAddress,
+                             message::Reply{ *pair.mNumber,
+                                             refused ? std::nullopt : std::optional(answer),
+                                             refused ? std::optional(error) : std::nullopt } });
+      pair.RunToAnswer();
+      ok &= FailuresHaveLines(pair.mActions, ToString(code));
+    }
+  }
+  OwnerAndHolder late;
+  late.Submit();
+  late.RunToAnswer();
+  ok &= FailuresHaveLines(late.mActions, "the deadline passes");
+  OwnerAndHolder stopping;
+  stopping.Submit();
+  stopping.Step(Drain{});
+  stopping.RunToAnswer();
+  ok &= FailuresHaveLines(stopping.mActions, "the entry stops");
+  return ok;
+}
+
 } // namespace
 
 int main(int aCount, char** aArguments)
@@ -406,6 +552,7 @@
   ok = LateJobsWait() && ok;
   ok = RefusedInTime() && ok;
   ok = ListLosesWorkers() && ok;
+  ok = EveryFailureHasALine() && ok;
   constexpr std::uint64_t kSeeds = 60;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     ok = RandomFaults(seed) && ok;
--- a/src/pollenwalld/main.cpp
+++ b/src/pollenwalld/main.cpp
@@ -30,6 +30,10 @@
 
 ABSL_FLAG(std::string, settings, "", "file with the settings of this entry (YAML)");
 ABSL_FLAG(bool, check_settings, false, "check the settings file and exit: 0 when valid, 2 if not");
+ABSL_FLAG(std::int64_t,
+          clock_offset_ms,
+          0,
+          "added to the time of day, for trials of clocks that differ");
 
 namespace {
 
@@ -238,6 +242,7 @@
     return 0;
   }
   log::Init("pollenwalld", log::Output::StandardOutput);
+  SetClockOffset(std::chrono::milliseconds(absl::GetFlag(FLAGS_clock_offset_ms)));
   const int code = Run(std::move(*settings), std::move(*tls));
   // Fibers that wait for sockets would keep the scheduler's destructor waiting for ever. All
   // services have stopped, so nothing is lost by leaving without it.
--- a/src/pollenwalld/node_loop.cpp
+++ b/src/pollenwalld/node_loop.cpp
@@ -74,8 +74,19 @@
   });
 }
 
+std::chrono::milliseconds& ClockOffset()
+{
+  static std::chrono::milliseconds offset{ 0 };
+  return offset;
+}
+
 } // namespace
 
+void SetClockOffset(std::chrono::milliseconds aOffset)
+{
+  ClockOffset() = aOffset;
+}
+
 Now ReadClocks()
 {
   using std::chrono::duration_cast;
@@ -85,7 +96,7 @@
   const auto time = std::chrono::seconds(boot.tv_sec) + std::chrono::nanoseconds(boot.tv_nsec);
   const auto wall = std::chrono::system_clock::now().time_since_epoch();
   return { Time(duration_cast<Duration>(time)),
-           duration_cast<std::chrono::milliseconds>(wall).count() };
+           duration_cast<std::chrono::milliseconds>(wall + ClockOffset()).count() };
 }
 
 NodeLoop::NodeLoop(Shell& aShell, const node::Options& aOptions)
--- a/src/pollenwalld/shell.h
+++ b/src/pollenwalld/shell.h
@@ -26,4 +26,8 @@
 /// Both clocks, for an event that happens now.
 Now ReadClocks();
 
+/// Adds this to the time of day that ReadClocks returns from now on, for trials of clocks that
+/// differ.
+void SetClockOffset(std::chrono::milliseconds aOffset);
+
 } // namespace pollenwall::daemon
