--- a/src/include/pollenwall/log.h
+++ b/src/include/pollenwall/log.h
@@ -28,9 +28,9 @@
 /// Lines a second.
 struct Budget
 {
-  std::uint32_t mThinAfter = 200; ///< From here on, info lines of one job in kKeptJobs only.
-  std::uint32_t mInfo = 400;      ///< No info lines beyond.
-  std::uint32_t mMost = 800;      ///< No lines beyond.
+  std::size_t mThinAfter = 200; ///< From here on, info lines of one job in kKeptJobs only.
+  std::size_t mInfo = 400;      ///< No info lines beyond.
+  std::size_t mMost = 800;      ///< No lines beyond.
 
   friend bool operator==(const Budget&, const Budget&) = default;
 };
@@ -48,7 +48,7 @@
 {
   Budget mBudget;
   std::int64_t mSecond = 0;
-  std::uint32_t mLines = 0;
+  std::size_t mLines = 0;
   std::uint64_t mDropped = 0; ///< Since the last call of TakeDropped.
   std::uint64_t mAllDropped = 0;
 };
@@ -60,6 +60,9 @@
 /// Lines of this process that were not written, since its start.
 std::uint64_t DroppedLines();
 
+/// Changes the budget of the lines that Write writes.
+void SetBudget(const Budget& aBudget);
+
 /// Starts glog for the program and sends its lines as JSON to the output. Call once, first in main.
 /// Lines have `time` (RFC 3339, UTC, microseconds), `level`, `program`, `event` and the event's own
 /// fields.
--- a/src/include/pollenwall/settings.h
+++ b/src/include/pollenwall/settings.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include <pollenwall/entry.h>
+#include <pollenwall/log.h>
 #include <pollenwall/node.h>
 #include <pollenwall/yaml_reader.h>
 
@@ -79,6 +80,7 @@
   bool mTrustedNetwork = false;
   std::optional<Platform> mPlatform;
   HttpLimits mHttp;
+  log::Budget mLogs;
   std::size_t mMaxFrameBytes = 16 * 1024 * 1024; ///< Of one message between peers.
   /// Addresses of peers and upstreams, "IP:PORT", that this entry reaches only through a forwarder,
   /// and the forwarder's address.
--- a/src/libsettings/settings.cpp
+++ b/src/libsettings/settings.cpp
@@ -319,6 +319,13 @@
   ReadMilliseconds(http, "read_timeout_ms", 10, kHourMs, aSettings.mHttp.mReadTimeout);
   yaml::Finish(http);
 
+  constexpr std::size_t kMostLines = 1'000'000;
+  auto logs = yaml::GetSection(aRoot, "logs");
+  ReadSize(logs, "thin_after_per_second", 0, kMostLines, aSettings.mLogs.mThinAfter);
+  ReadSize(logs, "info_per_second", 0, kMostLines, aSettings.mLogs.mInfo);
+  ReadSize(logs, "most_per_second", 0, kMostLines, aSettings.mLogs.mMost);
+  yaml::Finish(logs);
+
   ReadSize(aRoot, "max_frame_bytes", 64 * kKibibyte, 256 * kMebibyte, aSettings.mMaxFrameBytes);
 }
 
--- a/src/libutil/log.cpp
+++ b/src/libutil/log.cpp
@@ -116,6 +116,11 @@
   return Sink().mMeter.mAllDropped;
 }
 
+void SetBudget(const Budget& aBudget)
+{
+  Sink().mMeter.mBudget = aBudget;
+}
+
 void Init(std::string_view aProgram, Output aOutput)
 {
   // glog keeps the pointer, so the name must outlive the call.
--- a/src/pollenwalld/main.cpp
+++ b/src/pollenwalld/main.cpp
@@ -242,6 +242,7 @@
     return 0;
   }
   log::Init("pollenwalld", log::Output::StandardOutput);
+  log::SetBudget(settings->mLogs);
   SetClockOffset(std::chrono::milliseconds(absl::GetFlag(FLAGS_clock_offset_ms)));
   const int code = Run(std::move(*settings), std::move(*tls));
   // Fibers that wait for sockets would keep the scheduler's destructor waiting for ever. All
