--- a/scripts/harness/soak.py
+++ b/scripts/harness/soak.py
@@ -56,6 +56,9 @@
         self.random = random.Random(options.seed)
         self.directory = tempfile.mkdtemp(prefix=f"pollenwall-soak-{options.seed}-")
         self.base = options.base
+        # Copies, so that a build during the run does not change what runs.
+        self.programs = {it: shutil.copy(binary(it), self.directory)
+                         for it in ("platform-store", "platform-worker", "pollenwalld")}
         self.judge = Judge(MILLICORES)
         self.store_port = self.base
         self.store = None
@@ -79,18 +82,18 @@
     # Processes.
 
     def start_store(self):
-        self.store = Process("store", [binary("platform-store"), f"--port={self.store_port}"],
+        self.store = Process("store", [self.programs["platform-store"], f"--port={self.store_port}"],
                              self.directory)
 
     def start_worker(self, worker):
         name = f"{worker.name}-{len(self.log)}"
-        worker.paused = False
-        worker.read_to = 0
         worker.process = Process(name, [
-            binary("platform-worker"), f"--name={worker.name}",
+            self.programs["platform-worker"], f"--name={worker.name}",
             f"--ports={worker.port}-{worker.port}", f"--control_port={worker.control}",
             f"--store=127.0.0.1:{self.store_port}", f"--data_centre={worker.data_centre}",
             f"--millicores={MILLICORES}"], self.directory)
+        worker.paused = False
+        worker.read_to = 0
 
     async def start_links(self, entry):
         targets = [self.store_port]
@@ -119,7 +122,7 @@
         offset = self.random.choice((0, 0, 0, -2000, 2000))
         entry.stopping = False
         entry.process = Process(f"{entry.name}-{len(self.log)}", [
-            binary("pollenwalld"), f"--settings={path}", f"--clock_offset_ms={offset}"],
+            self.programs["pollenwalld"], f"--settings={path}", f"--clock_offset_ms={offset}"],
             self.directory)
 
     # The operator.
@@ -440,6 +443,10 @@
     async def change_configuration(self, _):
         await self.publish()
 
+    def check_fault(self, task):
+        if task.exception() is not None:
+            self.judge.violation("harness", f"a fault ended with {task.exception()!r}")
+
     async def faults(self, until):
         kinds = (self.kill_entry, self.kill_entry, self.kill_all, self.pause_entry, self.pause_entry,
                  self.stop_entry, self.stop_entry, self.hang_up, self.kill_worker, self.pause_worker,
@@ -454,6 +461,7 @@
             task = asyncio.ensure_future(kind(seconds))
             running.add(task)
             task.add_done_callback(running.discard)
+            task.add_done_callback(self.check_fault)
             await asyncio.sleep(self.random.uniform(0.3, 3.0))
         if running:
             await asyncio.gather(*running)
