Keep the place of started jobs until their answer is worth little

Cause: a job that could no longer keep its target went behind all fresh ones even when most of its tasks had run. Ruled out: missing room (fresh jobs started meanwhile), priority (same queue). Change: a job that has started when its target can no longer be kept stays where it is until three times its target.

Test: StartedJobsAreFinished (twice the load that fits, fresh jobs of one task against a started job of four); fails without the change.

--- a/src/include/pollenwall/entry.h
+++ b/src/include/pollenwall/entry.h
@@ -105,6 +105,7 @@
 {
   RequestId mRequest = 0;
   JobSpec mJob;
+  std::string mCallersId{}; ///< The caller's own name of this attempt, for logs; may be empty.
 };
 
 /// Nobody waits for the answer any more; the job is stopped.
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -452,12 +452,21 @@
   }
 }
 
+/// The moment from which a job that waits would end at so many times its target.
+Time LateAt(const Job& aJob, Duration aWaited, int aTargets)
+{
+  return aJob.mAccepted - aWaited + aTargets * aJob.mTarget - aJob.mExpectedRun;
+}
+
+Time FarPastTarget(const Job& aJob, Duration aWaited)
+{
+  return LateAt(aJob, aWaited, kFarPastTarget);
+}
+
 /// The moment from which a job that still waits has the next lateness.
 Time NextLateness(const Job& aJob, Duration aWaited)
 {
-  const auto submitted = aJob.mAccepted - aWaited;
-  const auto target = aJob.mLateness == 0 ? aJob.mTarget : kFarPastTarget * aJob.mTarget;
-  return submitted + target - aJob.mExpectedRun;
+  return aJob.mLateness == 0 ? LateAt(aJob, aWaited, 1) : FarPastTarget(aJob, aWaited);
 }
 
 /// Refuses a job of which nothing has started, and says when the queue may be shorter.
@@ -484,8 +493,15 @@
     if (job.mGeneration != timer.mGeneration || job.mState != JobState::Running) {
       continue;
     }
+    // What a started job has done is lost if the rest comes too late, and costs less than a job of
+    // the same size that begins anew: it keeps its place until its answer is worth little.
+    if (job.mEverStarted && !std::exchange(job.mKeepsPlace, true)) {
+      timer.mAt = FarPastTarget(job, job.mSpec->mWaited);
+      aState.mTargets.push(timer);
+      continue;
+    }
     CountFreshWork(aState, job, -(job.mQueuedWork[0] + job.mQueuedWork[1]));
-    ++job.mLateness;
+    job.mLateness = job.mKeepsPlace ? kMostLateness : job.mLateness + 1;
     SetKeys(aState, job);
     timer.mAt = NextLateness(job, job.mSpec->mWaited);
     const bool last = job.mLateness == kMostLateness;
--- a/src/libdispatch/policy_test.cpp
+++ b/src/libdispatch/policy_test.cpp
@@ -471,6 +471,41 @@
                 "a large job ends by its deadline");
 }
 
+/// Guards against a job whose last tasks wait behind fresh jobs until its answer is worthless, so
+/// that what has run is lost. Load: twice as much as fits, in jobs of one task that can still keep
+/// their target, while a larger job with the same target has started and is late.
+bool StartedJobsAreFinished()
+{
+  Simulation simulation{ MakeBench({ .mWorkers = 1, .mSlots = 2 }) };
+  const auto submit = [&simulation](std::uint32_t aTasks) {
+    auto& bench = simulation.mBench;
+    JobSpec job;
+    job.mId = "targeted-" + std::to_string(++bench.mNextJob);
+    job.mService = "s";
+    job.mTeam = "t0";
+    job.mDeadline = seconds(3);
+    job.mTargetStretch = 1.6;
+    job.mTargetSlack = milliseconds(60);
+    job.mRestartable = true;
+    job.mTasks.resize(aTasks);
+    for (auto& task : job.mTasks) {
+      task.mDeclaredRun = milliseconds(100);
+    }
+    Handle(bench, dispatch::Submit{ bench.mNextJob, job });
+    Note(simulation);
+    return job.mId;
+  };
+  const auto submitted = simulation.mBench.mNow.mTime;
+  const auto large = submit(4);
+  Run(simulation, seconds(2), milliseconds(25), [&] { submit(1); });
+  // Three times the target, after which an answer is worth little more than none.
+  constexpr milliseconds kMost{ 3 * 220 };
+  const auto it = simulation.mFinished.find(large);
+  return Expect(it != simulation.mFinished.end() && it->second.first == JobState::Complete &&
+                  it->second.second - submitted <= kMost,
+                "a started job ends while its answer is worth something");
+}
+
 /// Guards against a rack whose loss takes all tasks of a job.
 bool JobsSpreadOverRacks()
 {
@@ -644,6 +679,7 @@
   passed &= TeamsShareByWeight();
   passed &= LeastRemainingWorkGoesFirst();
   passed &= UrgentJobsGoFirst();
+  passed &= StartedJobsAreFinished();
   passed &= JobsSpreadOverRacks();
   passed &= SlotsAreFilledAtOnce();
   passed &= RefusalsNameTheirReason();
--- a/src/libdispatch/state.h
+++ b/src/libdispatch/state.h
@@ -90,6 +90,7 @@
   queue::WorkByClass mQueuedWork{};
   bool mUrgent = false;
   std::uint32_t mLateness = 0; ///< See queue::JobKey.
+  bool mKeepsPlace = false;    ///< Had started when it could no longer keep its target.
   Duration mExpectedRun{ 0 };  ///< Of its longest task.
   Duration mTarget{ 0 };       ///< From the submission; 0: none.
   std::uint32_t mPriority = 0;
--- a/src/libentry/calls.cpp
+++ b/src/libentry/calls.cpp
@@ -109,6 +109,7 @@
   AddReport(aActions,
             "call_answered",
             { { "job", call.mJob.mId },
+              { "request_id", call.mCallersId },
               { "state", aAnswer && aAnswer->mState == JobState::Complete ? "complete" : "failed" },
               { "verdict", std::string(ToString(verdict)) },
               { "code", error ? std::string(ToString(error->mCode)) : "" },
@@ -154,6 +155,7 @@
     AddReport(aActions,
               "call_forwarded",
               { { "job", call.mJob.mId },
+                { "request_id", call.mCallersId },
                 { "holder", own ? "self" : FindPeer(aState, *call.mHolder)->mPresence.mName } });
     Forward(aState, aNumber, call, aNow, aActions);
     return;
@@ -219,6 +221,7 @@
   Call call;
   call.mRequest = aEvent.mRequest;
   call.mJob = aEvent.mJob;
+  call.mCallersId = aEvent.mCallersId;
   call.mDeadline = aNow.mTime + Duration(aEvent.mJob.mDeadline);
   call.mMilliCores = MilliCoresOf(aEvent.mJob);
   aState.mCalls.emplace(number, std::move(call));
@@ -272,7 +275,8 @@
   }
   const auto number = it->second;
   const auto& call = aState.mCalls.at(number);
-  AddReport(aActions, "caller_gone", { { "job", call.mJob.mId } });
+  AddReport(
+    aActions, "caller_gone", { { "job", call.mJob.mId }, { "request_id", call.mCallersId } });
   if (call.mHolder == aState.mOptions.mIncarnation) {
     for (const auto& [request, origin] : aState.mOrigins) {
       if (!origin.mPeer && origin.mNumber == number) {
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -18,6 +18,7 @@
 {
   RequestId mRequest = 0;
   JobSpec mJob;
+  std::string mCallersId; ///< See CallerSubmit.
   Time mDeadline{};
   std::uint64_t mMilliCores = 0; ///< Asked for by all tasks together.
   /// The holder that has the job; empty while it waits to be forwarded.
