Connect to a peer at once when it has been heard

Ruled out: the wait before claims (500 ms, kept by both), slow processes (lag below 5 ms), the store (listed within 15 ms). Change: a request for a new connection also ends an attempt that hangs and the pause between attempts; the core asks for one as soon as it hears a peer that does not hear it. DisconnectPeer, which nobody sent, is gone.

Test: ConnectsAtOnceWhenAskedAnew fails without the change (the pause is 250 ms).

--- a/src/include/pollenwall/entry.h
+++ b/src/include/pollenwall/entry.h
@@ -216,11 +216,6 @@
   bool mAnew = false;
 };
 
-struct DisconnectPeer
-{
-  std::string mAddress;
-};
-
 /// A line for the log: a decision on a request or a change of what this entry believes.
 struct Report
 {
@@ -240,16 +235,8 @@
 struct Stopped
 {};
 
-using Action = std::variant<AnswerCaller,
-                            StartRun,
-                            StopRun,
-                            Look,
-                            SendPeer,
-                            ConnectPeer,
-                            DisconnectPeer,
-                            Report,
-                            Measured,
-                            Stopped>;
+using Action = std::
+  variant<AnswerCaller, StartRun, StopRun, Look, SendPeer, ConnectPeer, Report, Measured, Stopped>;
 using Actions = std::vector<Action>;
 
 struct State;
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -358,7 +358,6 @@
     Reply(mWorld, mNode, life, Delay(mWorld), PeerConnected{ aAction.mAddress });
   }
 
-  void operator()(const DisconnectPeer& /*aAction*/) const {}
   void operator()(const Report& aAction) const
   {
     if (std::getenv("POLLENWALL_TEST_LOG") != nullptr) {
--- a/src/pollenwalld/daemon_test.cpp
+++ b/src/pollenwalld/daemon_test.cpp
@@ -20,6 +20,7 @@
   passed &= test::UpstreamPoolTests(context);
   passed &= test::PeersTests(context);
   passed &= test::CallersTests(context);
+  passed &= test::EntryLinksTests(context);
   std::fflush(nullptr);
   // Fibers that wait for sockets would keep the scheduler's destructor waiting for ever.
   ::_exit(passed ? 0 : 1);
--- a/src/pollenwalld/entry_links.cpp
+++ b/src/pollenwalld/entry_links.cpp
@@ -12,23 +12,50 @@
 /// A peer that reads slower than this much behind is disconnected: some seconds of forwarded jobs.
 constexpr std::size_t kMaxQueuedBytes = std::size_t{ 8 } << 20;
 
-std::shared_ptr<PeerLink> Connect(EntryLinks& aLinks, const net::Tcp::endpoint& aEndpoint)
+/// Returns whether the link is connected. CloseLink ends the attempt early.
+bool Connect(EntryLinks& aLinks,
+             const std::shared_ptr<PeerLink>& aLink,
+             const net::Tcp::endpoint& aTo)
 {
-  auto link = std::make_shared<PeerLink>(net::Socket(aLinks.mShell.mContext));
   boost::asio::steady_timer timer(aLinks.mShell.mContext, kConnectTimeout);
-  timer.async_wait([link](const boost::system::error_code& aEc) {
+  timer.async_wait([aLink](const boost::system::error_code& aEc) {
     if (!aEc) {
-      CloseLink(*link);
+      CloseLink(*aLink);
     }
   });
   boost::system::error_code ec;
-  link->mStream.mSocket.async_connect(aEndpoint, net::Await(ec));
+  aLink->mStream.mSocket.async_connect(aTo, net::Await(ec));
   timer.cancel();
-  if (ec || link->mClosed) {
-    return nullptr;
+  if (ec || aLink->mClosed) {
+    return false;
+  }
+  net::ConfigureSocket(aLink->mStream.mSocket);
+  return true;
+}
+
+/// The connection to an address; null when it is no longer wanted.
+OutLink* FindOut(EntryLinks& aLinks, const std::string& aAddress)
+{
+  const auto it = aLinks.mOut.find(aAddress);
+  return it == aLinks.mOut.end() ? nullptr : &it->second;
+}
+
+/// Connects once and reads until the connection ends. The peer sends nothing on it.
+void ConnectAndRead(EntryLinks& aLinks, const std::string& aAddress, const net::Tcp::endpoint& aTo)
+{
+  const auto link = std::make_shared<PeerLink>(net::Socket(aLinks.mShell.mContext));
+  FindOut(aLinks, aAddress)->mLink = link;
+  const bool connected = Connect(aLinks, link, aTo);
+  if (auto* out = FindOut(aLinks, aAddress); connected && out != nullptr) {
+    out->mConnected = true;
+    Post(aLinks.mLoop, entry::PeerConnected{ aAddress });
+    ReadMessages(*link, aLinks.mLimits, [](const message::Message&) {});
+  }
+  CloseLink(*link);
+  if (auto* out = FindOut(aLinks, aAddress)) {
+    out->mLink = nullptr;
+    out->mConnected = false;
   }
-  net::ConfigureSocket(link->mStream.mSocket);
-  return link;
 }
 
 /// Keeps a connection to one address for as long as it is wanted.
@@ -37,38 +64,42 @@
   const auto endpoint =
     net::ParseEndpoint(settings::ConnectAddress(aLinks.mShell.mSettings, aAddress));
   while (endpoint && !aLinks.mStopped && aLinks.mOut.contains(aAddress)) {
-    const auto link = Connect(aLinks, *endpoint);
-    if (link) {
-      aLinks.mOut[aAddress] = link;
-      Post(aLinks.mLoop, entry::PeerConnected{ aAddress });
-      // The peer sends nothing on this connection; the read notices its end.
-      ReadMessages(*link, aLinks.mLimits, [](const message::Message&) {});
-      CloseLink(*link);
-      const auto it = aLinks.mOut.find(aAddress);
-      if (it != aLinks.mOut.end()) {
-        it->second = nullptr;
-      }
+    ConnectAndRead(aLinks, aAddress, *endpoint);
+    const auto pause =
+      std::make_shared<boost::asio::steady_timer>(aLinks.mShell.mContext, kReconnect);
+    if (auto* out = FindOut(aLinks, aAddress)) {
+      out->mPause = pause;
     }
-    net::SleepFor(aLinks.mShell.mContext, kReconnect);
+    boost::system::error_code ec;
+    pause->async_wait(net::Await(ec));
   }
 }
 
+/// A new connection is also asked for when the peer has been heard while an attempt hangs: packets
+/// to a machine that was not there yet are sent again only after a second.
 void Want(EntryLinks& aLinks, const entry::ConnectPeer& aAction)
 {
-  const auto it = aLinks.mOut.find(aAction.mAddress);
-  if (it == aLinks.mOut.end()) {
-    aLinks.mOut.emplace(aAction.mAddress, nullptr);
+  auto* out = FindOut(aLinks, aAction.mAddress);
+  if (out == nullptr) {
+    aLinks.mOut.emplace(aAction.mAddress, OutLink{});
     net::Spawn([&aLinks, address = aAction.mAddress] { KeepConnected(aLinks, address); });
-  } else if (aAction.mAnew && it->second) {
-    CloseLink(*it->second);
+    return;
+  }
+  if (!aAction.mAnew) {
+    return;
+  }
+  if (out->mLink) {
+    CloseLink(*out->mLink);
+  }
+  if (out->mPause) {
+    out->mPause->cancel();
   }
 }
 
 void Send(EntryLinks& aLinks, const entry::SendPeer& aAction)
 {
-  const auto it = aLinks.mOut.find(aAction.mAddress);
-  if (it != aLinks.mOut.end() && it->second &&
-      !SendOn(*it->second, aAction.mMessage, aLinks.mLimits)) {
+  const auto* out = FindOut(aLinks, aAction.mAddress);
+  if (out != nullptr && out->mConnected && !SendOn(*out->mLink, aAction.mMessage, aLinks.mLimits)) {
     log::Warning("peer_too_slow", { { "address", aAction.mAddress } });
   }
 }
@@ -135,16 +166,6 @@
   auto& table = aLinks.mLoop.mTable;
   table.mSendPeer = [&aLinks](entry::SendPeer& aAction) { Send(aLinks, aAction); };
   table.mConnectPeer = [&aLinks](entry::ConnectPeer& aAction) { Want(aLinks, aAction); };
-  table.mDisconnectPeer = [&aLinks](entry::DisconnectPeer& aAction) {
-    const auto it = aLinks.mOut.find(aAction.mAddress);
-    if (it == aLinks.mOut.end()) {
-      return;
-    }
-    if (it->second) {
-      CloseLink(*it->second);
-    }
-    aLinks.mOut.erase(it);
-  };
   net::Spawn([&aLinks] { Accept(aLinks); });
   return {};
 }
@@ -154,9 +175,9 @@
   aLinks.mStopped = true;
   boost::system::error_code ec;
   aLinks.mAcceptor.close(ec);
-  for (const auto& [address, link] : aLinks.mOut) {
-    if (link) {
-      CloseAfterWrites(*link);
+  for (const auto& [address, out] : aLinks.mOut) {
+    if (out.mLink) {
+      CloseAfterWrites(*out.mLink);
     }
   }
 }
--- a/src/pollenwalld/entry_links.h
+++ b/src/pollenwalld/entry_links.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include <boost/asio/basic_socket_acceptor.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "entry_loop.h"
 #include "peer_link.h"
@@ -15,6 +16,15 @@
 /// connection on which the other no longer hears it.
 namespace pollenwall::daemon {
 
+/// The connection over which this entry sends to a peer.
+struct OutLink
+{
+  std::shared_ptr<PeerLink> mLink; ///< Null while it pauses between two attempts.
+  bool mConnected = false;
+  /// Runs during the pause; cancelling it ends the pause.
+  std::shared_ptr<boost::asio::steady_timer> mPause;
+};
+
 struct EntryLinks
 {
   EntryLinks(Shell& aShell, EntryLoop& aLoop)
@@ -28,7 +38,7 @@
   EntryLoop& mLoop;
   PeerLimits mLimits;
   boost::asio::basic_socket_acceptor<net::Tcp, net::Executor> mAcceptor;
-  std::map<std::string, std::shared_ptr<PeerLink>> mOut; ///< By address; null while connecting.
+  std::map<std::string, OutLink, std::less<>> mOut; ///< By address.
   std::set<std::shared_ptr<PeerLink>> mIn;
   bool mStopped = false;
 };
--- /dev/null
+++ b/src/pollenwalld/entry_links_test.cpp
@@ -0,0 +1,59 @@
+#include "entry_links.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include "daemon_test.h"
+
+namespace pollenwall::test {
+namespace {
+
+using namespace daemon;
+using std::chrono::milliseconds;
+
+/// Guards against an entry that stays unheard for the length of an attempt and a pause after the
+/// start of its peer: the peer then takes it for absent and claims its upstreams.
+bool ConnectsAtOnceWhenAskedAnew(boost::asio::io_context& aContext)
+{
+  // Used by fibers that outlive the test.
+  static auto& shell = *new Shell(aContext);
+  shell.mSettings.mPeers = { "127.0.0.1", 0 };
+  RegisterEntryLoop(shell, entry::Options{});
+  RegisterEntryLinks(shell);
+  auto& loop = *kernel::Find<EntryLoop>(shell.mKernel, "entry");
+  const bool started = boost::leaf::try_handle_all(
+    []() -> Result<bool> {
+      BOOST_LEAF_CHECK(kernel::Start(shell.mKernel));
+      return true;
+    },
+    [](const Error&) { return false; },
+    [] { return false; });
+  // A port on which nobody listens yet.
+  boost::asio::basic_socket_acceptor<net::Tcp, net::Executor> acceptor(aContext);
+  boost::system::error_code ec;
+  acceptor.open(net::Tcp::v4(), ec);
+  acceptor.bind({ boost::asio::ip::address_v4::loopback(), 0 }, ec);
+  const auto address = net::ToString(acceptor.local_endpoint());
+  entry::ConnectPeer want{ address, false };
+  loop.mTable.mConnectPeer(want);
+  net::SleepFor(aContext, milliseconds(20));
+  const auto& link = kernel::Find<EntryLinks>(shell.mKernel, "entry_links")->mOut.at(address);
+  bool passed = Expect(started && !ec && !link.mConnected, "the peer does not listen");
+  acceptor.listen(1, ec);
+  want.mAnew = true;
+  loop.mTable.mConnectPeer(want);
+  for (int n = 0; n < 10 && !link.mConnected; ++n) {
+    net::SleepFor(aContext, milliseconds(5));
+  }
+  passed &= Expect(link.mConnected, "connected within 50 ms, although the pause is 250 ms");
+  kernel::Stop(shell.mKernel);
+  return passed;
+}
+
+} // namespace
+
+bool EntryLinksTests(boost::asio::io_context& aContext)
+{
+  return ConnectsAtOnceWhenAskedAnew(aContext);
+}
+
+} // namespace pollenwall::test
--- a/src/pollenwalld/entry_loop.cpp
+++ b/src/pollenwalld/entry_loop.cpp
@@ -26,7 +26,6 @@
   void operator()(entry::Look& aAction) { Carry(mLoop.mTable.mLook, aAction); }
   void operator()(entry::SendPeer& aAction) { Carry(mLoop.mTable.mSendPeer, aAction); }
   void operator()(entry::ConnectPeer& aAction) { Carry(mLoop.mTable.mConnectPeer, aAction); }
-  void operator()(entry::DisconnectPeer& aAction) { Carry(mLoop.mTable.mDisconnectPeer, aAction); }
   void operator()(entry::Measured& aAction)
   {
     metrics::Observe(
--- a/src/pollenwalld/entry_loop.h
+++ b/src/pollenwalld/entry_loop.h
@@ -25,7 +25,6 @@
   std::function<void(entry::Look&)> mLook;
   std::function<void(entry::SendPeer&)> mSendPeer;
   std::function<void(entry::ConnectPeer&)> mConnectPeer;
-  std::function<void(entry::DisconnectPeer&)> mDisconnectPeer;
   std::function<void()> mTicked; ///< After each tick.
 };
 
