Presences tell each peer only when it was heard; count held upstreams by hash

Each presence listed all peers that were heard, though a peer reads only its own line, and each presence rebuilt the set of held upstreams.

--- a/src/libentry/claims.cpp
+++ b/src/libentry/claims.cpp
@@ -53,14 +53,25 @@
   return stopping || abandoned ? all : near;
 }
 
-bool IsHeldBy(const State& aState, Incarnation aEntry, const std::string& aKey)
+/// Upstreams of a share that an entry holds. The hashes are those of the keys.
+std::size_t CountHeld(const State& aState,
+                      Incarnation aEntry,
+                      const std::vector<std::string>& aKeys,
+                      const std::vector<std::uint64_t>& aHashes)
 {
   if (aEntry == aState.mOptions.mIncarnation) {
-    return holding::Holds(aState.mHolding, aKey);
+    return static_cast<std::size_t>(
+      std::count_if(aKeys.begin(), aKeys.end(), [&aState](const std::string& aKey) {
+        return holding::Holds(aState.mHolding, aKey);
+      }));
   }
   const auto address = aState.mPeerAddresses.find(aEntry);
-  return address != aState.mPeerAddresses.end() &&
-         aState.mPeers.at(address->second).mHeld.contains(aState.mUpstreams.at(aKey).mHash);
+  if (address == aState.mPeerAddresses.end()) {
+    return 0;
+  }
+  const auto& held = aState.mPeers.at(address->second).mHeld;
+  return static_cast<std::size_t>(std::count_if(
+    aHashes.begin(), aHashes.end(), [&held](std::uint64_t aHash) { return held.contains(aHash); }));
 }
 
 /// Classes of processor shares, each twice the one below. A holder needs about a tenth of a core
@@ -88,12 +99,14 @@
   std::optional<Incarnation> best;
   std::tuple<int, std::size_t, std::uint64_t> most;
   const auto name = aShare.mDataCentre + "/" + std::to_string(aShare.mNumber);
+  std::vector<std::uint64_t> hashes;
+  hashes.reserve(aKeys.size());
+  for (const auto& key : aKeys) {
+    hashes.push_back(aState.mUpstreams.at(key).mHash);
+  }
   for (const auto entry : aCandidates) {
-    const auto held = std::count_if(aKeys.begin(), aKeys.end(), [&](const std::string& aKey) {
-      return IsHeldBy(aState, entry, aKey);
-    });
     const std::tuple rank{ ProcessorClass(ProcessorShareOf(aState, entry)),
-                           static_cast<std::size_t>(held),
+                           CountHeld(aState, entry, aKeys, hashes),
                            RendezvousWeight(name, entry.mValue) };
     if (!best || rank > most) {
       best = entry;
--- a/src/libentry/entry.cpp
+++ b/src/libentry/entry.cpp
@@ -30,8 +30,9 @@
       continue;
     }
     const auto outcome = std::string(ToString(static_cast<holding::OrderStatus>(n)));
-    aCounters.emplace_back("orders_total{order=\"" + aKind + "\",outcome=\"" + outcome + "\"}",
-                           aCounts[n]);
+    std::string name = "orders_total{order=\"";
+    name.append(aKind).append("\",outcome=\"").append(outcome).append("\"}");
+    aCounters.emplace_back(std::move(name), aCounts[n]);
   }
 }
 
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -91,10 +91,12 @@
       peer.mEchoedAt = Time(Duration(milliseconds(heard.mTimeMs)));
     }
   }
-  aState.mClaimsDue = aState.mClaimsDue || aPresence.mHeld != peer.mPresence.mHeld ||
-                      aPresence.mLeaving != peer.mPresence.mLeaving;
+  if (aPresence.mHeld != peer.mPresence.mHeld) {
+    peer.mHeld = { aPresence.mHeld.begin(), aPresence.mHeld.end() };
+    aState.mClaimsDue = true;
+  }
+  aState.mClaimsDue = aState.mClaimsDue || aPresence.mLeaving != peer.mPresence.mLeaving;
   peer.mPresence = aPresence;
-  peer.mHeld = { aPresence.mHeld.begin(), aPresence.mHeld.end() };
   peer.mSentMilliCores.clear();
   DropUnopened(aState, peer, aNow, aActions);
   ResendUntaken(aState, peer, aNow, aActions);
@@ -125,17 +127,17 @@
     }
   }
   presence.mLoads = LoadsOf(aState);
-  for (const auto& [address, peer] : aState.mPeers) {
-    const auto age = peer.mHeardAt ? aNow.mTime - *peer.mHeardAt : Duration(kHeardListed);
-    if (age < kHeardListed) {
-      presence.mHeard.push_back({ peer.mIncarnation, peer.mPresence.mTimeMs });
-    }
-  }
   for (auto& [address, peer] : aState.mPeers) {
     if (IsIdlePair(aState, peer) && aNow.mTime < peer.mNextIdlePresence) {
       continue;
     }
     peer.mNextIdlePresence = aNow.mTime + Duration(aState.mOptions.mIdlePresenceInterval);
+    // Each peer is told only when it was heard itself: with a list of all, the bytes of all
+    // presences would grow with the cube of the number of entries.
+    presence.mHeard.clear();
+    if (peer.mHeardAt && aNow.mTime - *peer.mHeardAt < kHeardListed) {
+      presence.mHeard.push_back({ peer.mIncarnation, peer.mPresence.mTimeMs });
+    }
     presence.mOpen = OpenAt(aState, peer.mIncarnation);
     presence.mTaken = TakenFrom(aState, peer.mIncarnation);
     aActions.emplace_back(SendPeer{ address, presence });
