Write equal tasks of a forwarded job once

Cause: a forwarded job carried its payload of up to 4 KB once for each task, most of the bytes between data centres. Test: EqualTasksAreWrittenOnce.

--- a/src/libmessages/messages.cpp
+++ b/src/libmessages/messages.cpp
@@ -125,6 +125,21 @@
       Write(it);
     }
   }
+  /// A task equal to the one before it is written as nil: the tasks of a job mostly are, and their
+  /// payload of some kilobytes is most of a message.
+  void Write(const std::vector<TaskSpec>& aTasks)
+  {
+    Header([n = aTasks.size()](char* aOut) {
+      return mp_encode_array(aOut, static_cast<std::uint32_t>(n));
+    });
+    for (std::size_t n = 0; n < aTasks.size(); ++n) {
+      if (n > 0 && aTasks[n] == aTasks[n - 1]) {
+        Header([](char* aOut) { return mp_encode_nil(aOut); });
+      } else {
+        Write(aTasks[n]);
+      }
+    }
+  }
   template<typename T>
   requires std::is_class_v<T>
   void Write(const T& aValue)
@@ -271,6 +286,28 @@
     }
     return true;
   }
+  /// Nil stands for a task equal to the one before it. A repeated task takes one byte, so their
+  /// number is bounded.
+  bool Read(std::vector<TaskSpec>& aTasks)
+  {
+    constexpr std::uint32_t kMostTasks = 10000;
+    if (Type() != MP_ARRAY) {
+      return false;
+    }
+    const auto n = mp_decode_array(&mAt);
+    if (n > kMostTasks) {
+      return false;
+    }
+    for (std::uint32_t i = 0; i < n; ++i) {
+      if (i > 0 && Type() == MP_NIL) {
+        mp_decode_nil(&mAt);
+        aTasks.push_back(aTasks.back());
+      } else if (!Read(aTasks.emplace_back())) {
+        return false;
+      }
+    }
+    return true;
+  }
   template<typename T>
   requires std::is_class_v<T>
   bool Read(T& aValue);
--- a/src/libmessages/messages_test.cpp
+++ b/src/libmessages/messages_test.cpp
@@ -270,6 +270,26 @@
   return skipped && !doubled && !missing;
 }
 
+/// Guards against messages whose size grows with a job's payload times its tasks, which takes most
+/// of the bytes between data centres, and against a few bytes that claim millions of tasks.
+bool EqualTasksAreWrittenOnce()
+{
+  Submit submit;
+  submit.mJob.mId = "j";
+  submit.mJob.mTasks.assign(100, { std::string(4000, 'x'), std::chrono::milliseconds(5), {} });
+  submit.mJob.mTasks[50].mPayload = "another";
+  const auto bytes = Encode(submit);
+  const auto decoded = Decode(bytes);
+  // The payload stands there twice: before and after the task that differs.
+  constexpr std::size_t kMostBytes = 2 * 4000 + 1000;
+  if (!decoded || std::get<Submit>(*decoded) != submit || bytes.size() > kMostBytes) {
+    std::cerr << "equal tasks: " << bytes.size() << " bytes\n";
+    return false;
+  }
+  submit.mJob.mTasks.assign(20000, submit.mJob.mTasks[0]);
+  return !Decode(Encode(submit));
+}
+
 } // namespace
 
 int main()
@@ -279,5 +299,6 @@
   passed &= DamagedMessagesNeverCrash();
   passed &= HugeCountsAreRefused();
   passed &= UnknownKeysAreSkipped();
+  passed &= EqualTasksAreWrittenOnce();
   return passed ? 0 : 1;
 }
