--- a/scripts/harness/soak.py
+++ b/scripts/harness/soak.py
@@ -72,8 +72,9 @@
         self.version = 0
         self.log = []
         self.served_after_recovery = [0, 0]  # Served, sent.
+        self.calm_since = None  # When the last fault was over.
         self.closing = False
-        self.kept = []
+        self.kept = []  # Open connections of callers.
         for index, name in enumerate(DATA_CENTRES):
             for n in range(options.entries):
                 self.entries.append(Entry(f"{name}-e{n}", name,
@@ -480,7 +481,6 @@
     # The whole run.
 
     async def run(self):
-        self.calm_since = None
         self.start_store()
         await self.answering(self.store_port, "/log-newest?topic=keyed.op&part=0")
         for worker in self.workers:
