One decaying rate for demand and inflow; refusals without copies

The inflow of work by priority was a second decaying mean beside a team's demand, and the query of demands had the formula a third time: DecayingRate, RateNow and AddToRate serve all. A refused call was copied with its payloads to ask for another holder, and the holder was chosen twice; it is now noted as refused first and asked once. RefuseSubmission builds the reply that stood in two places.

--- a/src/libdispatch/accept.cpp
+++ b/src/libdispatch/accept.cpp
@@ -55,12 +55,6 @@
   return kPackedPart * static_cast<double>(room.mMilliCores) / each;
 }
 
-double Decayed(const Inflow& aInflow, const Now& aNow)
-{
-  const double passed = std::max(0.0, Seconds(aNow.mTime - aInflow.mAt));
-  return aInflow.mWorkPerSecond * std::exp(-passed / kInflowSeconds);
-}
-
 /// Work that goes before the job's as it arrives, in seconds of run time a second.
 double MoreUrgentInflow(const State& aState, const Job& aJob, const Now& aNow)
 {
@@ -68,7 +62,7 @@
   for (const auto& [priority, inflow] : aState.mServices[aJob.mService].mInflow) {
     const bool first =
       priority < aJob.mPriority || (priority == aJob.mPriority && aJob.mLateness > 0);
-    sum += first ? Decayed(inflow, aNow) : 0;
+    sum += first ? RateNow(inflow, kInflowSeconds, aNow) : 0;
   }
   return sum;
 }
@@ -107,6 +101,17 @@
 
 } // namespace
 
+double RateNow(const DecayingRate& aRate, double aSeconds, const Now& aNow)
+{
+  const double passed = std::max(0.0, Seconds(aNow.mTime - aRate.mAt));
+  return aRate.mPerSecond * std::exp(-passed / aSeconds);
+}
+
+void AddToRate(DecayingRate& aRate, double aAmount, double aSeconds, const Now& aNow)
+{
+  aRate = { RateNow(aRate, aSeconds, aNow) + aAmount / aSeconds, aNow.mTime };
+}
+
 Time LateAt(const Job& aJob, Duration aWaited, int aTargets)
 {
   return aJob.mAccepted - aWaited + aTargets * aJob.mTarget - aJob.mExpectedRun;
@@ -114,9 +119,9 @@
 
 void CountInflow(State& aState, const Job& aJob, const Now& aNow)
 {
-  auto& inflow = aState.mServices[aJob.mService].mInflow[aJob.mPriority];
   const Duration work{ aJob.mQueuedWork[0] + aJob.mQueuedWork[1] };
-  inflow = { Decayed(inflow, aNow) + Seconds(work) / kInflowSeconds, aNow.mTime };
+  AddToRate(
+    aState.mServices[aJob.mService].mInflow[aJob.mPriority], Seconds(work), kInflowSeconds, aNow);
 }
 
 Duration QueueTime(const State& aState, const Job& aJob, const Now& aNow)
@@ -135,10 +140,7 @@
 
 void CountDemand(Team& aTeam, std::size_t aTasks, const Now& aNow)
 {
-  const double passed = std::max(0.0, Seconds(aNow.mTime - aTeam.mDemandAt));
-  aTeam.mDemand = aTeam.mDemand * std::exp(-passed / kDemandSeconds) +
-                  static_cast<double>(aTasks) / kDemandSeconds;
-  aTeam.mDemandAt = aNow.mTime;
+  AddToRate(aTeam.mDemand, static_cast<double>(aTasks), kDemandSeconds, aNow);
 }
 
 /// What is wrong with a job regardless of load.
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -448,15 +448,10 @@
   }
 }
 
-Time FarPastTarget(const Job& aJob, Duration aWaited)
-{
-  return LateAt(aJob, aWaited, kFarPastTarget);
-}
-
 /// The moment from which a job that still waits has the next lateness.
 Time NextLateness(const Job& aJob, Duration aWaited)
 {
-  return aJob.mLateness == 0 ? LateAt(aJob, aWaited, 1) : FarPastTarget(aJob, aWaited);
+  return LateAt(aJob, aWaited, aJob.mLateness == 0 ? 1 : kFarPastTarget);
 }
 
 /// Refuses a job of which nothing has started, and says when the queue may be shorter.
@@ -486,7 +481,7 @@
     // What a started job has done is lost if the rest comes too late, and costs less than a job of
     // the same size that begins anew: it keeps its place until its answer is worth little.
     if (job.mEverStarted && !std::exchange(job.mKeepsPlace, true)) {
-      timer.mAt = FarPastTarget(job, job.mSpec->mWaited);
+      timer.mAt = LateAt(job, job.mSpec->mWaited, kFarPastTarget);
       aState.mTargets.push(timer);
       continue;
     }
--- a/src/libdispatch/queries.cpp
+++ b/src/libdispatch/queries.cpp
@@ -208,9 +208,7 @@
 {
   std::vector<std::pair<std::string, double>> demands;
   for (const auto& [name, n] : aState.mTeamByName) {
-    const auto& team = aState.mTeams[n];
-    const auto passed = std::chrono::duration<double>(aNow.mTime - team.mDemandAt).count();
-    const double demand = team.mDemand * std::exp(-std::max(0.0, passed) / kDemandSeconds);
+    const double demand = RateNow(aState.mTeams[n].mDemand, kDemandSeconds, aNow);
     if (demand >= kLeastDemand) {
       demands.emplace_back(name, demand);
     }
--- a/src/libdispatch/state.h
+++ b/src/libdispatch/state.h
@@ -126,13 +126,19 @@
   friend auto operator<=>(const Rank&, const Rank&) = default;
 };
 
-/// Accepted work, as a decaying mean.
-struct Inflow
+/// A decaying mean of what comes a second.
+struct DecayingRate
 {
-  double mWorkPerSecond = 0; ///< Seconds of tasks' run time a second, as of mAt.
+  double mPerSecond = 0; ///< As of mAt.
   Time mAt{};
 };
 
+/// The mean now, when the weight of the past falls to 1/e in aSeconds.
+double RateNow(const DecayingRate& aRate, double aSeconds, const Now& aNow);
+
+/// Adds what has come now.
+void AddToRate(DecayingRate& aRate, double aAmount, double aSeconds, const Now& aNow);
+
 struct Service
 {
   std::uint32_t mBorrowed = 0; ///< Credits that may be recalled.
@@ -144,8 +150,9 @@
   std::array<std::size_t, 2> mRunning{}; ///< Of the short and the long class.
   /// Queued work in microseconds by rank, in the order in which it is served.
   std::map<Rank, std::int64_t> mRankedWork;
-  std::map<std::uint32_t, Inflow> mInflow; ///< By priority.
-  double mShortPeak = 0;                   ///< Decaying maximum of slots wanted by the short class.
+  /// Accepted work by priority, in seconds of tasks' run time a second.
+  std::map<std::uint32_t, DecayingRate> mInflow;
+  double mShortPeak = 0; ///< Decaying maximum of slots wanted by the short class.
 };
 
 struct Team
@@ -155,8 +162,7 @@
   configuration::Team mSettings;
   double mShare = 1;
   admission::TokenBucket mQuota;
-  double mDemand = 0; ///< Starts a second, as of mDemandAt.
-  Time mDemandAt{};
+  DecayingRate mDemand;    ///< Starts a second.
   std::size_t mQueued = 0; ///< Over all services, delayed ones included.
 };
 
--- a/src/libentry/calls.cpp
+++ b/src/libentry/calls.cpp
@@ -93,20 +93,6 @@
   return best ? std::optional(std::pair(*best, least)) : std::nullopt;
 }
 
-std::optional<Incarnation> ChooseHolder(const State& aState, const Call& aCall, const Now& aNow)
-{
-  const auto best = LeastPressure(aState, aCall, aNow);
-  return best ? std::optional(best->first) : std::nullopt;
-}
-
-/// Whether another holder than the one that has just refused the job has free places for it.
-bool HasRoomElsewhere(const State& aState, Call aCall, Incarnation aHolder, const Now& aNow)
-{
-  aCall.mRefusedBy.push_back(aHolder);
-  const auto best = LeastPressure(aState, aCall, aNow);
-  return best && best->second <= 1;
-}
-
 void Answer(State& aState,
             CallNumber aNumber,
             std::optional<JobAnswer> aAnswer,
@@ -161,8 +147,9 @@
 void Offer(State& aState, CallNumber aNumber, const Now& aNow, Actions& aActions)
 {
   auto& call = aState.mCalls.at(aNumber);
-  call.mHolder = ChooseHolder(aState, call, aNow);
-  if (call.mHolder) {
+  call.mHolder.reset();
+  if (const auto best = LeastPressure(aState, call, aNow)) {
+    call.mHolder = best->first;
     const bool own = *call.mHolder == aState.mOptions.mIncarnation;
     if (!own) {
       auto* peer = FindPeer(aState, *call.mHolder);
@@ -196,17 +183,15 @@
   call.mForwardAt = aNow.mTime + kForwardAgain;
 }
 
-/// Offers a call that a holder has refused to the next one, or passes the refusal on.
-void RefusedBy(State& aState,
-               CallNumber aNumber,
-               Incarnation aHolder,
-               Error aError,
-               const Now& aNow,
-               Actions& aActions)
+/// Offers a call that its holder has refused to the next one, or passes the refusal on.
+void OfferAfterRefusal(State& aState,
+                       CallNumber aNumber,
+                       Error aError,
+                       const Now& aNow,
+                       Actions& aActions)
 {
   auto& call = aState.mCalls.at(aNumber);
   call.mRefusal = std::move(aError);
-  call.mRefusedBy.push_back(aHolder);
   if (call.mRefusedBy.size() >= kMostRefusals) {
     Answer(aState, aNumber, std::nullopt, std::move(call.mRefusal), aActions);
     return;
@@ -345,9 +330,13 @@
   if (aAnswer) {
     const auto code = aAnswer->mError ? aAnswer->mError->mCode : ErrorCode::Internal;
     if (aAnswer->mState == JobState::Failed && aAnswer->mVerdict == Verdict::NotRun &&
-        code == ErrorCode::DeadlineUnreachable && HasRoomElsewhere(aState, call, aHolder, aNow)) {
-      RefusedBy(aState, aNumber, aHolder, std::move(*aAnswer->mError), aNow, aActions);
-      return;
+        code == ErrorCode::DeadlineUnreachable) {
+      call.mRefusedBy.push_back(aHolder);
+      const auto best = LeastPressure(aState, call, aNow);
+      if (best && best->second <= 1) { // Another holder has free places for it.
+        OfferAfterRefusal(aState, aNumber, std::move(*aAnswer->mError), aNow, aActions);
+        return;
+      }
     }
     const bool calledOff = aAnswer->mState == JobState::Failed &&
                            (code == ErrorCode::Cancelled || code == ErrorCode::Stopping);
@@ -375,7 +364,8 @@
     default:
       break;
   }
-  RefusedBy(aState, aNumber, aHolder, std::move(*aError), aNow, aActions);
+  call.mRefusedBy.push_back(aHolder);
+  OfferAfterRefusal(aState, aNumber, std::move(*aError), aNow, aActions);
 }
 
 void ResendCalls(State& aState, const Peer& aPeer, const Now& aNow, Actions& aActions)
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -69,6 +69,19 @@
   }
 }
 
+/// Tells a peer that its submission is refused or given up.
+void RefuseSubmission(State& aState,
+                      Incarnation aPeer,
+                      CallNumber aNumber,
+                      Error aError,
+                      Actions& aActions)
+{
+  if (const auto* peer = FindPeer(aState, aPeer)) {
+    aActions.emplace_back(
+      SendPeer{ peer->mAddress, message::Reply{ aNumber, std::nullopt, std::move(aError) } });
+  }
+}
+
 /// Carries out one action of the scheduling core.
 struct DispatchCarrier
 {
@@ -251,13 +264,11 @@
                 Actions& aActions)
 {
   const auto refuse = [&](ErrorCode aCode, Verdict aVerdict, std::string aMessage) {
-    if (const auto* peer = FindPeer(aState, aPeer)) {
-      aActions.emplace_back(SendPeer{
-        peer->mAddress,
-        message::Reply{ aSubmit.mNumber,
-                        std::nullopt,
-                        Error{ aCode, aVerdict, std::move(aMessage), kStoppingRetryAfter } } });
-    }
+    RefuseSubmission(aState,
+                     aPeer,
+                     aSubmit.mNumber,
+                     { aCode, aVerdict, std::move(aMessage), kStoppingRetryAfter },
+                     aActions);
   };
   if (aState.mDraining) {
     return refuse(ErrorCode::Stopping, Verdict::NotRun, "The holder is stopping.");
@@ -375,15 +386,14 @@
     ++aState.mCounts.mOwnersLost;
     AddReport(aActions, "owner_lost", { { "job", origin.mJob } }, true);
     // An owner that is only cut off submits the job elsewhere when it hears this.
-    if (const auto* peer = FindPeer(aState, *origin.mPeer)) {
-      aActions.emplace_back(SendPeer{ peer->mAddress,
-                                      message::Reply{ origin.mNumber,
-                                                      std::nullopt,
-                                                      Error{ ErrorCode::OwnerUnreachable,
-                                                             Verdict::MayHaveRun,
-                                                             "The owner was not heard.",
-                                                             kStoppingRetryAfter } } });
-    }
+    RefuseSubmission(aState,
+                     *origin.mPeer,
+                     origin.mNumber,
+                     { ErrorCode::OwnerUnreachable,
+                       Verdict::MayHaveRun,
+                       "The owner was not heard.",
+                       kStoppingRetryAfter },
+                     aActions);
     CancelOrigin(aState, request, aNow);
   }
   std::erase_if(aState.mCancelled,
