Share the loop of the two cores, the wake-up of callers and the feeding of parsers

entry_loop and node_loop had twin loops, carriers of reports and queues (core_loop.h now); the caller services woke a waiting fiber with the same lines; http_pool and upstream_connection fed their parsers with the same loop (net::FeedParser). Behaviour unchanged.

--- a/src/include/pollenwall/net/http_pool.h
+++ b/src/include/pollenwall/net/http_pool.h
@@ -10,6 +10,9 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 
 #include <pollenwall/net/stream.h>
 
@@ -17,6 +20,12 @@
 /// fiber per connection would cost two context switches a call.
 namespace pollenwall::net {
 
+using ResponseParser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+/// Feeds what has arrived to the parser until it is done or needs more. False: the bytes are no
+/// valid response, and the connection cannot be used further.
+bool FeedParser(boost::beast::flat_buffer& aBuffer, ResponseParser& aParser);
+
 struct HttpCallResult
 {
   unsigned mStatus = 0; ///< 0: there is no answer.
--- a/src/libnet/http_pool.cpp
+++ b/src/libnet/http_pool.cpp
@@ -4,9 +4,6 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <pollenwall/net/http_client.h>
 
@@ -32,7 +29,7 @@
   std::string mWriting; ///< Outlives the call: an early answer ends it before all is written.
   Clock::time_point mCallUntil = Clock::time_point::max();
   boost::beast::flat_buffer mBuffer;
-  std::optional<http::response_parser<http::string_body>> mParser;
+  std::optional<ResponseParser> mParser;
 };
 
 namespace {
@@ -94,21 +91,11 @@
 /// Feeds what has arrived to the parser. False: the connection cannot be used further.
 bool Parse(const ConnectionPtr& aConnection)
 {
-  auto& buffer = aConnection->mBuffer;
-  while (buffer.size() > 0 && !aConnection->mParser->is_done()) {
-    boost::system::error_code ec;
-    buffer.consume(aConnection->mParser->put(buffer.data(), ec));
-    if (ec == http::error::need_more) {
-      return true;
-    }
-    if (ec) {
-      return false;
-    }
-  }
-  if (aConnection->mParser->is_done()) {
+  const bool usable = FeedParser(aConnection->mBuffer, *aConnection->mParser);
+  if (usable && aConnection->mParser->is_done()) {
     Complete(aConnection);
   }
-  return true;
+  return usable;
 }
 
 /// A read is outstanding for the whole life of the connection, so a close by the server is noticed
@@ -202,6 +189,21 @@
 
 } // namespace
 
+bool FeedParser(boost::beast::flat_buffer& aBuffer, ResponseParser& aParser)
+{
+  while (aBuffer.size() > 0 && !aParser.is_done()) {
+    boost::system::error_code ec;
+    aBuffer.consume(aParser.put(aBuffer.data(), ec));
+    if (ec == http::error::need_more) {
+      return true;
+    }
+    if (ec) {
+      return false;
+    }
+  }
+  return true;
+}
+
 void Call(const std::shared_ptr<HttpPool>& aPool, HttpCall aCall)
 {
   if (const auto connection = TakeIdle(*aPool)) {
--- a/src/pollenwalld/callers.cpp
+++ b/src/pollenwalld/callers.cpp
@@ -7,6 +7,8 @@
 
 #include <pollenwall/log.h>
 
+#include "core_loop.h"
+
 namespace pollenwall::daemon {
 namespace {
 
@@ -229,13 +231,7 @@
 Result<void> StartCallers(Callers& aCallers)
 {
   aCallers.mLoop.mTable.mAnswerCaller = [&aCallers](node::AnswerCaller& aAction) {
-    const auto it = aCallers.mWaiting.find(aAction.mRequest);
-    if (it == aCallers.mWaiting.end()) {
-      return; // The caller is gone.
-    }
-    auto* waiting = it->second;
-    aCallers.mWaiting.erase(it);
-    waiting->Set(std::move(aAction));
+    WakeCaller(aCallers.mWaiting, aAction);
   };
   const auto& settings = aCallers.mShell.mSettings;
   net::HttpServerOptions options;
--- a/src/pollenwalld/entry_loop.cpp
+++ b/src/pollenwalld/entry_loop.cpp
@@ -1,6 +1,6 @@
 #include "entry_loop.h"
 
-#include <pollenwall/log.h>
+#include "core_loop.h"
 
 namespace pollenwall::daemon {
 namespace {
@@ -12,14 +12,6 @@
 {
   EntryLoop& mLoop;
 
-  template<typename Action>
-  void Carry(const std::function<void(Action&)>& aFunction, Action& aAction)
-  {
-    if (aFunction) {
-      aFunction(aAction);
-    }
-  }
-
   void operator()(entry::AnswerCaller& aAction) { Carry(mLoop.mTable.mAnswerCaller, aAction); }
   void operator()(entry::StartRun& aAction) { Carry(mLoop.mTable.mStartRun, aAction); }
   void operator()(entry::StopRun& aAction) { Carry(mLoop.mTable.mStopRun, aAction); }
@@ -33,34 +25,9 @@
   }
   void operator()(entry::Stopped&) { mLoop.mStopped.Set(true); }
 
-  void operator()(entry::Report& aAction)
-  {
-    std::vector<log::Field> fields;
-    for (auto& [name, value] : aAction.mFields) {
-      fields.emplace_back(name, std::move(value));
-    }
-    log::Write(aAction.mWarning ? log::Level::Warning : log::Level::Info, aAction.mEvent, fields);
-  }
+  void operator()(entry::Report& aAction) { WriteReport(aAction); }
 };
 
-void Run(EntryLoop& aLoop)
-{
-  std::vector<entry::Event> events;
-  entry::Actions actions;
-  for (;;) {
-    aLoop.mWakeup.Wait();
-    events.swap(aLoop.mEvents);
-    for (const auto& event : events) {
-      entry::Handle(*aLoop.mState, event, ReadClocks(), actions);
-    }
-    events.clear();
-    for (auto& action : actions) {
-      std::visit(Carrier{ aLoop }, action);
-    }
-    actions.clear();
-  }
-}
-
 void Tick(EntryLoop& aLoop)
 {
   aLoop.mTick.expires_after(kTickInterval);
@@ -89,8 +56,7 @@
 
 void Post(EntryLoop& aLoop, entry::Event aEvent)
 {
-  aLoop.mEvents.push_back(std::move(aEvent));
-  aLoop.mWakeup.Set();
+  QueueEvent(aLoop, std::move(aEvent));
 }
 
 void BeginDrain(EntryLoop& aLoop)
@@ -108,7 +74,8 @@
                    { "entry",
                      {},
                      [loop]() -> Result<void> {
-                       net::Spawn([loop] { Run(*loop); }, net::kLargeStackBytes);
+                       net::Spawn([loop] { RunCore<entry::Actions, Carrier>(*loop); },
+                                  net::kLargeStackBytes);
                        Tick(*loop);
                        return {};
                      },
--- a/src/pollenwalld/node_loop.cpp
+++ b/src/pollenwalld/node_loop.cpp
@@ -2,7 +2,7 @@
 
 #include <ctime>
 
-#include <pollenwall/log.h>
+#include "core_loop.h"
 
 namespace pollenwall::daemon {
 namespace {
@@ -12,14 +12,6 @@
 /// The core keeps the drain limit itself; this only bounds the stop when it does not.
 constexpr std::chrono::milliseconds kDrainMargin{ 5000 };
 
-template<typename Action>
-void Carry(const std::function<void(Action&)>& aFunction, Action& aAction)
-{
-  if (aFunction) {
-    aFunction(aAction);
-  }
-}
-
 struct Carrier
 {
   NodeLoop& mLoop;
@@ -35,34 +27,9 @@
   void operator()(node::AppendLog& aAction) { Carry(mLoop.mTable.mAppendLog, aAction); }
   void operator()(node::Stopped&) { mLoop.mStopped.Set(true); }
 
-  void operator()(node::Report& aAction)
-  {
-    std::vector<log::Field> fields;
-    for (const auto& [name, value] : aAction.mFields) {
-      fields.emplace_back(name, value);
-    }
-    log::Write(aAction.mWarning ? log::Level::Warning : log::Level::Info, aAction.mEvent, fields);
-  }
+  void operator()(node::Report& aAction) { WriteReport(aAction); }
 };
 
-void Run(NodeLoop& aLoop)
-{
-  std::vector<node::Event> events;
-  node::Actions actions;
-  for (;;) {
-    aLoop.mWakeup.Wait();
-    events.swap(aLoop.mEvents);
-    for (const auto& event : events) {
-      node::Handle(*aLoop.mState, event, ReadClocks(), actions);
-    }
-    events.clear();
-    for (auto& action : actions) {
-      std::visit(Carrier{ aLoop }, action);
-    }
-    actions.clear();
-  }
-}
-
 void Tick(NodeLoop& aLoop)
 {
   aLoop.mTick.expires_after(kTickInterval);
@@ -110,8 +77,7 @@
 
 void Post(NodeLoop& aLoop, node::Event aEvent)
 {
-  aLoop.mEvents.push_back(std::move(aEvent));
-  aLoop.mWakeup.Set();
+  QueueEvent(aLoop, std::move(aEvent));
 }
 
 void BeginDrain(NodeLoop& aLoop)
@@ -135,7 +101,8 @@
                    { "node",
                      {},
                      [loop]() -> Result<void> {
-                       net::Spawn([loop] { Run(*loop); }, net::kLargeStackBytes);
+                       net::Spawn([loop] { RunCore<node::Actions, Carrier>(*loop); },
+                                  net::kLargeStackBytes);
                        Tick(*loop);
                        return {};
                      },
--- a/src/pollenwalld/upstream_connection.cpp
+++ b/src/pollenwalld/upstream_connection.cpp
@@ -65,21 +65,11 @@
 /// Feeds what has arrived to the parser. False: the connection cannot be used further.
 bool Parse(const ConnectionPtr& aConnection)
 {
-  auto& buffer = aConnection->mBuffer;
-  while (buffer.size() > 0 && !aConnection->mParser->is_done()) {
-    boost::system::error_code ec;
-    buffer.consume(aConnection->mParser->put(buffer.data(), ec));
-    if (ec == http::error::need_more) {
-      return true;
-    }
-    if (ec) {
-      return false;
-    }
-  }
-  if (aConnection->mParser->is_done()) {
+  const bool usable = net::FeedParser(aConnection->mBuffer, *aConnection->mParser);
+  if (usable && aConnection->mParser->is_done()) {
     Complete(aConnection);
   }
-  return true;
+  return usable;
 }
 
 /// A read is outstanding for the whole life of the connection, so a close by the upstream is
--- a/src/pollenwalld/upstream_connection.h
+++ b/src/pollenwalld/upstream_connection.h
@@ -3,6 +3,8 @@
 #include <chrono>
 #include <memory>
 
+#include <pollenwall/net/http_pool.h>
+
 #include "upstream_pool.h"
 
 /// One connection of an upstream pool. For the pool's own use.
@@ -35,7 +37,7 @@
   std::chrono::steady_clock::time_point mSentAt;
   std::chrono::steady_clock::time_point mCloseAt = std::chrono::steady_clock::time_point::max();
   boost::beast::flat_buffer mBuffer;
-  std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> mParser;
+  std::optional<net::ResponseParser> mParser;
 };
 
 using ConnectionPtr = std::shared_ptr<UpstreamConnection>;
