--- a/src/include/pollenwall/standin/server.h
+++ b/src/include/pollenwall/standin/server.h
@@ -63,6 +63,9 @@
 /// Makes the JSON body and headers of a refusal or failure.
 Response ErrorResponse(unsigned aStatus, Verdict aVerdict, ErrorCode aCode, std::string aMessage);
 
+/// Returns the value of a query parameter, as it stands in the request; empty when it is absent.
+std::string_view QueryText(const Request& aRequest, std::string_view aName);
+
 /// Returns the value of a query parameter, or the default when it is absent or not a number.
 std::uint64_t QueryNumber(const Request& aRequest, std::string_view aName, std::uint64_t aDefault);
 
--- a/src/libstandin/server.cpp
+++ b/src/libstandin/server.cpp
@@ -333,7 +333,7 @@
   return response;
 }
 
-std::uint64_t QueryNumber(const Request& aRequest, std::string_view aName, std::uint64_t aDefault)
+std::string_view QueryText(const Request& aRequest, std::string_view aName)
 {
   std::string_view rest = aRequest.mQuery;
   while (!rest.empty()) {
@@ -341,15 +341,19 @@
     const auto pair = rest.substr(0, end);
     rest.remove_prefix(std::min(end + 1, rest.size()));
     const auto equals = pair.find('=');
-    if (equals == std::string_view::npos || pair.substr(0, equals) != aName) {
-      continue;
+    if (equals != std::string_view::npos && pair.substr(0, equals) == aName) {
+      return pair.substr(equals + 1);
     }
-    std::uint64_t n = 0;
-    const auto text = pair.substr(equals + 1);
-    const auto [last, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-    return ec == std::errc() && last == text.data() + text.size() ? n : aDefault;
   }
-  return aDefault;
+  return "";
+}
+
+std::uint64_t QueryNumber(const Request& aRequest, std::string_view aName, std::uint64_t aDefault)
+{
+  std::uint64_t n = 0;
+  const auto text = QueryText(aRequest, aName);
+  const auto [last, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+  return ec == std::errc() && last == text.data() + text.size() ? n : aDefault;
 }
 
 Now ReadClocks()
