--- a/scripts/harness/forwarder.py
+++ b/scripts/harness/forwarder.py
@@ -1,4 +1,4 @@
-"""TCP forwarders between data centres that can be stalled, as a cut network stalls connections."""
+"""TCP forwarders whose links can be cut, delayed, reset or silenced, as a network does to connections."""
 
 import asyncio
 import threading
@@ -7,23 +7,92 @@
 
 
 class Link:
-    """All forwarders from one data centre to another. While stalled, bytes wait in the kernel: both
+    """Forwarders that share their faults. While a direction is cut, its bytes wait in the kernel: both
     ends see open connections on which nothing arrives."""
 
     def __init__(self):
-        self.open = asyncio.Event()
-        self.open.set()
+        self.delay = 0.0  # Seconds that each chunk is held up.
+        self.open = {"up": asyncio.Event(), "down": asyncio.Event()}
+        for event in self.open.values():
+            event.set()
+        self.writers = set()
+        self.silenced = set()  # Writers to which nothing is passed on any more.
+        self.servers = []
+
+    async def forward(self, address, on_bytes=lambda n: None):
+        """Forwards a free port of 127.0.0.1 to the address (IP, PORT); returns the port."""
+        server = await asyncio.start_server(
+            lambda reader, writer: self._serve(reader, writer, address, on_bytes),
+            "127.0.0.1", 0, backlog=512)
+        self.servers.append(server)
+        return server.sockets[0].getsockname()[1]
+
+    def cut(self, directions=("up", "down")):
+        for direction in directions:
+            self.open[direction].clear()
+
+    def heal(self):
+        self.delay = 0.0
+        for event in self.open.values():
+            event.set()
+
+    def reset(self):
+        """Resets all open connections; new ones work."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def silence(self):
+        """Open connections stay open without a byte; new ones work."""
+        self.silenced |= self.writers
+
+    def close(self):
+        for server in self.servers:
+            server.close()
+        self.reset()
+
+    async def _serve(self, reader, writer, address, on_bytes):
+        try:
+            for event in self.open.values():
+                await event.wait()
+            up_reader, up_writer = await asyncio.open_connection(*address)
+        except (OSError, asyncio.CancelledError):
+            writer.transport.abort()
+            return
+        await asyncio.gather(self._pump("up", reader, up_writer, on_bytes),
+                             self._pump("down", up_reader, writer, on_bytes),
+                             return_exceptions=True)
+
+    async def _pump(self, direction, reader, writer, on_bytes):
+        self.writers.add(writer)
+        try:
+            while True:
+                data = await reader.read(CHUNK_BYTES)
+                if self.delay:
+                    await asyncio.sleep(self.delay)
+                await self.open[direction].wait()
+                if not data:
+                    break
+                if writer in self.silenced:
+                    continue
+                on_bytes(len(data))
+                writer.write(data)
+                await writer.drain()
+        except (OSError, asyncio.CancelledError):
+            writer.transport.abort()
+        finally:
+            self.writers.discard(writer)
+            self.silenced.discard(writer)
+            writer.close()
 
 
 class Network:
-    """Runs the forwarders on a thread of its own."""
+    """Runs links on a thread of its own."""
 
     def __init__(self):
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self.thread.start()
         self.links = {}
-        self.servers = []
         self.bytes = {}  # Forwarded bytes by the names of those they belong to.
 
     def _call(self, coroutine):
@@ -36,13 +105,12 @@
         """Forwards a free port of 127.0.0.1 to the address (IP, PORT) as part of the link of two
         names. The bytes are counted for each owner. Returns the port."""
 
+        def count(n):
+            for owner in owners:
+                self.bytes[owner] = self.bytes.get(owner, 0) + n
+
         async def add():
-            link = self.links.setdefault((source, target), Link())
-            server = await asyncio.start_server(
-                lambda reader, writer: self._serve(link, reader, writer, address, owners),
-                "127.0.0.1", 0, backlog=512)
-            self.servers.append(server)
-            return server.sockets[0].getsockname()[1]
+            return await self.links.setdefault((source, target), Link()).forward(address, count)
 
         return self._call(add())
 
@@ -53,41 +121,16 @@
             for (source, target), link in self.links.items():
                 if source != target and name in (source, target):
                     if stalled:
-                        link.open.clear()
+                        link.cut()
                     else:
-                        link.open.set()
+                        link.heal()
 
         self._call(change())
 
-    async def _serve(self, link, reader, writer, address, owners):
-        try:
-            await link.open.wait()
-            up_reader, up_writer = await asyncio.open_connection(*address)
-            await asyncio.gather(self._pump(link, reader, up_writer, owners),
-                                 self._pump(link, up_reader, writer, owners))
-        except (OSError, asyncio.CancelledError):
-            writer.close()
-
-    async def _pump(self, link, reader, writer, owners):
-        try:
-            while True:
-                data = await reader.read(CHUNK_BYTES)
-                await link.open.wait()
-                if not data:
-                    break
-                for owner in owners:
-                    self.bytes[owner] = self.bytes.get(owner, 0) + len(data)
-                writer.write(data)
-                await writer.drain()
-        except OSError:
-            pass
-        finally:
-            writer.close()
-
     def close(self):
         async def cancel():
-            for server in self.servers:
-                server.close()
+            for link in self.links.values():
+                link.close()
             tasks = [it for it in asyncio.all_tasks() if it is not asyncio.current_task()]
             for task in tasks:
                 task.cancel()
--- a/scripts/harness/soak.py
+++ b/scripts/harness/soak.py
@@ -13,8 +13,8 @@
 import time
 
 from harness.cluster import Failure, Process, binary, note
+from harness.forwarder import Link
 from harness.judge import Job, Judge
-from harness.proxy import Link
 
 DATA_CENTRES = ("north", "south")
 MILLICORES = 8000  # Of a worker.
@@ -104,8 +104,8 @@
         targets += [it.peers for it in self.entries if it is not entry]
         targets += [it.port for it in self.workers]
         for port in targets:
-            link = Link(("127.0.0.1", port))
-            link.port = await link.listen()
+            link = Link()
+            link.port = await link.forward(("127.0.0.1", port))
             entry.links[port] = link
 
     def start_entry(self, entry):
