--- a/src/include/pollenwall/entry.h
+++ b/src/include/pollenwall/entry.h
@@ -20,11 +20,16 @@
 ///
 /// Every entry accepts jobs from callers. In each data centre a few entries, normally one, hold the
 /// upstreams there and run the scheduling core (`dispatch`) for them; such an entry is a *holder*.
-/// The entry that a caller is connected to is the job's *owner*: it forwards the job to the holder
-/// with the lowest utilisation, with a preference for its own data centre, keeps the caller's
-/// connection open and sends the answer. A holder that no longer receives messages from an owner
-/// stops that owner's jobs. An owner that no longer receives messages from a holder submits the job
-/// to another holder once the leases of the first holder's runs have lapsed.
+/// The entries of a data centre are ranked by their capacity as holders. The first live ones are
+/// *candidates*: they read the list of upstreams, and exchange presences with all entries of their
+/// data centre and with the candidates of the others. Any other entry exchanges presences with the
+/// candidates of its data centre and with one holder in each other data centre, so the number of
+/// its neighbours does not grow with the number of entries. The entry that a caller is connected to
+/// is the job's *owner*: it forwards the job to the holder with the lowest utilisation, with a
+/// preference for its own data centre, keeps the caller's connection open and sends the answer. A
+/// holder that no longer receives messages from an owner stops that owner's jobs. An owner that no
+/// longer receives messages from a holder submits the job to another holder once the leases of the
+/// first holder's runs have lapsed.
 namespace pollenwall::entry {
 
 using dispatch::RequestId;
@@ -38,14 +43,23 @@
   std::uint64_t mSeed = 0;
   /// CPU time available to the process, in cores. Entries with more are preferred as holders.
   double mProcessorShare = 1;
+  /// Bandwidth of the machine's network link in Mbit/s; 0: not known. It bounds the number of
+  /// upstreams that the entry can hold.
+  double mLinkMbps = 0;
   dispatch::Options mDispatch;
   holding::Options mHolding;
-  /// Interval at which a presence (message::Presence) is sent to each peer, unless
-  /// mIdlePresenceInterval applies.
+  /// Interval of presences (message::Presence) between neighbours in one data centre and between
+  /// neighbours that may forward jobs to each other.
   std::chrono::milliseconds mPresenceInterval{ 100 };
-  /// Presence interval between entries of different data centres of which neither holds upstreams.
-  /// They forward nothing to each other, and with 30 entries most presences are between such pairs.
+  /// Presence interval between candidates of different data centres that forward no jobs to each
+  /// other.
   std::chrono::milliseconds mIdlePresenceInterval{ 1000 };
+  /// A data centre has this many more candidates than partitions. They take over without reading
+  /// the list of upstreams first, also while the platform's store is unavailable.
+  std::size_t mStandbyCandidates = 2;
+  /// An entry that is no longer among the first live ones of its data centre remains a candidate
+  /// for this long, so that a short silence of another one does not make it read the list again.
+  std::chrono::milliseconds mCandidateRetention{ 10000 };
   /// A peer is treated as gone when the latest timestamp of this entry that it has echoed is older
   /// than this. An echo is up to two intervals old, so three presences may be lost or late.
   std::chrono::milliseconds mSilentAfter{ 500 };
@@ -70,9 +84,11 @@
   /// Entries of other data centres claim the upstreams of a data centre that has had no live entry
   /// for this long. A killed entry is restarted sooner.
   std::chrono::milliseconds mAbandonedAfter{ 2000 };
-  /// After its start an entry sends presences to all others at mPresenceInterval for this long.
+  /// After its start a candidate exchanges presences with all its neighbours at mPresenceInterval
+  /// for this long.
   std::chrono::milliseconds mStartupPeriod{ 3000 };
-  /// Target number of upstreams for one holder. A data centre with more has several holders.
+  /// Target number of upstreams for one holder; less where the entries have little processor time
+  /// or bandwidth. A data centre with more has several holders.
   std::size_t mUpstreamsPerHolder = 64;
   /// A draining entry accepts new jobs for this long. The balancer needs 2 s to detect that this
   /// entry is not ready, and later jobs would not end before the process is killed.
@@ -81,14 +97,7 @@
   std::chrono::milliseconds mDrainLimit{ 5000 };
 };
 
-/// Another entry, from the platform's list or the settings.
-struct EntryRecord
-{
-  std::string mName;
-  std::string mPeerAddress;
-
-  friend bool operator==(const EntryRecord&, const EntryRecord&) = default;
-};
+using message::EntryRecord;
 
 /// An upstream in the platform's list.
 struct UpstreamRecord
@@ -133,10 +142,11 @@
   std::string mAddress;
 };
 
-/// All entries in the platform's list.
+/// Entries from the platform's list or the settings.
 struct EntriesListed
 {
   std::vector<EntryRecord> mEntries;
+  bool mFromPlatform = false; ///< The entries are the platform's whole list.
 };
 
 /// All upstreams in the platform's list.
@@ -224,6 +234,18 @@
   bool mReconnect = false;
 };
 
+/// Closes the outgoing connection to this address.
+struct DisconnectPeer
+{
+  std::string mAddress;
+};
+
+/// Starts or stops reading the platform's list of upstreams (UpstreamsListed).
+struct FollowUpstreams
+{
+  bool mFollow = false;
+};
+
 /// A log event: a decision on a request, or a change in the state of a peer or an upstream.
 struct Report
 {
@@ -249,6 +271,8 @@
                             PollUpstream,
                             SendPeer,
                             ConnectPeer,
+                            DisconnectPeer,
+                            FollowUpstreams,
                             Report,
                             Measured,
                             Stopped>;
--- a/src/include/pollenwall/messages.h
+++ b/src/include/pollenwall/messages.h
@@ -253,7 +253,17 @@
   friend bool operator==(const LastPresence&, const LastPresence&) = default;
 };
 
-/// The state that an entry with upstreams under fencing tokens sends several times a second.
+/// The upstreams that an entry holds, as Hash64 of their keys in ascending order.
+struct HeldUpstreams
+{
+  std::uint64_t mVersion = 0; ///< Increases with each change in one incarnation.
+  std::vector<std::uint64_t> mHashes;
+
+  friend bool operator==(const HeldUpstreams&, const HeldUpstreams&) = default;
+};
+
+/// The state that an entry with upstreams under fencing tokens sends to each of its neighbours
+/// several times a second.
 struct Presence
 {
   Incarnation mIncarnation;
@@ -263,8 +273,21 @@
   std::int64_t mTimeMs = 0; ///< The sender's monotonic clock.
   bool mLeaving = false;
   double mProcessorShare = 0; ///< Processor capacity of the sender, in cores.
+  double mLinkMbps = 0;       ///< Bandwidth of the sender's network link in Mbit/s; 0: not known.
   configuration::Version mConfigurationVersion = 0;
-  std::vector<std::uint64_t> mHeldUpstreams; ///< Hash64 of the keys of the upstreams that it holds.
+  /// Interval at which the sender wants to receive the receiver's presences; 0: it needs none.
+  std::chrono::milliseconds mWantedInterval{ 0 };
+  bool mCandidate = false;    ///< The sender may hold upstreams.
+  bool mNeedsEntries = false; ///< The sender has not read the platform's list of entries yet.
+  /// Number of partitions of the sender's data centre; 0: not known to the sender.
+  std::uint64_t mPartitions = 0;
+  std::uint64_t mHeldVersion = 0; ///< HeldUpstreams::mVersion of the sender.
+  /// The version of the receiver's HeldUpstreams that the sender has received; 0: none.
+  std::uint64_t mReceivedHeldVersion = 0;
+  std::optional<HeldUpstreams> mHeldUpstreams; ///< Set if the receiver may hold upstreams and has
+                                               ///< not received this version.
+  /// Peer addresses of some holders of the sender's data centre, for receivers in other ones.
+  std::vector<std::string> mHolders;
   std::vector<ServiceLoad> mLoads;
   std::vector<LastPresence> mLastPresences;
   /// Numbers of unfinished jobs that the sender forwarded to the receiver.
@@ -275,6 +298,26 @@
   friend bool operator==(const Presence&, const Presence&) = default;
 };
 
+/// An entry of the deployment, from the platform's list, the settings or another entry.
+struct EntryRecord
+{
+  std::string mName;
+  std::string mPeerAddress;
+  std::string mDataCentre;    ///< Empty: not known.
+  double mProcessorShare = 0; ///< In cores.
+  double mLinkMbps = 0;       ///< Bandwidth of its network link in Mbit/s; 0: not known.
+
+  friend bool operator==(const EntryRecord&, const EntryRecord&) = default;
+};
+
+/// The entries that the sender has read from the platform's list, for an entry that cannot read it.
+struct Entries
+{
+  std::vector<EntryRecord> mEntries;
+
+  friend bool operator==(const Entries&, const Entries&) = default;
+};
+
 using Message = std::variant<Hello,
                              Heartbeat,
                              Submit,
@@ -288,7 +331,8 @@
                              HandoverReply,
                              ConfigFetch,
                              ConfigItems,
-                             Presence>;
+                             Presence,
+                             Entries>;
 
 /// Encodes a message as a msgpack map with the key "type", without the frame's length prefix.
 std::string Encode(const Message& aMessage);
--- a/src/libentry/claims.cpp
+++ b/src/libentry/claims.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <cmath>
 #include <tuple>
+#include <unordered_map>
+#include <unordered_set>
 
 #include <pollenwall/hash.h>
 
@@ -15,130 +17,297 @@
 
 /// Claims are updated after relevant changes, and at this interval for claims that are delayed.
 constexpr milliseconds kClaimInterval{ 500 };
+/// A holder needs about a tenth of a core for 64 busy upstreams.
+constexpr double kUpstreamsPerCore = 640;
+/// Orders and polls of a busy upstream take about 0.2 Mbit/s of its holder's link in each
+/// direction, and callers and peers need as much again.
+constexpr double kUpstreamsPerMbps = 2.5;
+constexpr double kCapacityOfClassZero = 64;
+
+using Keys = std::vector<std::string>;
+
+struct Candidate
+{
+  Incarnation mEntry;
+  const EntryRecord* mRecord = nullptr;
+  const std::vector<std::uint64_t>* mHeld = nullptr; ///< Sorted; see Upstream::mHash.
+  std::size_t mPartitions = 0;                       ///< Number of partitions assigned to it.
+  std::size_t mUpstreams = 0;                        ///< Number of upstreams in these.
+};
 
 /// The entries that may hold upstreams of a data centre; draining entries never may. These are the
-/// live entries there. If there are none, all live entries may, as soon as a live entry there is
-/// draining or there has been none for mAbandonedAfter; until then the result is empty.
-std::vector<Incarnation> CandidatesOf(State& aState,
-                                      const std::string& aDataCentre,
-                                      const Now& aNow)
-{
-  std::vector<Incarnation> local;
-  std::vector<Incarnation> all;
-  bool stopping = false;
-  const auto add = [&](Incarnation aEntry, std::string_view aOf) {
-    all.push_back(aEntry);
+/// live candidates there. If no entry there is live, all live candidates may, as soon as a live
+/// entry there is draining or there has been none for mAbandonedAfter; until then the result is
+/// empty.
+std::vector<Candidate> CandidatesOf(State& aState, const std::string& aDataCentre, const Now& aNow)
+{
+  std::vector<Candidate> local;
+  std::vector<Candidate> all;
+  bool isInhabited = false;
+  bool isStopping = false;
+  const auto add = [&](Candidate aCandidate, std::string_view aOf) {
+    all.push_back(aCandidate);
     if (aOf == aDataCentre) {
-      local.push_back(aEntry);
+      local.push_back(aCandidate);
     }
   };
   if (!aState.mDraining) {
-    add(aState.mOptions.mIncarnation, aState.mOptions.mDataCentre);
+    isInhabited = aState.mOptions.mDataCentre == aDataCentre;
+    if (aState.mCandidate) {
+      add({ aState.mOptions.mIncarnation,
+            &aState.mEntries.at(aState.mOptions.mPeerAddress),
+            &aState.mHeldUpstreams.mHashes },
+          aState.mOptions.mDataCentre);
+    }
   }
   for (const auto& [address, peer] : aState.mPeers) {
-    if (!IsAlive(aState, peer, aNow)) {
+    if (!IsPresent(aState, peer, aNow)) {
       continue;
     }
+    const bool isLocal = peer.mPresence.mDataCentre == aDataCentre;
     if (peer.mPresence.mLeaving) {
-      stopping = stopping || peer.mPresence.mDataCentre == aDataCentre;
-    } else {
-      add(peer.mIncarnation, peer.mPresence.mDataCentre);
+      isStopping = isStopping || isLocal;
+      continue;
+    }
+    isInhabited = isInhabited || isLocal;
+    // An entry that has just started is not a candidate yet, but will be.
+    if (peer.mPresence.mCandidate || aState.mFirstLive.contains(address)) {
+      add({ peer.mIncarnation, &aState.mEntries.at(address), &peer.mHeldUpstreams.mHashes },
+          peer.mPresence.mDataCentre);
     }
   }
-  if (!local.empty()) {
+  if (isInhabited) {
     aState.mAbandonedSince.erase(aDataCentre);
     return local;
   }
   const auto since = aState.mAbandonedSince.emplace(aDataCentre, aNow.mTime).first->second;
   const bool abandoned = aNow.mTime - since >= aState.mOptions.mAbandonedAfter;
-  return stopping || abandoned ? all : local;
+  return isStopping || abandoned ? all : local;
 }
 
-/// The number of upstreams among aKeys that an entry holds. aHashes are the hashes of the keys.
-std::size_t CountHeld(const State& aState,
-                      Incarnation aEntry,
-                      const std::vector<std::string>& aKeys,
-                      const std::vector<std::uint64_t>& aHashes)
+/// Reduces the candidates to those of the highest capacity classes that together can hold all
+/// upstreams.
+void KeepLargest(std::vector<Candidate>& aCandidates, std::size_t aUpstreams)
 {
-  if (aEntry == aState.mOptions.mIncarnation) {
-    return static_cast<std::size_t>(
-      std::count_if(aKeys.begin(), aKeys.end(), [&aState](const std::string& aKey) {
-        return holding::Holds(aState.mHolding, aKey);
-      }));
+  std::map<int, double, std::greater<>> capacityByClass;
+  for (const auto& candidate : aCandidates) {
+    capacityByClass[CapacityClass(*candidate.mRecord)] += HolderCapacity(*candidate.mRecord);
   }
-  const auto address = aState.mPeerAddresses.find(aEntry);
-  if (address == aState.mPeerAddresses.end()) {
-    return 0;
+  double capacity = 0;
+  for (const auto& [lowest, ofClass] : capacityByClass) {
+    capacity += ofClass;
+    if (capacity >= static_cast<double>(aUpstreams)) {
+      std::erase_if(aCandidates, [lowest = lowest](const Candidate& aCandidate) {
+        return CapacityClass(*aCandidate.mRecord) < lowest;
+      });
+      return;
+    }
   }
-  const auto& held = aState.mPeers.at(address->second).mHeldUpstreams;
-  return static_cast<std::size_t>(std::count_if(
-    aHashes.begin(), aHashes.end(), [&held](std::uint64_t aHash) { return held.contains(aHash); }));
 }
 
-/// Groups processor shares into classes, each for twice the share of the one below. A holder needs
-/// about a tenth of a core for 64 busy upstreams. An entry that joins takes no partition from a
-/// holder of the same class.
-int ProcessorClass(double aProcessorShare)
+/// Hashes of the upstreams of a partition.
+std::vector<std::uint64_t> HashesOf(const State& aState, const Keys& aKeys)
 {
-  constexpr double kMinShare = 0.1;
-  return aProcessorShare < kMinShare
-           ? 0
-           : static_cast<int>(std::floor(std::log2(aProcessorShare / kMinShare)));
+  std::vector<std::uint64_t> hashes;
+  hashes.reserve(aKeys.size());
+  for (const auto& key : aKeys) {
+    hashes.push_back(aState.mUpstreams.at(key).mHash);
+  }
+  return hashes;
+}
+
+std::size_t CountHeld(const Candidate& aCandidate, const std::vector<std::uint64_t>& aHashes)
+{
+  const auto& held = *aCandidate.mHeld;
+  return static_cast<std::size_t>(
+    std::count_if(aHashes.begin(), aHashes.end(), [&held](std::uint64_t aHash) {
+      return std::binary_search(held.begin(), held.end(), aHash);
+    }));
 }
 
-double ProcessorShareOf(const State& aState, Incarnation aEntry)
+using Partitions = std::vector<std::pair<Partition, const Keys*>>;
+
+void Assign(Candidate& aCandidate, const Keys& aKeys)
 {
-  const auto it = aState.mPeerAddresses.find(aEntry);
-  return it == aState.mPeerAddresses.end() ? aState.mOptions.mProcessorShare
-                                           : aState.mPeers.at(it->second).mPresence.mProcessorShare;
+  ++aCandidate.mPartitions;
+  aCandidate.mUpstreams += aKeys.size();
 }
 
-/// The candidate that should hold a partition: one of the highest processor class, among these the
-/// one that already holds most of the partition, among equals the first by rendezvous hashing.
-std::optional<Incarnation> HolderOf(const State& aState,
-                                    const Partition& aPartition,
-                                    const std::vector<std::string>& aKeys,
-                                    const std::vector<Incarnation>& aCandidates)
+/// The candidate that holds most of a partition; null if none holds any of it.
+Candidate* HolderOfMost(const State& aState, const Keys& aKeys, std::vector<Candidate>& aCandidates)
+{
+  const auto hashes = HashesOf(aState, aKeys);
+  Candidate* best = nullptr;
+  std::size_t most = 0;
+  for (auto& candidate : aCandidates) {
+    const auto held = CountHeld(candidate, hashes);
+    if (held > most) {
+      best = &candidate;
+      most = held;
+    }
+  }
+  return best;
+}
+
+/// The candidate with the fewest partitions; among equals the one of the highest capacity class,
+/// then the first by rendezvous hashing.
+Candidate& LeastLoaded(const Partition& aPartition, std::vector<Candidate>& aCandidates)
 {
-  std::optional<Incarnation> best;
-  std::tuple<int, std::size_t, std::uint64_t> most;
   const auto name = aPartition.mDataCentre + "/" + std::to_string(aPartition.mNumber);
-  std::vector<std::uint64_t> hashes;
-  hashes.reserve(aKeys.size());
-  for (const auto& key : aKeys) {
-    hashes.push_back(aState.mUpstreams.at(key).mHash);
+  const auto rank = [&name](const Candidate& aCandidate) {
+    return std::tuple(aCandidate.mPartitions,
+                      -CapacityClass(*aCandidate.mRecord),
+                      ~RendezvousWeight(name, aCandidate.mEntry.mValue));
+  };
+  return *std::min_element(
+    aCandidates.begin(), aCandidates.end(), [&rank](const auto& aOne, const auto& aOther) {
+      return rank(aOne) < rank(aOther);
+    });
+}
+
+/// The candidates that should hold the partitions of one data centre. A partition stays with the
+/// one that holds most of it. One that is not held, or whose holder has more upstreams than it can
+/// hold while another candidate has no partition, goes to the least loaded candidate.
+std::map<Partition, Incarnation> AssignPartitions(const State& aState,
+                                                  const Partitions& aPartitions,
+                                                  std::vector<Candidate> aCandidates)
+{
+  std::size_t upstreams = 0;
+  for (const auto& [partition, keys] : aPartitions) {
+    upstreams += keys->size();
   }
-  for (const auto entry : aCandidates) {
-    const std::tuple rank{ ProcessorClass(ProcessorShareOf(aState, entry)),
-                           CountHeld(aState, entry, aKeys, hashes),
-                           RendezvousWeight(name, entry.mValue) };
-    if (!best || rank > most) {
-      best = entry;
-      most = rank;
+  KeepLargest(aCandidates, upstreams);
+  std::map<Partition, Candidate*> holders;
+  for (const auto& [partition, keys] : aPartitions) {
+    if (auto* holder = HolderOfMost(aState, *keys, aCandidates)) {
+      Assign(*holder, *keys);
+      holders.emplace(partition, holder);
     }
   }
-  return best;
+  for (const auto& [partition, keys] : aPartitions) {
+    if (aCandidates.empty()) {
+      break;
+    }
+    auto& least = LeastLoaded(partition, aCandidates);
+    const auto [it, isFree] = holders.emplace(partition, &least);
+    auto& holder = *it->second;
+    if (isFree) {
+      Assign(least, *keys);
+    } else if (holder.mPartitions > 1 && least.mPartitions == 0 &&
+               static_cast<double>(holder.mUpstreams) > HolderCapacity(*holder.mRecord)) {
+      --holder.mPartitions;
+      holder.mUpstreams -= keys->size();
+      Assign(least, *keys);
+      it->second = &least;
+    }
+  }
+  std::map<Partition, Incarnation> assigned;
+  for (const auto& [partition, holder] : holders) {
+    assigned.emplace(partition, holder->mEntry);
+  }
+  return assigned;
 }
 
-bool IsHeldByLivingPeer(const State& aState, std::uint64_t aHash, const Now& aNow)
+/// Whether the upstreams that a live candidate of this data centre holds are not known yet. They
+/// follow within one interval of presences.
+bool IsHeldSetMissing(const State& aState, const Now& aNow)
 {
   return std::any_of(aState.mPeers.begin(), aState.mPeers.end(), [&](const auto& aPeer) {
-    return aPeer.second.mHeldUpstreams.contains(aHash) && IsAlive(aState, aPeer.second, aNow);
+    const auto& peer = aPeer.second;
+    return peer.mPresence.mDataCentre == aState.mOptions.mDataCentre && peer.mPresence.mCandidate &&
+           peer.mHeldUpstreams.mVersion == 0 && IsPresent(aState, peer, aNow);
   });
 }
 
+/// Hashes of all upstreams that live peers hold.
+std::unordered_set<std::uint64_t> HeldByPeers(const State& aState, const Now& aNow)
+{
+  std::unordered_set<std::uint64_t> held;
+  for (const auto& [address, peer] : aState.mPeers) {
+    if (IsPresent(aState, peer, aNow)) {
+      held.insert(peer.mHeldUpstreams.mHashes.begin(), peer.mHeldUpstreams.mHashes.end());
+    }
+  }
+  return held;
+}
+
+/// Claims, keeps or releases the upstreams of one partition. aHolder is empty if no entry may hold
+/// them now.
+void UpdatePartition(State& aState,
+                     const Keys& aKeys,
+                     std::optional<Incarnation> aHolder,
+                     const std::unordered_set<std::uint64_t>& aHeldByPeers,
+                     const Now& aNow,
+                     Actions& aActions)
+{
+  const bool isHolder = aHolder == aState.mOptions.mIncarnation;
+  const bool mayKeep = isHolder || (!aHolder && !aState.mDraining);
+  for (const auto& key : aKeys) {
+    auto& upstream = aState.mUpstreams.at(key);
+    if (aState.mHolding.mSessions.contains(key)) {
+      if (!mayKeep) {
+        holding::Release(aState.mHolding, key, aState.mHoldingActions);
+      } else if (!upstream.mMissingSince) {
+        holding::CancelRelease(aState.mHolding, key, aState.mHoldingActions);
+      }
+      continue;
+    }
+    if (!isHolder || upstream.mRecord.mLeaving || upstream.mMissingSince ||
+        aNow.mTime < upstream.mClaimNotBefore || aHeldByPeers.contains(upstream.mHash)) {
+      continue;
+    }
+    ++aState.mCounts.mClaims;
+    AddReport(aActions, "upstream_claimed", { { "upstream", key } });
+    holding::Claim(aState.mHolding, key, upstream.mLeastToken, aNow, aState.mHoldingActions);
+    upstream.mLeastToken = holding::TokenOf(aState.mHolding, key);
+    aState.mPresenceDue = true;
+    aState.mReconfigureDue =
+      aState.mReconfigureDue || upstream.mRecord.mDataCentre != aState.mOptions.mDataCentre;
+  }
+}
+
+/// Number of upstreams for one partition: Options::mUpstreamsPerHolder, or as many as the entry
+/// that is preferred as a holder can hold.
+std::size_t UpstreamsPerPartition(const State& aState, const std::string& aDataCentre)
+{
+  const auto most = aState.mOptions.mUpstreamsPerHolder;
+  const auto it = aState.mRankings.find(aDataCentre);
+  if (it == aState.mRankings.end()) {
+    return most;
+  }
+  const auto capacity = HolderCapacity(aState.mEntries.at(it->second.front()));
+  return std::clamp<std::size_t>(static_cast<std::size_t>(capacity), 1, most);
+}
+
 } // namespace
 
-std::map<Partition, std::vector<std::string>> PartitionUpstreams(const State& aState)
+double HolderCapacity(const EntryRecord& aEntry)
 {
-  std::map<std::string, std::vector<std::string>> byDataCentre;
+  const auto byProcessor = aEntry.mProcessorShare * kUpstreamsPerCore;
+  return aEntry.mLinkMbps > 0 ? std::min(byProcessor, aEntry.mLinkMbps * kUpstreamsPerMbps)
+                              : byProcessor;
+}
+
+int CapacityClass(const EntryRecord& aEntry)
+{
+  constexpr double kMinCapacity = 0.001;
+  const auto capacity = std::max(HolderCapacity(aEntry), kMinCapacity);
+  return static_cast<int>(std::floor(std::log2(capacity / kCapacityOfClassZero)));
+}
+
+std::map<Partition, Keys> PartitionUpstreams(const State& aState)
+{
+  std::map<std::string, Keys> byDataCentre;
   for (const auto& [key, upstream] : aState.mUpstreams) {
     byDataCentre[upstream.mRecord.mDataCentre].push_back(key);
   }
-  std::map<Partition, std::vector<std::string>> partitions;
+  std::map<Partition, Keys> partitions;
   for (auto& [dataCentre, keys] : byDataCentre) {
-    const auto most = aState.mOptions.mUpstreamsPerHolder;
-    const auto n = (keys.size() + most - 1) / most;
+    const auto size = UpstreamsPerPartition(aState, dataCentre);
+    auto n = (keys.size() + size - 1) / size;
+    if (const auto it = aState.mRankings.find(dataCentre); it != aState.mRankings.end()) {
+      n = std::min(n, it->second.size());
+    }
     for (auto& key : keys) {
       const auto number = aState.mUpstreams.at(key).mHash % n;
       partitions[{ dataCentre, number }].push_back(std::move(key));
@@ -147,6 +316,29 @@
   return partitions;
 }
 
+std::size_t PartitionCount(const State& aState, std::string_view aDataCentre, const Now& aNow)
+{
+  if (aState.mCandidate) {
+    const auto n =
+      std::count_if(aState.mPartitions.begin(), aState.mPartitions.end(), [&](const auto& aIt) {
+        return aIt.first.mDataCentre == aDataCentre;
+      });
+    if (n > 0) {
+      return static_cast<std::size_t>(n);
+    }
+  }
+  std::uint64_t n = 1;
+  for (const auto& [address, peer] : aState.mPeers) {
+    if (peer.mPresence.mDataCentre == aDataCentre && IsPresent(aState, peer, aNow)) {
+      n = std::max(n, peer.mPresence.mPartitions);
+    }
+  }
+  // More than there are entries would be a mistake of the peer.
+  const auto it = aState.mRankings.find(aDataCentre);
+  const auto entries = it == aState.mRankings.end() ? 1 : it->second.size();
+  return std::min<std::size_t>(n, entries);
+}
+
 void UpdateClaims(State& aState, const Now& aNow, Actions& aActions)
 {
   if (aNow.mTime < aState.mNextClaims && !aState.mClaimsDue) {
@@ -158,29 +350,34 @@
   if (aNow.mTime - aState.mStarted < aState.mOptions.mSilentAfter) {
     return;
   }
-  const auto self = aState.mOptions.mIncarnation;
+  if (!aState.mCandidate && aState.mHolding.mSessions.empty()) {
+    return;
+  }
+  if (aState.mCandidate && IsHeldSetMissing(aState, aNow)) {
+    aState.mClaimsDue = true;
+    return;
+  }
+  const auto heldByPeers = HeldByPeers(aState, aNow);
+  std::map<std::string, Partitions> byDataCentre;
   for (const auto& [partition, keys] : aState.mPartitions) {
-    const auto candidates = CandidatesOf(aState, partition.mDataCentre, aNow);
-    const bool isHolder = HolderOf(aState, partition, keys, candidates) == self;
-    const bool noCandidates = candidates.empty() && !aState.mDraining;
-    for (const auto& key : keys) {
-      auto& upstream = aState.mUpstreams.at(key);
-      const bool held = aState.mHolding.mSessions.contains(key);
-      if (held && (isHolder || noCandidates) && !upstream.mMissingSince) {
-        holding::CancelRelease(aState.mHolding, key, aState.mHoldingActions);
-      } else if (held && !isHolder) {
-        holding::Release(aState.mHolding, key, aState.mHoldingActions);
-      } else if (isHolder && !held && !upstream.mRecord.mLeaving && !upstream.mMissingSince &&
-                 aNow.mTime >= upstream.mClaimNotBefore &&
-                 !IsHeldByLivingPeer(aState, upstream.mHash, aNow)) {
-        ++aState.mCounts.mClaims;
-        AddReport(aActions, "upstream_claimed", { { "upstream", key } });
-        holding::Claim(aState.mHolding, key, upstream.mLeastToken, aNow, aState.mHoldingActions);
-        upstream.mLeastToken = holding::TokenOf(aState.mHolding, key);
-        aState.mPresenceDue = true;
-      }
+    byDataCentre[partition.mDataCentre].emplace_back(partition, &keys);
+  }
+  for (const auto& [dataCentre, partitions] : byDataCentre) {
+    const auto candidates = CandidatesOf(aState, dataCentre, aNow);
+    const auto holders = AssignPartitions(aState, partitions, candidates);
+    for (const auto& [partition, keys] : partitions) {
+      const auto it = holders.find(partition);
+      UpdatePartition(aState,
+                      *keys,
+                      it == holders.end() ? std::nullopt : std::optional(it->second),
+                      heldByPeers,
+                      aNow,
+                      aActions);
     }
   }
+  if (std::exchange(aState.mReconfigureDue, false)) {
+    Reconfigure(aState, aNow);
+  }
 }
 
 } // namespace pollenwall::entry
--- a/src/libentry/entry.cpp
+++ b/src/libentry/entry.cpp
@@ -52,6 +52,10 @@
     HandlePresence(aState, aEvent.mFrom, *presence, aNow, aActions);
     return;
   }
+  if (const auto* entries = std::get_if<message::Entries>(&aEvent.mMessage)) {
+    AddEntries(aState, entries->mEntries);
+    return;
+  }
   const auto it = aState.mPeers.find(aEvent.mFrom);
   if (it == aState.mPeers.end() || it->second.mIncarnation.mValue == 0) {
     return; // The first message on each connection has to be a presence.
@@ -73,14 +77,13 @@
     return;
   }
   it->second.mConnectedAt = aNow.mTime;
-  aState.mPresenceDue = true;
-  SendPresence(aState, aNow, aActions);
+  SendPresenceTo(aState, it->second, aNow, aActions);
   ResendCalls(aState, it->second, aNow, aActions);
 }
 
-void Apply(State& aState, const EntriesListed& aEvent, const Now&, Actions& aActions)
+void Apply(State& aState, const EntriesListed& aEvent, const Now&, Actions&)
 {
-  ApplyEntries(aState, aEvent, aActions);
+  ApplyEntries(aState, aEvent);
 }
 
 void Apply(State& aState, const UpstreamsListed& aEvent, const Now& aNow, Actions&)
@@ -152,11 +155,13 @@
   holding::Advance(aState.mHolding, aNow, aState.mHoldingActions);
   DropMissingUpstreams(aState, aNow);
   CancelJobsOfLostOwners(aState, aNow, aActions);
+  DropOldReplies(aState, aNow);
   WatchPeers(aState, aNow, aActions);
+  UpdateNeighbours(aState, aNow, aActions);
   UpdateClaims(aState, aNow, aActions);
   ProcessPendingActions(aState, aNow, aActions);
   AdvanceCalls(aState, aNow, aActions);
-  SendPresence(aState, aNow, aActions);
+  SendPresences(aState, aNow, aActions);
   AdvanceDrain(aState, aNow, aActions);
 }
 
@@ -197,6 +202,12 @@
   state->mHolding.mOptions = options.mHolding;
   state->mStarted = aNow.mTime;
   state->mLastEvent = aNow.mTime;
+  AddEntries(*state,
+             { { options.mName,
+                 options.mPeerAddress,
+                 options.mDataCentre,
+                 options.mProcessorShare,
+                 options.mLinkMbps } });
   return state;
 }
 
@@ -246,6 +257,8 @@
   counters.emplace_back("upstream_holds_lost_total", counts.mHoldsLost);
   counters.emplace_back("upstream_looks_lost_total", counts.mPollsLost);
   counters.emplace_back("starts_unanswered_total", counts.mStartsUnanswered);
+  counters.emplace_back("presences_total{direction=\"out\"}", counts.mPresencesSent);
+  counters.emplace_back("presences_total{direction=\"in\"}", counts.mPresencesReceived);
   AddOrders(counters, "start", counts.mStarts);
   AddOrders(counters, "stop", counts.mStops);
   AddOrders(counters, "look", counts.mPolls);
@@ -269,9 +282,11 @@
     { "upstreams{state=\"usable\"}", count(loads, [](const auto& aIt) { return aIt.mUsable; }) },
     { "upstreams{state=\"unhealthy\"}",
       static_cast<double>(dispatch::UnhealthyUpstreams(*aState.mDispatch).size()) },
+    { "entries_known", static_cast<double>(aState.mEntries.size()) },
+    { "candidate", aState.mCandidate ? 1.0 : 0.0 },
     { "peers{state=\"known\"}", static_cast<double>(aState.mPeers.size()) },
     { "peers{state=\"living\"}",
-      count(aState.mPeers, [&](const auto& aIt) { return IsAlive(aState, aIt.second, aNow); }) },
+      count(aState.mPeers, [&](const auto& aIt) { return IsPresent(aState, aIt.second, aNow); }) },
     { "calls_open", static_cast<double>(aState.mCalls.size()) },
     { "tasks_queued", static_cast<double>(dispatch::QueuedTasks(*aState.mDispatch)) },
     { "configuration_version",
@@ -296,8 +311,10 @@
   for (const auto& [address, peer] : aState.mPeers) {
     peers.push_back(json::object{ { "address", address },
                                   { "name", peer.mPresence.mName },
-                                  { "living", IsAlive(aState, peer, aNow) },
-                                  { "held", peer.mHeldUpstreams.size() } });
+                                  { "living", IsPresent(aState, peer, aNow) },
+                                  { "interval_ms", PresenceIntervalTo(aState, peer, aNow).count() },
+                                  { "candidate", peer.mPresence.mCandidate },
+                                  { "held", peer.mHeldUpstreams.mHashes.size() } });
   }
   json::array holds;
   for (const auto& [key, session] : aState.mHolding.mSessions) {
@@ -310,6 +327,7 @@
   json::object dump{ { "name", aState.mOptions.mName },
                      { "incarnation", ToString(aState.mOptions.mIncarnation) },
                      { "draining", aState.mDraining },
+                     { "candidate", aState.mCandidate },
                      { "calls", aState.mCalls.size() },
                      { "origins", aState.mOrigins.size() },
                      { "upstreams", aState.mUpstreams.size() },
--- a/src/libentry/entry_test.cpp
+++ b/src/libentry/entry_test.cpp
@@ -571,6 +571,260 @@
   return ok;
 }
 
+double GaugeOf(const World& aWorld, std::size_t aNode, std::string_view aName)
+{
+  for (const auto& [name, value] : Gauges(*aWorld.mNodes[aNode].mState, aWorld.mNow)) {
+    if (name == aName) {
+      return value;
+    }
+  }
+  return -1;
+}
+
+/// Nodes of a data centre that are candidates.
+std::vector<std::size_t> CandidatesIn(const World& aWorld, std::string_view aDataCentre)
+{
+  std::vector<std::size_t> candidates;
+  for (std::size_t n = 0; n < aWorld.mNodes.size(); ++n) {
+    const auto& node = aWorld.mNodes[n];
+    if (node.mAlive && node.mOptions.mDataCentre == aDataCentre &&
+        GaugeOf(aWorld, n, "candidate") > 0) {
+      candidates.push_back(n);
+    }
+  }
+  return candidates;
+}
+
+/// The most messages a second that an entry which is no candidate sends, without load.
+double MessagesPerSecond(std::size_t aNodesEach)
+{
+  WorldOptions options;
+  options.mDataCentres = 6;
+  options.mNodesEach = aNodesEach;
+  options.mLargeNodesEach = 1;
+  auto world = MakeWorld(options);
+  auto& w = *world;
+  RunFor(w, seconds(8));
+  for (auto& node : w.mNodes) {
+    node.mMessages = 0;
+  }
+  RunFor(w, seconds(4));
+  std::uint64_t most = 0;
+  for (std::size_t n = 0; n < w.mNodes.size(); ++n) {
+    most = GaugeOf(w, n, "candidate") > 0 ? most : std::max(most, w.mNodes[n].mMessages);
+  }
+  return static_cast<double>(most) / 4;
+}
+
+/// Guards against control traffic of a small entry that grows with the number of entries. Pattern:
+/// 6 data centres with 6 and with 24 entries each, no load.
+bool MessagesDoNotGrowWithEntries()
+{
+  const auto few = MessagesPerSecond(6);
+  const auto many = MessagesPerSecond(24);
+  std::cerr << "messages a second of a small entry: " << few << " of 36 entries, " << many
+            << " of 144\n";
+  // 3 candidates of its data centre and a contact in each of 5 others, 10 a second each.
+  constexpr double kMost = 100;
+  return Expect(few > 0 && few <= kMost, "36 entries") &&
+         Expect(many <= kMost, "144 entries: as many messages as 36");
+}
+
+/// Guards against jobs that are lost or delayed in a fleet where most entries are no candidates.
+/// Pattern: 4 data centres of 12 entries, callers at all of them, half of the capacity in use.
+bool LargeFleetServes()
+{
+  WorldOptions options;
+  options.mDataCentres = 4;
+  options.mNodesEach = 12;
+  options.mLargeNodesEach = 1;
+  auto world = MakeWorld(options);
+  auto& w = *world;
+  RunFor(w, seconds(3));
+  GenerateLoad(w, 80, seconds(6), milliseconds(100));
+  RunFor(w, seconds(10));
+  return NoViolations(w) &&
+         Expect(CompleteWithin(w, milliseconds(250)) * 100 >= w.mCalls.size() * 99,
+                "99 of 100 jobs of 100 ms complete within 250 ms");
+}
+
+/// Guards against a data centre without holder after the loss of all candidates at once: the other
+/// entries have to find that they are the first live ones. Pattern: 3 data centres of 12 entries;
+/// in one all candidates die.
+bool OthersReplaceAllCandidates()
+{
+  WorldOptions options;
+  options.mNodesEach = 12;
+  options.mLargeNodesEach = 2;
+  auto world = MakeWorld(options);
+  auto& w = *world;
+  RunFor(w, seconds(3));
+  const auto candidates = CandidatesIn(w, "dc0");
+  bool ok = Expect(candidates.size() >= 3 && candidates.size() < 12, "some are candidates");
+  for (const auto n : candidates) {
+    Kill(w, n);
+  }
+  RunFor(w, seconds(4));
+  double held = 0;
+  for (std::size_t n = 0; n < 12; ++n) {
+    held += w.mNodes[n].mAlive ? GaugeOf(w, n, "upstreams{state=\"usable\"}") : 0;
+  }
+  ok &= Expect(held == 8, "its entries hold all its upstreams within 4 s");
+  GenerateLoad(w, 40, seconds(3), milliseconds(100));
+  RunFor(w, seconds(6));
+  return NoViolations(w) && Expect(Complete(w) == w.mCalls.size(), "all jobs complete") && ok;
+}
+
+/// Guards against an entry that starts while it cannot read the platform's list of entries, and so
+/// finds no holder: a neighbour sends it the list. Pattern: it knows one seed of another data
+/// centre.
+bool LearnsEntriesFromSeed()
+{
+  WorldOptions options;
+  options.mNodesEach = 6;
+  auto world = MakeWorld(options);
+  auto& w = *world;
+  RunFor(w, seconds(3));
+  Kill(w, 3);
+  RunFor(w, seconds(1));
+  Restart(w, 3, { w.mNodes[9].mOptions.mPeerAddress });
+  RunFor(w, seconds(2));
+  SubmitJob(w, 3, 2, milliseconds(100));
+  RunFor(w, seconds(2));
+  return Expect(GaugeOf(w, 3, "entries_known") == 18, "it knows all entries") &&
+         Expect(Complete(w) == 1, "its job completes") && NoViolations(w);
+}
+
+/// Guards against a job that runs at a holder although its owner has been told that it is not run
+/// there, and has submitted it elsewhere. Pattern: of two copies of a submission over two
+/// connections one is refused as too late, and the other one arrives after it.
+bool RefusedSubmissionStaysRefused()
+{
+  OwnerAndHolder pair;
+  message::Submit submit;
+  submit.mNumber = 5;
+  submit.mJob.mId = "other";
+  submit.mJob.mService = "s";
+  submit.mJob.mTeam = "t";
+  submit.mJob.mDeadline = milliseconds(3000);
+  submit.mJob.mTasks.resize(1);
+  const auto nowMs =
+    std::chrono::duration_cast<milliseconds>(pair.mNow.mTime.time_since_epoch()).count();
+  const auto isRefused = [&](std::int64_t aValidUntilMs) {
+    pair.mActions.clear();
+    submit.mValidUntilMs = aValidUntilMs;
+    pair.Step(PeerMessage{ OwnerAndHolder::kAddress, submit });
+    return std::any_of(pair.mActions.begin(), pair.mActions.end(), [](const Action& aAction) {
+      const auto* send = std::get_if<SendPeer>(&aAction);
+      const auto* reply = send == nullptr ? nullptr : std::get_if<message::Reply>(&send->mMessage);
+      return reply != nullptr && reply->mNumber == 5 && reply->mError &&
+             reply->mError->mVerdict == Verdict::NotRun;
+    });
+  };
+  return Expect(isRefused(nowMs - 1), "the late copy is refused") &&
+         Expect(isRefused(nowMs + 400), "the other copy is refused as well");
+}
+
+/// Guards against a peer that counts as alive for ever because a malformed message echoes a time in
+/// the future: its jobs would never be given up.
+bool EchoesOfTheFutureAreIgnored()
+{
+  OwnerAndHolder pair;
+  pair.Submit();
+  message::Presence presence;
+  presence.mIncarnation = OwnerAndHolder::kHolder;
+  presence.mDataCentre = "a";
+  presence.mTimeMs = std::numeric_limits<std::int64_t>::max();
+  presence.mLastPresences = { { Incarnation{ 1 }, std::numeric_limits<std::int64_t>::max() } };
+  presence.mAcceptedJobs = { *pair.mNumber };
+  pair.Step(PeerMessage{ OwnerAndHolder::kAddress, presence });
+  pair.mNow.mTime += seconds(1);
+  pair.mActions.clear();
+  pair.Step(Tick{});
+  return Expect(std::any_of(pair.mActions.begin(),
+                            pair.mActions.end(),
+                            [](const Action& aAction) {
+                              const auto* report = std::get_if<Report>(&aAction);
+                              return report != nullptr && report->mEvent == "call_resubmitted";
+                            }),
+                "the silent holder's job is given up");
+}
+
+/// Guards against work that is run again, or reported as not run, because the holder's reply to the
+/// owner was lost. Pattern: the replies to two jobs are lost, one connection stays open.
+bool LostReplyIsRepeated()
+{
+  WorldOptions options;
+  options.mDataCentres = 1;
+  options.mNodesEach = 2;
+  auto world = MakeWorld(options);
+  auto& w = *world;
+  RunFor(w, seconds(2));
+  w.mRepliesToLose = 2;
+  for (const std::size_t owner : { 0, 0, 1, 1 }) {
+    SubmitJob(w, owner, 2, milliseconds(100));
+  }
+  RunFor(w, seconds(3));
+  return Expect(w.mRepliesToLose == 0, "replies of the holder are lost") &&
+         Expect(Complete(w) == 4, "all jobs complete") &&
+         Expect(w.mStarts == 8, "no task runs twice") && NoViolations(w);
+}
+
+bool EachHoldsSome(const World& aWorld)
+{
+  bool ok = true;
+  for (std::size_t n = 0; n < aWorld.mNodes.size(); ++n) {
+    ok &= Expect(GaugeOf(aWorld, n, "upstreams{state=\"held\"}") > 0, "each entry holds some");
+  }
+  return ok;
+}
+
+/// Guards against one holder with all partitions of a data centre while others of the same capacity
+/// hold none. Pattern: 3 partitions and 3 equal entries, of which one starts 150 ms early.
+bool PartitionsAreSpread()
+{
+  WorldOptions options;
+  options.mDataCentres = 1;
+  options.mNodesEach = 3;
+  options.mWorkersEach = 24;
+  options.mUpstreamsPerHolder = 8;
+  auto world = MakeWorld(options);
+  for (const std::size_t n : { 1, 2 }) {
+    Kill(*world, n);
+  }
+  RunFor(*world, milliseconds(150));
+  for (const std::size_t n : { 1, 2 }) {
+    Restart(*world, n);
+  }
+  RunFor(*world, seconds(3));
+  return EachHoldsSome(*world);
+}
+
+/// Guards against an entry with little bandwidth that holds a whole data centre for ever because
+/// the others started later. Pattern: links of 4 Mbit/s, 24 workers, the others start 2 s later
+/// under load.
+bool OverloadedHolderSharesPartitions()
+{
+  WorldOptions options;
+  options.mDataCentres = 1;
+  options.mNodesEach = 3;
+  options.mWorkersEach = 24;
+  options.mLinkMbps = 4;
+  auto world = MakeWorld(options);
+  auto& w = *world;
+  for (const std::size_t n : { 1, 2 }) {
+    Kill(w, n);
+  }
+  RunFor(w, seconds(2));
+  GenerateLoad(w, 40, seconds(8), milliseconds(100));
+  for (const std::size_t n : { 1, 2 }) {
+    Restart(w, n);
+  }
+  RunFor(w, seconds(12));
+  return EachHoldsSome(w) && NoViolations(w) &&
+         Expect(Complete(w) == w.mCalls.size(), "all jobs complete");
+}
+
 } // namespace
 
 int main(int aCount, char** aArguments)
@@ -591,6 +845,15 @@
   ok = WorkersMissingFromList() && ok;
   ok = EveryFailureIsLogged() && ok;
   ok = RefusedJobsMoveToFreeHolder() && ok;
+  ok = MessagesDoNotGrowWithEntries() && ok;
+  ok = LargeFleetServes() && ok;
+  ok = OthersReplaceAllCandidates() && ok;
+  ok = LearnsEntriesFromSeed() && ok;
+  ok = PartitionsAreSpread() && ok;
+  ok = OverloadedHolderSharesPartitions() && ok;
+  ok = LostReplyIsRepeated() && ok;
+  ok = RefusedSubmissionStaysRefused() && ok;
+  ok = EchoesOfTheFutureAreIgnored() && ok;
   constexpr std::uint64_t kSeeds = 60;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     ok = RandomFaults(seed) && ok;
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -14,6 +14,8 @@
 /// Time for which a cancelled call is remembered: the longest expected delay of a submission on a
 /// connection.
 constexpr milliseconds kCancelledRetention{ 10000 };
+/// The same for replies.
+constexpr milliseconds kReplyRetention{ 10000 };
 /// Retry-after time of a refused submission; earlier runs of the job may still be stopping.
 constexpr milliseconds kRefusalRetryAfter{ 100 };
 /// A failed claim shows only that a higher token is in use. The next claim's token exceeds the
@@ -40,6 +42,22 @@
 
 // Jobs.
 
+/// Sends the reply to a peer's call and keeps it for copies of the submission.
+void ReplyToPeer(State& aState,
+                 Incarnation aPeer,
+                 message::Reply aReply,
+                 const Now& aNow,
+                 Actions& aActions)
+{
+  if (const auto* peer = FindPeer(aState, aPeer)) {
+    aActions.emplace_back(SendPeer{ peer->mAddress, aReply });
+  }
+  const std::pair key{ aPeer, aReply.mNumber };
+  if (aState.mReplies.insert_or_assign(key, std::move(aReply)).second) {
+    aState.mReplyExpiry.emplace_back(aNow.mTime + Duration(kReplyRetention), key);
+  }
+}
+
 void Reply(State& aState,
            RequestId aRequest,
            std::optional<JobAnswer> aAnswer,
@@ -64,10 +82,11 @@
     return;
   }
   aState.mPeerRequests.erase({ *origin.mPeer, origin.mNumber });
-  if (const auto* peer = FindPeer(aState, *origin.mPeer)) {
-    aActions.emplace_back(SendPeer{
-      peer->mAddress, message::Reply{ origin.mNumber, std::move(aAnswer), std::move(aError) } });
-  }
+  ReplyToPeer(aState,
+              *origin.mPeer,
+              { origin.mNumber, std::move(aAnswer), std::move(aError) },
+              aNow,
+              aActions);
 }
 
 /// Tells a peer that its submission is refused or has been cancelled.
@@ -75,12 +94,10 @@
                       Incarnation aPeer,
                       CallNumber aNumber,
                       Error aError,
+                      const Now& aNow,
                       Actions& aActions)
 {
-  if (const auto* peer = FindPeer(aState, aPeer)) {
-    aActions.emplace_back(
-      SendPeer{ peer->mAddress, message::Reply{ aNumber, std::nullopt, std::move(aError) } });
-  }
+  ReplyToPeer(aState, aPeer, { aNumber, std::nullopt, std::move(aError) }, aNow, aActions);
 }
 
 /// Executes one action of the scheduling core.
@@ -203,7 +220,6 @@
     const auto slots = it == mState.mUpstreams.end() ? 0 : it->second.mRecord.mSlots;
     Dispatch(
       mState, dispatch::SetCredits{ aAction.mUpstream, aAction.mUsable ? slots : 0, 0 }, mNow);
-    mState.mPresenceDue = true;
     mState.mClaimsDue = true;
   }
 
@@ -217,7 +233,7 @@
     }
     const bool isolated =
       std::none_of(mState.mPeers.begin(), mState.mPeers.end(), [this](const auto& aPeer) {
-        return IsAlive(mState, aPeer.second, mNow);
+        return IsPresent(mState, aPeer.second, mNow);
       });
     it->second.mClaimNotBefore = mNow.mTime + (isolated ? mState.mOptions.mIsolatedClaimRetryDelay
                                                         : mState.mOptions.mClaimRetryDelay);
@@ -271,8 +287,16 @@
                      aPeer,
                      aSubmit.mNumber,
                      { aCode, aVerdict, std::move(aMessage), kRefusalRetryAfter },
+                     aNow,
                      aActions);
   };
+  const auto reply = aState.mReplies.find({ aPeer, aSubmit.mNumber });
+  if (reply != aState.mReplies.end()) {
+    if (const auto* peer = FindPeer(aState, aPeer)) {
+      aActions.emplace_back(SendPeer{ peer->mAddress, reply->second });
+    }
+    return;
+  }
   if (aState.mDraining) {
     return refuse(ErrorCode::Stopping, Verdict::NotRun, "The holder is stopping.");
   }
@@ -294,13 +318,23 @@
   // The owner sets mValidUntilMs to the latest timestamp that it received from this entry, plus
   // mSilentAfter. The submission therefore echoes that timestamp.
   if (auto* peer = FindPeer(aState, aPeer); peer != nullptr && aSubmit.mValidUntilMs != 0) {
-    const auto echoedAt =
-      Time(Duration(milliseconds(aSubmit.mValidUntilMs) - aState.mOptions.mSilentAfter));
-    peer->mEchoedAt = std::max(peer->mEchoedAt.value_or(echoedAt), echoedAt);
+    const auto validity = aState.mOptions.mSilentAfter.count();
+    if (aSubmit.mValidUntilMs > validity) {
+      RecordEcho(*peer, aSubmit.mValidUntilMs - validity, aNow);
+    }
   }
   RunJob(aState, { aPeer, aSubmit.mNumber, aSubmit.mJob.mId }, aSubmit.mJob, aNow, aActions);
 }
 
+void DropOldReplies(State& aState, const Now& aNow)
+{
+  auto& expiry = aState.mReplyExpiry;
+  while (!expiry.empty() && expiry.front().first <= aNow.mTime) {
+    aState.mReplies.erase(expiry.front().second);
+    expiry.pop_front();
+  }
+}
+
 void CancelPeerJob(State& aState, Incarnation aPeer, CallNumber aNumber, const Now& aNow)
 {
   aState.mCancelled[{ aPeer, aNumber }] = aNow.mTime + Duration(kCancelledRetention);
@@ -400,6 +434,7 @@
                        Verdict::MayHaveRun,
                        "The owner was not heard.",
                        kRefusalRetryAfter },
+                     aNow,
                      aActions);
     CancelOrigin(aState, request, aNow);
   }
@@ -441,6 +476,7 @@
   for (auto& [key, upstream] : aState.mUpstreams) {
     if (!listed.contains(key) && !upstream.mMissingSince) {
       upstream.mMissingSince = aNow.mTime;
+      aState.mEarliestMissing = aState.mEarliestMissing.value_or(aNow.mTime);
     }
   }
   if (changed) {
@@ -450,10 +486,22 @@
 
 void DropMissingUpstreams(State& aState, const Now& aNow)
 {
+  const auto retention = aState.mOptions.mMissingUpstreamRetention;
+  if (!aState.mEarliestMissing || aNow.mTime - *aState.mEarliestMissing <= retention) {
+    return;
+  }
+  aState.mEarliestMissing.reset();
   std::vector<std::string> gone;
   for (const auto& [key, upstream] : aState.mUpstreams) {
-    if (!upstream.mMissingSince ||
-        aNow.mTime - *upstream.mMissingSince <= aState.mOptions.mMissingUpstreamRetention) {
+    if (!upstream.mMissingSince) {
+      continue;
+    }
+    if (aNow.mTime - *upstream.mMissingSince <= retention ||
+        aState.mHolding.mSessions.contains(key)) {
+      aState.mEarliestMissing =
+        std::min(aState.mEarliestMissing.value_or(aNow.mTime), *upstream.mMissingSince);
+    }
+    if (aNow.mTime - *upstream.mMissingSince <= retention) {
       continue;
     }
     // The upstream may still run tasks and only be unable to reach the platform's store. Its runs
@@ -477,11 +525,20 @@
 {
   aState.mPartitions = PartitionUpstreams(aState);
   aState.mClaimsDue = true;
+  aState.mNeighboursDue = true;
   if (!aState.mConfiguration) {
     return;
   }
   auto configuration = std::make_shared<configuration::Configuration>(*aState.mConfiguration);
-  for (const auto& [key, upstream] : aState.mUpstreams) {
+  const auto isUsed = [&aState](const auto& aUpstream) {
+    return aUpstream.second.mRecord.mDataCentre == aState.mOptions.mDataCentre ||
+           aState.mHolding.mSessions.contains(aUpstream.first);
+  };
+  for (const auto& entry : aState.mUpstreams) {
+    if (!isUsed(entry)) {
+      continue;
+    }
+    const auto& [key, upstream] = entry;
     const auto& record = upstream.mRecord;
     configuration->mWorkers[record.mId] = { record.mId,
                                             record.mDataCentre,
@@ -495,7 +552,11 @@
     };
   }
   Dispatch(aState, dispatch::ConfigurationApplied{ std::move(configuration) }, aNow);
-  for (const auto& [key, upstream] : aState.mUpstreams) {
+  for (const auto& entry : aState.mUpstreams) {
+    if (!isUsed(entry)) {
+      continue;
+    }
+    const auto& [key, upstream] = entry;
     const auto sign = upstream.mRecord.mLeaving ? dispatch::Sign::Leaving : dispatch::Sign::Live;
     Dispatch(aState, dispatch::UpstreamSign{ key, sign, aNow.mUnixMs }, aNow);
   }
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -16,14 +16,8 @@
 /// A peer's timestamp is echoed for this long after its last presence.
 constexpr milliseconds kHeardRetention{ 10000 };
 
-/// Whether this entry and the peer are in different data centres and neither holds upstreams, so
-/// that neither forwards jobs to the other. False during this entry's startup period.
-bool IsIdlePair(const State& aState, const Peer& aPeer)
-{
-  return !aState.mInStartupPeriod && aPeer.mHeldUpstreams.empty() &&
-         aState.mHolding.mSessions.empty() &&
-         aPeer.mPresence.mDataCentre != aState.mOptions.mDataCentre;
-}
+/// A peer that has not read the platform's list of entries is sent the known ones at this interval.
+constexpr milliseconds kEntriesInterval{ 2000 };
 
 std::int64_t ToMs(Time aTime)
 {
@@ -34,32 +28,61 @@
 
 bool IsAlive(const State& aState, const Peer& aPeer, const Now& aNow)
 {
-  const auto allowed = IsIdlePair(aState, aPeer)
-                         ? 2 * aState.mOptions.mIdlePresenceInterval + aState.mOptions.mSilentAfter
-                         : aState.mOptions.mSilentAfter;
+  return aPeer.mEchoedAt && *aPeer.mEchoedAt >= aNow.mTime - aState.mOptions.mSilentAfter;
+}
+
+bool IsPresent(const State& aState, const Peer& aPeer, const Now& aNow)
+{
+  const auto& options = aState.mOptions;
+  // A peer whose presences have just become more frequent may not have echoed a recent one yet.
+  const bool regular =
+    aPeer.mRegularSince && aNow.mTime - *aPeer.mRegularSince >= options.mSilentAfter;
+  const auto allowed =
+    regular ? options.mSilentAfter : 2 * options.mIdlePresenceInterval + options.mSilentAfter;
   return aPeer.mEchoedAt && *aPeer.mEchoedAt >= aNow.mTime - allowed;
 }
 
+milliseconds PresenceIntervalTo(const State& aState, const Peer& aPeer, const Now& aNow)
+{
+  const auto& options = aState.mOptions;
+  const auto asked = aPeer.mPresence.mWantedInterval;
+  const auto retention = 2 * options.mIdlePresenceInterval + options.mSilentAfter;
+  if (asked.count() == 0 || !aPeer.mHeardAt || aNow.mTime - *aPeer.mHeardAt > retention) {
+    return aPeer.mWantedInterval;
+  }
+  const auto allowed = std::max(asked, options.mPresenceInterval);
+  return aPeer.mWantedInterval.count() == 0 ? allowed : std::min(allowed, aPeer.mWantedInterval);
+}
+
 Peer* FindPeer(State& aState, Incarnation aIncarnation)
 {
   const auto it = aState.mPeerAddresses.find(aIncarnation);
   return it == aState.mPeerAddresses.end() ? nullptr : &aState.mPeers.at(it->second);
 }
 
-void ApplyEntries(State& aState, const EntriesListed& aEvent, Actions& aActions)
+Peer& AddPeer(State& aState, const std::string& aAddress, Actions& aActions)
 {
-  for (const auto& record : aEvent.mEntries) {
-    if (record.mPeerAddress == aState.mOptions.mPeerAddress) {
-      continue;
-    }
-    auto& peer = aState.mPeers[record.mPeerAddress];
-    if (peer.mAddress.empty()) {
-      peer.mAddress = record.mPeerAddress;
-      AddReport(
-        aActions, "peer_listed", { { "name", record.mName }, { "address", record.mPeerAddress } });
-      aActions.emplace_back(ConnectPeer{ record.mPeerAddress, false });
-    }
+  auto& peer = aState.mPeers[aAddress];
+  if (peer.mAddress.empty()) {
+    peer.mAddress = aAddress;
+    aActions.emplace_back(ConnectPeer{ aAddress, false });
+  }
+  return peer;
+}
+
+void ApplyEntries(State& aState, const EntriesListed& aEvent)
+{
+  aState.mEntriesRead = aState.mEntriesRead || aEvent.mFromPlatform;
+  AddEntries(aState, aEvent.mEntries);
+}
+
+void RecordEcho(Peer& aPeer, std::int64_t aTimeMs, const Now& aNow)
+{
+  if (aTimeMs < 0 || aTimeMs > ToMs(aNow.mTime)) {
+    return; // Not a timestamp of this incarnation; the peer would count as alive until that time.
   }
+  const Time echoed{ Duration(milliseconds(aTimeMs)) };
+  aPeer.mEchoedAt = std::max(aPeer.mEchoedAt.value_or(echoed), echoed);
 }
 
 void HandlePresence(State& aState,
@@ -68,11 +91,8 @@
                     const Now& aNow,
                     Actions& aActions)
 {
-  auto& peer = aState.mPeers[aFrom];
-  if (peer.mAddress.empty()) {
-    peer.mAddress = aFrom;
-    aActions.emplace_back(ConnectPeer{ aFrom, false });
-  }
+  ++aState.mCounts.mPresencesReceived;
+  auto& peer = AddPeer(aState, aFrom, aActions);
   if (aPresence.mIncarnation < peer.mIncarnation ||
       (aPresence.mIncarnation == peer.mIncarnation && aPresence.mTimeMs < peer.mPresence.mTimeMs)) {
     return; // Sent by an earlier incarnation, or over an earlier connection.
@@ -82,6 +102,13 @@
     aState.mPeerAddresses[aPresence.mIncarnation] = aFrom;
     peer.mIncarnation = aPresence.mIncarnation;
     peer.mEchoedAt.reset();
+    peer.mHeldUpstreams = {};
+    AddEntries(aState,
+               { { aPresence.mName,
+                   aFrom,
+                   aPresence.mDataCentre,
+                   aPresence.mProcessorShare,
+                   aPresence.mLinkMbps } });
     AddReport(aActions,
               "peer_started",
               { { "name", aPresence.mName },
@@ -91,76 +118,152 @@
   peer.mHeardAt = aNow.mTime;
   for (const auto& heard : aPresence.mLastPresences) {
     if (heard.mIncarnation == aState.mOptions.mIncarnation) {
-      peer.mEchoedAt = Time(Duration(milliseconds(heard.mTimeMs)));
+      RecordEcho(peer, heard.mTimeMs, aNow);
     }
   }
-  if (aPresence.mHeldUpstreams != peer.mPresence.mHeldUpstreams) {
-    peer.mHeldUpstreams = { aPresence.mHeldUpstreams.begin(), aPresence.mHeldUpstreams.end() };
+  if (aPresence.mHeldUpstreams && aPresence.mHeldUpstreams != peer.mHeldUpstreams) {
+    peer.mHeldUpstreams = *aPresence.mHeldUpstreams;
     aState.mClaimsDue = true;
   }
-  aState.mClaimsDue = aState.mClaimsDue || aPresence.mLeaving != peer.mPresence.mLeaving;
+  const auto& former = peer.mPresence;
+  aState.mClaimsDue = aState.mClaimsDue || aPresence.mLeaving != former.mLeaving ||
+                      aPresence.mCandidate != former.mCandidate;
+  aState.mNeighboursDue = aState.mNeighboursDue || aPresence.mLeaving != former.mLeaving ||
+                          aPresence.mPartitions != former.mPartitions ||
+                          aPresence.mHolders != former.mHolders;
+  const bool sendEntries = aPresence.mNeedsEntries && aState.mEntriesRead &&
+                           aNow.mTime - peer.mEntriesSentAt >= kEntriesInterval;
   peer.mPresence = aPresence;
   peer.mSentMilliCores.clear();
   CancelUnlistedJobs(aState, peer, aNow, aActions);
   ResendMissingCalls(aState, peer, aNow, aActions);
+  if (sendEntries) {
+    peer.mEntriesSentAt = aNow.mTime;
+    message::Entries entries;
+    for (const auto& [address, record] : aState.mEntries) {
+      entries.mEntries.push_back(record);
+    }
+    aActions.emplace_back(SendPeer{ aFrom, std::move(entries) });
+  }
 }
 
-void SendPresence(State& aState, const Now& aNow, Actions& aActions)
+namespace {
+
+/// The part of a presence that is the same for all peers. mHolders has all local holders.
+message::Presence MakePresence(State& aState, const Now& aNow)
 {
-  if (aNow.mTime < aState.mNextPresence && !aState.mPresenceDue) {
-    return;
-  }
-  aState.mPresenceDue = false;
-  aState.mInStartupPeriod = aNow.mTime - aState.mStarted < aState.mOptions.mStartupPeriod;
-  aState.mNextPresence = aNow.mTime + Duration(aState.mOptions.mPresenceInterval);
+  const auto& options = aState.mOptions;
   message::Presence presence;
-  presence.mIncarnation = aState.mOptions.mIncarnation;
-  presence.mName = aState.mOptions.mName;
-  presence.mDataCentre = aState.mOptions.mDataCentre;
-  presence.mPeerAddress = aState.mOptions.mPeerAddress;
+  presence.mIncarnation = options.mIncarnation;
+  presence.mName = options.mName;
+  presence.mDataCentre = options.mDataCentre;
+  presence.mPeerAddress = options.mPeerAddress;
   presence.mTimeMs = ToMs(aNow.mTime);
   presence.mLeaving = aState.mDraining;
-  presence.mProcessorShare = aState.mOptions.mProcessorShare;
+  presence.mProcessorShare = options.mProcessorShare;
+  presence.mLinkMbps = options.mLinkMbps;
   presence.mConfigurationVersion =
     aState.mConfiguration ? aState.mConfiguration->mVersion : configuration::Version{ 0 };
+  presence.mCandidate = aState.mCandidate;
+  presence.mNeedsEntries = !aState.mEntriesRead;
+  presence.mPartitions = static_cast<std::uint64_t>(std::count_if(
+    aState.mPartitions.begin(), aState.mPartitions.end(), [&options](const auto& aPartition) {
+      return aPartition.first.mDataCentre == options.mDataCentre;
+    }));
+  std::vector<std::uint64_t> held;
   for (const auto& [key, session] : aState.mHolding.mSessions) {
     const auto it = aState.mUpstreams.find(key);
     if (it != aState.mUpstreams.end() && session.mPhase != holding::SessionPhase::Lost) {
-      presence.mHeldUpstreams.push_back(it->second.mHash);
+      held.push_back(it->second.mHash);
     }
   }
+  std::sort(held.begin(), held.end());
+  if (held != aState.mHeldUpstreams.mHashes || aState.mHeldUpstreams.mVersion == 0) {
+    ++aState.mHeldUpstreams.mVersion;
+    aState.mHeldUpstreams.mHashes = std::move(held);
+  }
+  presence.mHeldVersion = aState.mHeldUpstreams.mVersion;
+  presence.mHolders = LocalHolders(aState, aNow);
   presence.mLoads = LoadsOf(aState);
+  return presence;
+}
+
+/// Completes a presence with what concerns one peer, and sends it.
+void SendTo(State& aState,
+            Peer& aPeer,
+            message::Presence aPresence,
+            const Now& aNow,
+            Actions& aActions)
+{
+  aPresence.mWantedInterval = aPeer.mWantedInterval;
+  if (aPeer.mPresence.mDataCentre == aState.mOptions.mDataCentre) {
+    aPresence.mHolders.clear();
+  } else {
+    aPresence.mHolders = HoldersFor(aPeer, std::move(aPresence.mHolders));
+  }
+  aPresence.mReceivedHeldVersion = aPeer.mHeldUpstreams.mVersion;
+  if (aPeer.mPresence.mCandidate && aPeer.mHeardAt &&
+      aPeer.mPresence.mReceivedHeldVersion != aState.mHeldUpstreams.mVersion) {
+    aPresence.mHeldUpstreams = aState.mHeldUpstreams;
+  }
+  // A presence echoes only the receiver's timestamp. With a list for all peers, the bytes of all
+  // presences would grow with the cube of the number of entries.
+  if (aPeer.mHeardAt && aNow.mTime - *aPeer.mHeardAt < kHeardRetention) {
+    aPresence.mLastPresences.push_back({ aPeer.mIncarnation, aPeer.mPresence.mTimeMs });
+  }
+  aPresence.mOpenJobs = OpenCallsAt(aState, aPeer.mIncarnation);
+  aPresence.mAcceptedJobs = AcceptedCallsFrom(aState, aPeer.mIncarnation);
+  ++aState.mCounts.mPresencesSent;
+  aActions.emplace_back(SendPeer{ aPeer.mAddress, std::move(aPresence) });
+}
+
+} // namespace
+
+void SendPresences(State& aState, const Now& aNow, Actions& aActions)
+{
+  std::optional<message::Presence> presence; // Made when the first one is due.
   for (auto& [address, peer] : aState.mPeers) {
-    if (IsIdlePair(aState, peer) && aNow.mTime < peer.mNextIdlePresence) {
+    const auto interval = PresenceIntervalTo(aState, peer, aNow);
+    const bool isRegular = interval.count() != 0 && interval <= aState.mOptions.mPresenceInterval;
+    if (isRegular != peer.mRegularSince.has_value()) {
+      peer.mRegularSince = isRegular ? std::optional(aNow.mTime) : std::nullopt;
+    }
+    if (interval.count() == 0) {
+      continue;
+    }
+    peer.mNextPresence = std::min(peer.mNextPresence, aNow.mTime + Duration(interval));
+    if (aNow.mTime < peer.mNextPresence && !aState.mPresenceDue) {
       continue;
     }
-    peer.mNextIdlePresence = aNow.mTime + Duration(aState.mOptions.mIdlePresenceInterval);
-    // A presence echoes only the receiver's timestamp. With a list for all peers, the bytes of all
-    // presences would grow with the cube of the number of entries.
-    presence.mLastPresences.clear();
-    if (peer.mHeardAt && aNow.mTime - *peer.mHeardAt < kHeardRetention) {
-      presence.mLastPresences.push_back({ peer.mIncarnation, peer.mPresence.mTimeMs });
+    if (!presence) {
+      presence = MakePresence(aState, aNow);
     }
-    presence.mOpenJobs = OpenCallsAt(aState, peer.mIncarnation);
-    presence.mAcceptedJobs = AcceptedCallsFrom(aState, peer.mIncarnation);
-    aActions.emplace_back(SendPeer{ address, presence });
+    peer.mNextPresence = aNow.mTime + Duration(interval);
+    SendTo(aState, peer, *presence, aNow, aActions);
   }
+  aState.mPresenceDue = false;
+}
+
+void SendPresenceTo(State& aState, Peer& aPeer, const Now& aNow, Actions& aActions)
+{
+  SendTo(aState, aPeer, MakePresence(aState, aNow), aNow, aActions);
 }
 
 void WatchPeers(State& aState, const Now& aNow, Actions& aActions)
 {
   for (auto& [address, peer] : aState.mPeers) {
-    const bool alive = IsAlive(aState, peer, aNow);
+    const bool alive = IsPresent(aState, peer, aNow);
     if (alive != peer.mWasAlive) {
       peer.mWasAlive = alive;
       aState.mClaimsDue = true;
+      aState.mNeighboursDue = true;
       AddReport(aActions,
                 alive ? "peer_heard" : "peer_silent",
                 { { "name", peer.mPresence.mName }, { "address", address } },
                 !alive);
     }
-    if (IsIdlePair(aState, peer)) {
-      continue;
+    if (!peer.mRegularSince || aNow.mTime - *peer.mRegularSince <= kReconnectTimeout) {
+      continue; // Presences are too rare to tell that a connection is broken.
     }
     const bool heardByPeer = peer.mEchoedAt && aNow.mTime - *peer.mEchoedAt <= kReconnectTimeout;
     const bool heardFromPeer = peer.mHeardAt && aNow.mTime - *peer.mHeardAt <= kReconnectTimeout;
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <deque>
 #include <map>
 #include <random>
 #include <set>
@@ -47,11 +48,19 @@
   /// messages after it later than this, however long they were delayed on the way.
   std::optional<Time> mEchoedAt;
   Time mConnectedAt{};
-  Time mNextIdlePresence{};
+  Time mSelectedAt{}; ///< When it became a neighbour.
+  /// Interval at which this entry wants presences from the peer; 0: it is not a neighbour by this
+  /// entry's choice.
+  std::chrono::milliseconds mWantedInterval{ 0 };
+  Time mNextPresence{};
+  /// Since when presences are exchanged at Options::mPresenceInterval; empty if they are not.
+  std::optional<Time> mRegularSince;
   message::Presence mPresence;
-  std::set<std::uint64_t> mHeldUpstreams; ///< Upstream::mHash of those that it holds.
+  /// The upstreams that it holds, as last received. The version is 0 until a set has been received.
+  message::HeldUpstreams mHeldUpstreams;
   /// Requirements of jobs sent to the peer since its last presence, by service.
   std::map<std::string, std::uint64_t, std::less<>> mSentMilliCores;
+  Time mEntriesSentAt{};  ///< When message::Entries was last sent to it.
   bool mWasAlive = false; ///< As last reported.
 };
 
@@ -84,6 +93,8 @@
   std::uint64_t mHoldsLost = 0;
   std::uint64_t mPollsLost = 0; ///< Times that an upstream became silent.
   std::uint64_t mStartsUnanswered = 0;
+  std::uint64_t mPresencesSent = 0;
+  std::uint64_t mPresencesReceived = 0;
   std::array<std::uint64_t, holding::kOrderStatuses> mStarts{}; ///< By holding::OrderStatus.
   std::array<std::uint64_t, holding::kOrderStatuses> mStops{};
   std::array<std::uint64_t, holding::kOrderStatuses> mPolls{};
@@ -97,7 +108,11 @@
   holding::State mHolding;
   std::optional<configuration::Configuration> mConfiguration; ///< Services and teams.
   std::map<std::string, Upstream, std::less<>> mUpstreams;    ///< By key "SERVICE/ID".
-  std::map<std::string, Peer, std::less<>> mPeers;            ///< By address.
+  /// All known entries, including this one, by peer address.
+  std::map<std::string, EntryRecord, std::less<>> mEntries;
+  /// By data centre: peer addresses of its entries, those preferred as holders first.
+  std::map<std::string, std::vector<std::string>, std::less<>> mRankings;
+  std::map<std::string, Peer, std::less<>> mPeers; ///< The neighbours, by address.
   std::map<Incarnation, std::string> mPeerAddresses;
   std::map<CallNumber, Call> mCalls;
   std::map<RequestId, CallNumber> mCallByRequest;
@@ -105,6 +120,11 @@
   std::map<RequestId, Origin> mOrigins; ///< By the request number in the scheduling core.
   /// The scheduling core's request numbers of peers' calls.
   std::map<std::pair<Incarnation, CallNumber>, RequestId> mPeerRequests;
+  /// Replies to peers' calls. A copy of the submission that arrives later gets the same reply: the
+  /// first reply may have been lost, or the copy was delayed in an earlier connection.
+  std::map<std::pair<Incarnation, CallNumber>, message::Reply> mReplies;
+  /// The keys of mReplies and when they are removed, oldest first.
+  std::deque<std::pair<Time, std::pair<Incarnation, CallNumber>>> mReplyExpiry;
   /// Cancelled calls of peers, with the time until which a late submission is expected.
   std::map<std::pair<Incarnation, CallNumber>, Time> mCancelled;
   RequestId mLastCoreRequest = 0;
@@ -112,13 +132,23 @@
   holding::Actions mHoldingActions;
   Time mStarted{};
   Time mLastEvent{};
-  Time mNextPresence{};
+  Time mNextNeighbours{};
   Time mNextClaims{};
-  bool mPresenceDue = false;    ///< The set of held upstreams has changed.
+  bool mNeighboursDue = true;            ///< The choice of neighbours may have changed.
+  bool mPresenceDue = false;             ///< The set of held upstreams or mDraining has changed.
+  message::HeldUpstreams mHeldUpstreams; ///< As of the latest presence.
+  bool mEntriesRead = false;             ///< The platform's list of entries has been read.
+  bool mCandidate = false;               ///< See the description in entry.h.
+  /// Peer addresses of the first live entries of this entry's data centre, as far as it knows.
+  std::set<std::string, std::less<>> mFirstLive;
+  Time mCandidateUntil{};
   bool mInStartupPeriod = true; ///< See Options::mStartupPeriod.
   /// For each data centre whose entries are all gone or draining: since when.
   std::map<std::string, Time, std::less<>> mAbandonedSince;
-  bool mClaimsDue = false; ///< The assignment of upstreams to holders may have changed.
+  bool mClaimsDue = false;      ///< The assignment of upstreams to holders may have changed.
+  bool mReconfigureDue = false; ///< The scheduling core does not know all held upstreams.
+  /// The earliest Upstream::mMissingSince; empty if no upstream is missing.
+  std::optional<Time> mEarliestMissing;
   std::map<Partition, std::vector<std::string>> mPartitions; ///< Keys of the listed upstreams.
   bool mDraining = false;
   bool mStopped = false;
@@ -182,6 +212,9 @@
                 const Now& aNow,
                 Actions& aActions);
 
+/// Removes replies that no copy of the submission is expected for any more.
+void DropOldReplies(State& aState, const Now& aNow);
+
 /// Cancels a peer's job. A submission that arrives later is refused.
 void CancelPeerJob(State& aState, Incarnation aPeer, CallNumber aNumber, const Now& aNow);
 
@@ -208,22 +241,67 @@
 /// Divides the listed upstreams of each data centre into one partition for each holder.
 std::map<Partition, std::vector<std::string>> PartitionUpstreams(const State& aState);
 
-/// Claims and releases upstreams according to the set of live entries.
+/// Number of partitions of a data centre, from the list of upstreams or, for an entry that does not
+/// read it, from the presences of that data centre's entries. At least 1.
+std::size_t PartitionCount(const State& aState, std::string_view aDataCentre, const Now& aNow);
+
+/// Number of upstreams that an entry can hold.
+double HolderCapacity(const EntryRecord& aEntry);
+
+/// Classes of HolderCapacity, each for twice the capacity of the one below.
+int CapacityClass(const EntryRecord& aEntry);
+
+/// Claims and releases upstreams according to the set of live candidates.
 void UpdateClaims(State& aState, const Now& aNow, Actions& aActions);
 
+// neighbours.cpp
+
+/// Adds entries to mEntries, or updates them, and ranks them.
+void AddEntries(State& aState, const std::vector<EntryRecord>& aEntries);
+
+/// Chooses the entries to exchange presences with, and decides whether this entry is a candidate.
+void UpdateNeighbours(State& aState, const Now& aNow, Actions& aActions);
+
+/// Addresses of the holders of this entry's data centre that it knows.
+std::vector<std::string> LocalHolders(const State& aState, const Now& aNow);
+
+/// Selects from the local holders those that are named to a peer in another data centre.
+std::vector<std::string> HoldersFor(const Peer& aPeer, std::vector<std::string> aHolders);
+
 // peers.cpp
 
-/// Whether the peer has echoed a recent timestamp of this entry, which shows that messages arrive
-/// in both directions.
+/// Whether the peer has echoed a timestamp of this entry that is at most mSilentAfter old, which
+/// shows that messages arrive in both directions. Jobs are only forwarded to such peers.
 bool IsAlive(const State& aState, const Peer& aPeer, const Now& aNow);
+
+/// The same, but allows for peers that send presences at mIdlePresenceInterval.
+bool IsPresent(const State& aState, const Peer& aPeer, const Now& aNow);
+
+/// Interval at which presences are sent to the peer; 0: none are sent.
+std::chrono::milliseconds PresenceIntervalTo(const State& aState,
+                                             const Peer& aPeer,
+                                             const Now& aNow);
+
 Peer* FindPeer(State& aState, Incarnation aIncarnation);
-void ApplyEntries(State& aState, const EntriesListed& aEvent, Actions& aActions);
+
+/// Finds a peer by address, or adds it and connects to it.
+Peer& AddPeer(State& aState, const std::string& aAddress, Actions& aActions);
+
+/// Records that the peer has echoed a timestamp of this entry. Ignores times in the future.
+void RecordEcho(Peer& aPeer, std::int64_t aTimeMs, const Now& aNow);
+
+void ApplyEntries(State& aState, const EntriesListed& aEvent);
 void HandlePresence(State& aState,
                     const std::string& aFrom,
                     const message::Presence& aPresence,
                     const Now& aNow,
                     Actions& aActions);
-void SendPresence(State& aState, const Now& aNow, Actions& aActions);
+
+/// Sends the presences that are due.
+void SendPresences(State& aState, const Now& aNow, Actions& aActions);
+
+/// Sends a presence to one peer at once, as after a connection to it has been opened.
+void SendPresenceTo(State& aState, Peer& aPeer, const Now& aNow, Actions& aActions);
 
 /// Logs peers that have become silent or alive again, and replaces connections over which messages
 /// no longer reach the peer.
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -15,6 +15,7 @@
 constexpr const char* kService = "s";
 constexpr std::uint32_t kWorkerMilliCores = 32000;
 constexpr std::uint32_t kTaskMilliCores = 14000;
+constexpr double kShare = 0.12; ///< Processor share of an entry, in cores.
 constexpr milliseconds kTick{ 25 };
 constexpr milliseconds kMaxLease{ 1000 };
 constexpr milliseconds kStopTime{ 30 };
@@ -22,6 +23,17 @@
 
 void Step(World& aWorld, std::size_t aNode, const Event& aEvent);
 
+UpstreamsListed Listed(const World& aWorld)
+{
+  UpstreamsListed listed;
+  for (const auto& [id, worker] : aWorld.mWorkers) {
+    if (!aWorld.mUnlisted.contains(id)) {
+      listed.mUpstreams.push_back(worker.mRecord);
+    }
+  }
+  return listed;
+}
+
 std::int64_t ClockOf(const World& aWorld, const Worker& aWorker)
 {
   return aWorld.mNow.mUnixMs - aWorker.mBornMs;
@@ -334,6 +346,11 @@
 
   void operator()(const SendPeer& aAction) const
   {
+    ++mWorld.mNodes[mNode].mMessages;
+    if (mWorld.mRepliesToLose > 0 && std::holds_alternative<message::Reply>(aAction.mMessage)) {
+      --mWorld.mRepliesToLose;
+      return;
+    }
     const auto it =
       std::find_if(mWorld.mNodes.begin(), mWorld.mNodes.end(), [&](const Node& aNode) {
         return aNode.mOptions.mPeerAddress == aAction.mAddress;
@@ -364,6 +381,22 @@
     Reply(mWorld, mNode, generation, Delay(mWorld), PeerConnected{ aAction.mAddress });
   }
 
+  void operator()(const DisconnectPeer& /*aAction*/) const {}
+
+  void operator()(const FollowUpstreams& aAction) const
+  {
+    mWorld.mNodes[mNode].mFollowsUpstreams = aAction.mFollow;
+    if (aAction.mFollow) {
+      // Reading the whole list takes some time.
+      const auto generation = mWorld.mNodes[mNode].mGeneration;
+      After(mWorld, milliseconds(50), [&world = mWorld, node = mNode, generation] {
+        if (world.mNodes[node].mGeneration == generation && world.mNodes[node].mFollowsUpstreams) {
+          Step(world, node, Listed(world));
+        }
+      });
+    }
+  }
+
   void operator()(const Report& aAction) const
   {
     if (std::getenv("POLLENWALL_TEST_LOG") != nullptr) {
@@ -432,17 +465,6 @@
   After(aWorld, milliseconds(1), [&aWorld] { TickWorkers(aWorld); });
 }
 
-UpstreamsListed Listed(const World& aWorld)
-{
-  UpstreamsListed listed;
-  for (const auto& [id, worker] : aWorld.mWorkers) {
-    if (!aWorld.mUnlisted.contains(id)) {
-      listed.mUpstreams.push_back(worker.mRecord);
-    }
-  }
-  return listed;
-}
-
 } // namespace
 
 double UniformRandom(World& aWorld)
@@ -502,6 +524,9 @@
       node.mOptions.mName = name + "-e" + std::to_string(n);
       node.mOptions.mDataCentre = name;
       node.mOptions.mPeerAddress = "10.1.0.1:" + std::to_string(1 + world->mNodes.size());
+      node.mOptions.mLinkMbps = aOptions.mLinkMbps;
+      node.mOptions.mUpstreamsPerHolder = aOptions.mUpstreamsPerHolder;
+      node.mOptions.mProcessorShare = n < aOptions.mLargeNodesEach ? 4 * kShare : kShare;
       node.mOptions.mDispatch.mExpectedJobs = 64;
       node.mOptions.mDispatch.mAnswerRetention = std::chrono::seconds(5);
       world->mNodes.push_back(std::move(node));
@@ -576,7 +601,7 @@
   }
 }
 
-void Restart(World& aWorld, std::size_t aNode)
+void Restart(World& aWorld, std::size_t aNode, const std::vector<std::string>& aSeeds)
 {
   auto& node = aWorld.mNodes[aNode];
   ++node.mGeneration;
@@ -585,14 +610,25 @@
   node.mOptions.mSeed = aWorld.mRandom();
   node.mState = MakeState(node.mOptions, aWorld.mNow);
   node.mAlive = true;
+  node.mFollowsUpstreams = false;
   EntriesListed entries;
+  entries.mFromPlatform = aSeeds.empty();
+  for (const auto& seed : aSeeds) {
+    entries.mEntries.push_back({ "", seed, "", 0, 0 });
+  }
   for (const auto& other : aWorld.mNodes) {
-    entries.mEntries.push_back({ other.mOptions.mName, other.mOptions.mPeerAddress });
+    if (!entries.mFromPlatform) {
+      break;
+    }
+    entries.mEntries.push_back({ other.mOptions.mName,
+                                 other.mOptions.mPeerAddress,
+                                 other.mOptions.mDataCentre,
+                                 other.mOptions.mProcessorShare,
+                                 other.mOptions.mLinkMbps });
   }
   Step(aWorld, aNode, entries);
   Step(aWorld, aNode, ConfigurationListed{ aWorld.mConfiguration });
-  Step(aWorld, aNode, Listed(aWorld));
-  // The other entries reconnect to it.
+  // The other entries that keep a connection to it reconnect.
   for (std::size_t n = 0; n < aWorld.mNodes.size(); ++n) {
     if (n != aNode && aWorld.mNodes[n].mAlive) {
       Step(aWorld, n, PeerConnected{ node.mOptions.mPeerAddress });
@@ -652,7 +688,9 @@
 {
   const auto listed = Listed(aWorld);
   for (std::size_t n = 0; n < aWorld.mNodes.size(); ++n) {
-    Step(aWorld, n, listed);
+    if (aWorld.mNodes[n].mFollowsUpstreams) {
+      Step(aWorld, n, listed);
+    }
   }
 }
 
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -44,6 +44,8 @@
     0; ///< Incremented by each start and kill; events for an earlier value are lost.
   bool mAlive = false;
   bool mPaused = false;
+  bool mFollowsUpstreams = false;     ///< It receives the list of workers.
+  std::uint64_t mMessages = 0;        ///< Sent to other entries.
   Duration mHandlingDelay{ 0 };       ///< Added before each event is handled.
   std::vector<Event> mDeferredEvents; ///< Arrived while paused.
 };
@@ -72,6 +74,10 @@
   std::uint32_t mMaxFailures = 3;
   double mTargetStretch = 0; ///< See JobSpec.
   std::chrono::milliseconds mTargetSlack{ 60 };
+  /// The first entries of each data centre have this many times the processor time of the others.
+  std::size_t mLargeNodesEach = 0;
+  std::size_t mUpstreamsPerHolder = 64;
+  double mLinkMbps = 0; ///< See entry::Options.
   std::uint64_t mSeed = 1;
 };
 
@@ -89,6 +95,7 @@
   std::map<TaskId, std::uint32_t> mDone;
   std::set<std::pair<std::size_t, std::size_t>> mCutNodes; ///< Sender and receiver; one direction.
   std::set<std::pair<std::size_t, std::string>> mCutFromWorkers; ///< Node and worker.
+  std::size_t mRepliesToLose = 0;       ///< The next replies between entries that are lost.
   std::set<std::string> mUnlisted;      ///< Workers that are missing from the list.
   std::vector<std::string> mViolations; ///< Descriptions of violated invariants.
   std::uint64_t mStarts = 0;
@@ -132,7 +139,8 @@
                   std::chrono::milliseconds aRun);
 
 void Kill(World& aWorld, std::size_t aNode);
-void Restart(World& aWorld, std::size_t aNode);
+/// Starts an entry. With seeds it knows only these entries and cannot read the platform's list.
+void Restart(World& aWorld, std::size_t aNode, const std::vector<std::string>& aSeeds = {});
 void Pause(World& aWorld, std::size_t aNode);
 void Resume(World& aWorld, std::size_t aNode);
 void CrashWorker(World& aWorld, const std::string& aId);
--- a/src/libmessages/messages.cpp
+++ b/src/libmessages/messages.cpp
@@ -519,6 +519,17 @@
   } else if constexpr (IsSame<T, LastPresence>) {
     a("of", v.mIncarnation);
     a("time_ms", v.mTimeMs);
+  } else if constexpr (IsSame<T, HeldUpstreams>) {
+    a("version", v.mVersion);
+    a("hashes", v.mHashes);
+  } else if constexpr (IsSame<T, EntryRecord>) {
+    a("name", v.mName);
+    a("address", v.mPeerAddress);
+    a("dc", v.mDataCentre);
+    a("processor", v.mProcessorShare);
+    a("mbps", v.mLinkMbps);
+  } else if constexpr (IsSame<T, Entries>) {
+    a("entries", v.mEntries);
   } else {
     static_assert(IsSame<T, Presence>);
     a("incarnation", v.mIncarnation);
@@ -528,8 +539,16 @@
     a("time_ms", v.mTimeMs);
     a("leaving", v.mLeaving);
     a("processor", v.mProcessorShare);
+    a("mbps", v.mLinkMbps);
     a("config", v.mConfigurationVersion);
+    a("wants_ms", v.mWantedInterval);
+    a("candidate", v.mCandidate);
+    a("needs_entries", v.mNeedsEntries);
+    a("partitions", v.mPartitions);
+    a("held_version", v.mHeldVersion);
+    a("received_held", v.mReceivedHeldVersion);
     a("held", v.mHeldUpstreams);
+    a("holders", v.mHolders);
     a("loads", v.mLoads);
     a("heard", v.mLastPresences);
     a("open", v.mOpenJobs);
@@ -539,8 +558,9 @@
 
 /// Values of the key "type", in the order of Message's alternatives.
 constexpr std::array<std::string_view, std::variant_size_v<Message>> kTypeNames{
-  "hello", "heartbeat", "submit",   "status",         "cancel",       "submit_reply", "borrow",
-  "grant", "return",    "handover", "handover_reply", "config_fetch", "config_items", "presence",
+  "hello",          "heartbeat",    "submit",       "status",   "cancel",
+  "submit_reply",   "borrow",       "grant",        "return",   "handover",
+  "handover_reply", "config_fetch", "config_items", "presence", "entries",
 };
 constexpr std::string_view kTypeKey = "type";
 
--- a/src/libmessages/messages_test.cpp
+++ b/src/libmessages/messages_test.cpp
@@ -124,6 +124,44 @@
   return beat;
 }
 
+EntryRecord AnyEntry()
+{
+  return { AnyText(), AnyText(), AnyText(), AnyRate(), AnyRate() };
+}
+
+Presence AnyPresence()
+{
+  Presence presence;
+  presence.mIncarnation = Incarnation{ AnyNumber() | 1 };
+  presence.mName = AnyText();
+  presence.mDataCentre = "dc" + AnyText();
+  presence.mPeerAddress = AnyText();
+  presence.mTimeMs = *rc::gen::arbitrary<std::int64_t>();
+  presence.mLeaving = AnyBool();
+  presence.mProcessorShare = AnyRate();
+  presence.mLinkMbps = AnyRate();
+  presence.mConfigurationVersion = AnyNumber();
+  presence.mWantedInterval = AnyMs();
+  presence.mCandidate = AnyBool();
+  presence.mNeedsEntries = AnyBool();
+  presence.mPartitions = AnyNumber();
+  presence.mHeldVersion = AnyNumber();
+  presence.mReceivedHeldVersion = AnyNumber();
+  if (AnyBool()) {
+    presence.mHeldUpstreams = HeldUpstreams{ AnyNumber(), AnyList(AnyNumber) };
+  }
+  presence.mHolders = AnyList(AnyText);
+  presence.mLoads = AnyList([] {
+    return ServiceLoad{ AnyText(), AnyNumber(), AnyNumber(), AnyNumber() };
+  });
+  presence.mLastPresences = AnyList([] {
+    return LastPresence{ Incarnation{ AnyNumber() }, *rc::gen::arbitrary<std::int64_t>() };
+  });
+  presence.mOpenJobs = AnyList(AnyNumber);
+  presence.mAcceptedJobs = AnyList(AnyNumber);
+  return presence;
+}
+
 Message AnyMessage()
 {
   switch (*rc::gen::inRange<std::size_t>(0, std::variant_size_v<Message>)) {
@@ -165,6 +203,10 @@
       return HandoverReply{ AnyNumber(), AnyList(AnyText) };
     case 11:
       return ConfigFetch{ AnyNumber() };
+    case 12:
+      return AnyPresence();
+    case 13:
+      return Entries{ AnyList(AnyEntry) };
     default:
       return ConfigItems{ AnyNumber(), AnyText() };
   }
--- a/src/libnode/node.cpp
+++ b/src/libnode/node.cpp
@@ -206,7 +206,7 @@
   OnConfigItems(aState, aMessage, aNow, aActions);
 }
 
-/// Ignored: only entries that work with fencing tokens send it.
+/// Ignored, like Entries: only entries that work with fencing tokens send them.
 void Receive(State& /*aState*/,
              Incarnation /*aFrom*/,
              const message::Presence& /*aMessage*/,
@@ -215,6 +215,14 @@
 {
 }
 
+void Receive(State& /*aState*/,
+             Incarnation /*aFrom*/,
+             const message::Entries& /*aMessage*/,
+             const Now& /*aNow*/,
+             Actions& /*aActions*/)
+{
+}
+
 // Events.
 
 void Apply(State& aState, CallerSubmit& aEvent, const Now& aNow, Actions& aActions)
--- a/src/libsettings/settings.cpp
+++ b/src/libsettings/settings.cpp
@@ -171,6 +171,7 @@
   ReadMilliseconds(section, "drain_limit_ms", 100, kHourMs, entry.mDrainLimit);
   entry.mProcessorShare =
     yaml::GetNumber(section, "processor_share", 0.001, 1024, entry.mProcessorShare);
+  entry.mLinkMbps = yaml::GetNumber(section, "link_mbps", 0, 1e6, entry.mLinkMbps);
   ReadSize(section, "upstreams_per_holder", 1, 10000, entry.mUpstreamsPerHolder);
   const auto minLease = entry.mHolding.mPollWait + entry.mHolding.mAnswerTimeout;
   if (entry.mHolding.mLease < minLease) {
--- a/src/pollenwalld/entry_links.cpp
+++ b/src/pollenwalld/entry_links.cpp
@@ -37,39 +37,39 @@
 OutboundLink* FindOutbound(EntryLinks& aLinks, const std::string& aAddress)
 {
   const auto it = aLinks.mOutbound.find(aAddress);
-  return it == aLinks.mOutbound.end() ? nullptr : &it->second;
+  return it == aLinks.mOutbound.end() ? nullptr : it->second.get();
 }
 
 /// Connects once and reads until the connection ends. The peer sends nothing on this connection.
-void ConnectAndRead(EntryLinks& aLinks, const std::string& aAddress, const net::Tcp::endpoint& aTo)
+void ConnectAndRead(EntryLinks& aLinks,
+                    OutboundLink& aOut,
+                    const std::string& aAddress,
+                    const net::Tcp::endpoint& aTo)
 {
   const auto link = std::make_shared<PeerLink>(net::Socket(aLinks.mDaemon.mContext));
-  FindOutbound(aLinks, aAddress)->mLink = link;
-  const bool connected = Connect(aLinks, link, aTo);
-  if (auto* out = FindOutbound(aLinks, aAddress); connected && out != nullptr) {
-    out->mConnected = true;
+  aOut.mLink = link;
+  if (Connect(aLinks, link, aTo)) {
+    aOut.mConnected = true;
     Post(aLinks.mLoop, entry::PeerConnected{ aAddress });
     ReadMessages(*link, aLinks.mLimits, [](const message::Message&) {});
   }
   CloseLink(*link);
-  if (auto* out = FindOutbound(aLinks, aAddress)) {
-    out->mLink = nullptr;
-    out->mConnected = false;
-  }
+  aOut.mLink = nullptr;
+  aOut.mConnected = false;
 }
 
 /// Reconnects to an address until it is removed or the service stops.
-void KeepConnected(EntryLinks& aLinks, const std::string& aAddress)
+void KeepConnected(EntryLinks& aLinks,
+                   const std::shared_ptr<OutboundLink>& aOut,
+                   const std::string& aAddress)
 {
   const auto endpoint =
     net::ParseEndpoint(settings::ConnectAddress(aLinks.mDaemon.mSettings, aAddress));
-  while (endpoint && !aLinks.mStopped && aLinks.mOutbound.contains(aAddress)) {
-    ConnectAndRead(aLinks, aAddress, *endpoint);
+  while (endpoint && !aLinks.mStopped && !aOut->mRemoved) {
+    ConnectAndRead(aLinks, *aOut, aAddress, *endpoint);
     const auto pause =
       std::make_shared<boost::asio::steady_timer>(aLinks.mDaemon.mContext, kReconnectDelay);
-    if (auto* out = FindOutbound(aLinks, aAddress)) {
-      out->mReconnectTimer = pause;
-    }
+    aOut->mReconnectTimer = pause;
     boost::system::error_code ec;
     pause->async_wait(net::Await(ec));
   }
@@ -82,8 +82,10 @@
 {
   auto* out = FindOutbound(aLinks, aAction.mAddress);
   if (out == nullptr) {
-    aLinks.mOutbound.emplace(aAction.mAddress, OutboundLink{});
-    net::Spawn([&aLinks, address = aAction.mAddress] { KeepConnected(aLinks, address); });
+    const auto added = std::make_shared<OutboundLink>();
+    aLinks.mOutbound.emplace(aAction.mAddress, added);
+    net::Spawn(
+      [&aLinks, added, address = aAction.mAddress] { KeepConnected(aLinks, added, address); });
     return;
   }
   if (!aAction.mReconnect) {
@@ -97,6 +99,24 @@
   }
 }
 
+/// Closes the connection and ends KeepConnected for the address.
+void HandleDisconnectPeer(EntryLinks& aLinks, const entry::DisconnectPeer& aAction)
+{
+  const auto it = aLinks.mOutbound.find(aAction.mAddress);
+  if (it == aLinks.mOutbound.end()) {
+    return;
+  }
+  const auto out = it->second;
+  aLinks.mOutbound.erase(it);
+  out->mRemoved = true;
+  if (out->mLink) {
+    CloseLink(*out->mLink);
+  }
+  if (out->mReconnectTimer) {
+    out->mReconnectTimer->cancel();
+  }
+}
+
 void Send(EntryLinks& aLinks, const entry::SendPeer& aAction)
 {
   const auto* out = FindOutbound(aLinks, aAction.mAddress);
@@ -170,6 +190,9 @@
   handlers.mConnectPeer = [&aLinks](entry::ConnectPeer& aAction) {
     HandleConnectPeer(aLinks, aAction);
   };
+  handlers.mDisconnectPeer = [&aLinks](entry::DisconnectPeer& aAction) {
+    HandleDisconnectPeer(aLinks, aAction);
+  };
   net::Spawn([&aLinks] { Accept(aLinks); });
   return {};
 }
@@ -180,8 +203,8 @@
   boost::system::error_code ec;
   aLinks.mAcceptor.close(ec);
   for (const auto& [address, out] : aLinks.mOutbound) {
-    if (out.mLink) {
-      CloseAfterWrites(*out.mLink);
+    if (out->mLink) {
+      CloseAfterWrites(*out->mLink);
     }
   }
 }
--- a/src/pollenwalld/entry_links.h
+++ b/src/pollenwalld/entry_links.h
@@ -21,6 +21,7 @@
 {
   std::shared_ptr<PeerLink> mLink; ///< Null during the delay between two attempts.
   bool mConnected = false;
+  bool mRemoved = false; ///< No connection is to be kept any more.
   /// Runs during the delay between two attempts; cancelling it starts the next attempt.
   std::shared_ptr<boost::asio::steady_timer> mReconnectTimer;
 };
@@ -38,7 +39,7 @@
   EntryLoop& mLoop;
   PeerLimits mLimits;
   boost::asio::basic_socket_acceptor<net::Tcp, net::Executor> mAcceptor;
-  std::map<std::string, OutboundLink, std::less<>> mOutbound; ///< By address.
+  std::map<std::string, std::shared_ptr<OutboundLink>, std::less<>> mOutbound; ///< By address.
   std::set<std::shared_ptr<PeerLink>> mInbound;
   bool mStopped = false;
 };
--- a/src/pollenwalld/entry_links_test.cpp
+++ b/src/pollenwalld/entry_links_test.cpp
@@ -37,7 +37,7 @@
   loop.mHandlers.mConnectPeer(action);
   net::SleepFor(aContext, milliseconds(20));
   const auto& link =
-    kernel::Find<EntryLinks>(daemonContext.mKernel, "entry_links")->mOutbound.at(address);
+    *kernel::Find<EntryLinks>(daemonContext.mKernel, "entry_links")->mOutbound.at(address);
   bool passed = Expect(started && !ec && !link.mConnected, "the peer does not listen");
   acceptor.listen(1, ec);
   action.mReconnect = true;
--- a/src/pollenwalld/entry_loop.cpp
+++ b/src/pollenwalld/entry_loop.cpp
@@ -27,6 +27,14 @@
   {
     CallHandler(mLoop.mHandlers.mConnectPeer, aAction);
   }
+  void operator()(entry::DisconnectPeer& aAction)
+  {
+    CallHandler(mLoop.mHandlers.mDisconnectPeer, aAction);
+  }
+  void operator()(entry::FollowUpstreams& aAction)
+  {
+    CallHandler(mLoop.mHandlers.mFollowUpstreams, aAction);
+  }
   void operator()(entry::Measured& aAction)
   {
     metrics::Observe(mLoop.mDaemon.mMetrics,
--- a/src/pollenwalld/entry_loop.h
+++ b/src/pollenwalld/entry_loop.h
@@ -25,6 +25,8 @@
   std::function<void(entry::PollUpstream&)> mPollUpstream;
   std::function<void(entry::SendPeer&)> mSendPeer;
   std::function<void(entry::ConnectPeer&)> mConnectPeer;
+  std::function<void(entry::DisconnectPeer&)> mDisconnectPeer;
+  std::function<void(entry::FollowUpstreams&)> mFollowUpstreams;
   std::function<void()> mAfterTick; ///< Called after each tick is queued.
 };
 
