Forget upstreams when an entry is no candidate any more

Cause, found by reading: an entry that stopped being a candidate while it still held upstreams erased the others from its list but not from its partitions; the next update of claims threw std::out_of_range and ended the process. What it still listed was never refreshed, so an upstream that had left could be claimed when the entry became a candidate again. Besides, a run that vanished because its upstream had restarted counted as over while the second copy of its order was still on its way.

Change: an entry that is no candidate keeps only what it holds, with the partitions made anew. A run with a copy on its way is stopped before it counts as over.

Tests: FormerCandidateForgetsUpstreams (ended with the exception before) and CopyOfAnOrderIsStoppedAfterARestart.

--- a/src/libentry/claims.cpp
+++ b/src/libentry/claims.cpp
@@ -269,6 +269,18 @@
   }
 }
 
+/// Removes the upstreams that this entry does not hold. An entry that does not read the list of
+/// upstreams would not notice that one has left.
+void ForgetUpstreams(State& aState, const Now& aNow)
+{
+  const auto erased = std::erase_if(aState.mUpstreams, [&aState](const auto& aUpstream) {
+    return !aState.mHolding.mSessions.contains(aUpstream.first);
+  });
+  if (erased > 0) {
+    Reconfigure(aState, aNow);
+  }
+}
+
 /// Number of upstreams for one partition: Options::mUpstreamsPerHolder, or as many as the entry
 /// that is preferred as a holder can hold.
 std::size_t UpstreamsPerPartition(const State& aState, const std::string& aDataCentre)
@@ -347,6 +359,9 @@
   if (aNow.mTime < aState.mNextClaims && !aState.mClaimsDue) {
     return;
   }
+  if (!aState.mCandidate) {
+    ForgetUpstreams(aState, aNow);
+  }
   aState.mClaimsDue = false;
   aState.mNextClaims = aNow.mTime + kClaimInterval;
   // After a start, presences of the current holders arrive within this time.
--- a/src/libentry/entry_test.cpp
+++ b/src/libentry/entry_test.cpp
@@ -881,6 +881,85 @@
          Expect(HoldsLost(w) == 0, "no hold is lost") && NoViolations(w);
 }
 
+/// Guards against an upstream that has left and is used again by an entry that has not read the
+/// list for a while, and against a crash of such an entry. Pattern: the only large entry dies, its
+/// upstreams are held by a small one, it returns; an upstream leaves; it dies again.
+bool FormerCandidateForgetsUpstreams()
+{
+  WorldOptions options;
+  options.mDataCentres = 1;
+  options.mNodesEach = 8;
+  options.mLargeNodesEach = 3;
+  auto world = MakeWorld(options);
+  auto& w = *world;
+  RunFor(w, seconds(2));
+  bool ok = true;
+  const auto killLarge = [&w] {
+    for (const std::size_t n : { 0, 1, 2 }) {
+      Kill(w, n);
+    }
+    RunFor(w, seconds(4));
+  };
+  killLarge();
+  const auto second = CandidatesIn(w, "dc0");
+  ok &= Expect(!second.empty(), "small entries replace the large ones");
+  GenerateLoad(w, 10, seconds(16), milliseconds(400));
+  for (const std::size_t n : { 0, 1, 2 }) {
+    Restart(w, n);
+  }
+  RunFor(w, seconds(14));
+  ok &= Expect(CandidatesIn(w, "dc0").size() == 3, "the large ones are the candidates again");
+  w.mUnlisted.insert("dc0-w0");
+  ListWorkers(w);
+  RunFor(w, seconds(5));
+  const auto token = w.mWorkers.at("dc0-w0").mToken;
+  killLarge();
+  ok &= Expect(w.mWorkers.at("dc0-w0").mToken == token, "nobody claims the upstream that has left");
+  for (std::size_t n = 3; n < w.mNodes.size(); ++n) {
+    ok &= Expect(GaugeOf(w, n, "upstreams{state=\"listed\"}") <= 7, "nor does anybody list it");
+  }
+  return ok && NoViolations(w);
+}
+
+/// Guards against a run that exists twice because a copy of its order arrives after the upstream
+/// has restarted and forgotten the run. The holder stops it there before the task starts elsewhere.
+bool CopyOfAnOrderIsStoppedAfterARestart()
+{
+  holding::State state;
+  holding::Actions actions;
+  Now now{ Time{ seconds(1000) }, 1'700'000'000'000 };
+  holding::Claim(state, "u", 0, now, actions);
+  const auto poll = [&](UnixMs aBornMs) {
+    actions.clear();
+    now.mTime += milliseconds(5);
+    holding::PollAnswered answer{ "u", 1, holding::OrderStatus::Done, 5000, aBornMs };
+    answer.mSentAt = now.mTime - milliseconds(1);
+    holding::Handle(state, answer, now, actions);
+  };
+  poll(7);
+  const holding::Run run{ { "j", 0 }, 1 };
+  holding::Start(state, "u", run, nullptr, now, actions);
+  now.mTime += milliseconds(50);
+  actions.clear();
+  holding::Advance(state, now, actions);
+  const auto has = [&actions](auto aTag) {
+    return std::any_of(actions.begin(), actions.end(), [](const holding::Action& aAction) {
+      return std::holds_alternative<decltype(aTag)>(aAction);
+    });
+  };
+  bool ok = Expect(has(holding::SendStart{}), "a second copy is sent");
+  holding::Handle(
+    state,
+    holding::StartAnswered{ "u", 1, run, holding::OrderStatus::Done, 5050, now.mTime },
+    now,
+    actions);
+  now.mTime += milliseconds(20);
+  poll(8);
+  ok &= Expect(has(holding::SendStop{}) && !has(holding::Ended{}),
+               "the restarted upstream is told to stop the run before it counts as ended");
+  return ok;
+}
+
 /// Guards against one holder with all partitions of a data centre while others of the same capacity
 /// hold none. Pattern: 3 partitions and 3 equal entries, of which one starts 150 ms early.
 bool PartitionsAreSpread()
@@ -956,6 +1035,8 @@
   ok = PartitionsAreSpread() && ok;
   ok = OverloadedHolderSharesPartitions() && ok;
   ok = LostReplyIsRepeated() && ok;
+  ok = FormerCandidateForgetsUpstreams() && ok;
+  ok = CopyOfAnOrderIsStoppedAfterARestart() && ok;
   ok = ClaimsSucceedWhenClocksDiffer() && ok;
   ok = RestartAfterClockJumpedBack() && ok;
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
--- a/src/libentry/neighbours.cpp
+++ b/src/libentry/neighbours.cpp
@@ -120,12 +120,6 @@
   aState.mPresenceDue = true;
   AddReport(aActions, aCandidate ? "candidate_began" : "candidate_ended", {});
   aActions.emplace_back(FollowUpstreams{ aCandidate });
-  if (!aCandidate) {
-    // Without reading the list, this entry would not notice that an upstream has left.
-    std::erase_if(aState.mUpstreams, [&aState](const auto& aUpstream) {
-      return !aState.mHolding.mSessions.contains(aUpstream.first);
-    });
-  }
 }
 
 /// Closes connections that neither this entry nor the peer has needed for some time.
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -285,10 +285,13 @@
     if (listed.contains(run)) {
       continue;
     }
+    // A copy of the order that is still on its way would be executed by an upstream that has
+    // restarted since.
+    const bool mayArrive = own.mCopyUnknown || own.mCopiesPending > 0;
     const bool vanished = own.mPhase == RunPhase::Running && own.mRunningSince < aEvent.mSentAt;
-    if (vanished || (own.mStopConfirmed && own.mStopConfirmedAt < aEvent.mSentAt)) {
+    if ((vanished && !mayArrive) || (own.mStopConfirmed && own.mStopConfirmedAt < aEvent.mSentAt)) {
       gone.push_back(run);
-    } else if (own.mPhase == RunPhase::Unknown && own.mOrderedAt < aEvent.mSentAt &&
+    } else if ((vanished || own.mPhase == RunPhase::Unknown) && own.mOrderedAt < aEvent.mSentAt &&
                !own.mStopSentAt) {
       // The start may still arrive; after a confirmed stop the upstream rejects it.
       SendOwnStop(aUpstream, aSession, run, own, aNow, aActions);
