--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -23,8 +23,7 @@
 /// one.
 constexpr milliseconds kOldMessageTime{ 1000 };
 /// Tokens further ahead of this entry's clock are ignored: no clock is that wrong.
-constexpr std::chrono::hours kMaxTokenLeadHours{ 1 };
-constexpr milliseconds kMaxTokenLead = kMaxTokenLeadHours;
+constexpr milliseconds kMaxTokenLead = std::chrono::hours(1);
 
 std::int64_t ToMs(Time aTime)
 {
