--- a/src/libentry/neighbours.cpp
+++ b/src/libentry/neighbours.cpp
@@ -161,12 +161,11 @@
       aState.mRankings[record.mDataCentre].push_back(address);
     }
   }
+  const auto rank = [&aState](const std::string& aAddress) {
+    return std::tuple(-CapacityClass(aState.mEntries.at(aAddress)), Hash64(aAddress));
+  };
   for (auto& [dataCentre, ranking] : aState.mRankings) {
-    std::sort(ranking.begin(), ranking.end(), [&](const auto& aOne, const auto& aOther) {
-      const auto rank = [&](const std::string& aAddress) {
-        return std::tuple(-CapacityClass(aState.mEntries.at(aAddress)),
-                          Hash64(dataCentre + "/" + aAddress));
-      };
+    std::sort(ranking.begin(), ranking.end(), [&rank](const auto& aOne, const auto& aOther) {
       return rank(aOne) < rank(aOther);
     });
   }
