Refuse requests that arrive after the end of a drain

A request that was read while the HTTP server was being stopped was forwarded, and its connection closed 0.5 s later.

Change: after Stopped, calls are refused at once as not run.

Test: RequestsAfterTheDrainAreRefused fails without the change.

--- a/src/libentry/calls.cpp
+++ b/src/libentry/calls.cpp
@@ -261,7 +261,9 @@
            aActions);
     return;
   }
-  if (aState.mDraining && aNow.mTime - aState.mDrainBegan > aState.mOptions.mDrainAcceptTime) {
+  // After Stopped, the process ends before the job would.
+  if (aState.mStopped ||
+      (aState.mDraining && aNow.mTime - aState.mDrainBegan > aState.mOptions.mDrainAcceptTime)) {
     Answer(aState,
            number,
            std::nullopt,
--- a/src/libentry/entry_test.cpp
+++ b/src/libentry/entry_test.cpp
@@ -564,6 +564,29 @@
   return ok;
 }
 
+/// Guards against a caller whose request is read between the end of the drain and the end of the
+/// process, and whose connection is then closed without an answer. Pattern: a drain without open
+/// calls ends after 2.2 s; a request arrives while the HTTP server is being stopped.
+bool RequestsAfterTheDrainAreRefused()
+{
+  OwnerAndHolder pair;
+  pair.Step(Drain{});
+  const auto isStopped = [&pair] {
+    return std::any_of(pair.mActions.begin(), pair.mActions.end(), [](const Action& aAction) {
+      return std::holds_alternative<Stopped>(aAction);
+    });
+  };
+  for (int n = 0; n < 100 && !isStopped(); ++n) {
+    pair.mNow.mTime += milliseconds(25);
+    pair.ReceivePresence();
+    pair.Step(Tick{});
+  }
+  bool ok = Expect(isStopped(), "the drain ends");
+  pair.Submit();
+  ok &= Expect(pair.Answered() && !pair.mNumber, "a later request is refused at once");
+  return ok;
+}
+
 /// Guards against refusals and failures that are not logged. Goes through all error codes, so that
 /// a new one is covered.
 bool EveryFailureIsLogged()
@@ -1027,6 +1050,7 @@
   ok = RefusedInTime() && ok;
   ok = WorkersMissingFromList() && ok;
   ok = EveryFailureIsLogged() && ok;
+  ok = RequestsAfterTheDrainAreRefused() && ok;
   ok = RefusedJobsMoveToFreeHolder() && ok;
   ok = MessagesDoNotGrowWithEntries() && ok;
   ok = LargeFleetServes() && ok;
--- a/src/libentry/neighbours.cpp
+++ b/src/libentry/neighbours.cpp
@@ -162,7 +162,8 @@
     }
   }
   const auto rank = [&aState](const std::string& aAddress) {
-    return std::tuple(-CapacityClass(aState.mEntries.at(aAddress)), Hash64(aAddress));
+    const auto& record = aState.mEntries.at(aAddress);
+    return std::tuple(-CapacityClass(record), Hash64(record.mDataCentre + "/" + aAddress));
   };
   for (auto& [dataCentre, ranking] : aState.mRankings) {
     std::sort(ranking.begin(), ranking.end(), [&rank](const auto& aOne, const auto& aOther) {
