A new candidate waits for the sets of all live candidates

Change: it claims nothing for 150 ms and until the sets of all live candidates are known; these answer at once.

Test: RestartedEntryTakesNothingFromLiveHolders guards the case but also passes without the change.

--- a/src/libentry/claims.cpp
+++ b/src/libentry/claims.cpp
@@ -17,6 +17,9 @@
 
 /// Claims are updated after relevant changes, and at this interval for claims that are delayed.
 constexpr milliseconds kClaimInterval{ 500 };
+/// An entry that has become a candidate claims nothing for this long. By then it has exchanged
+/// presences with the candidates of the other data centres, which may hold upstreams here.
+constexpr milliseconds kCandidateSettleTime{ 150 };
 /// A holder needs about a tenth of a core for 64 busy upstreams.
 constexpr double kUpstreamsPerCore = 640;
 /// Orders and polls of a busy upstream take about 0.2 Mbit/s of its holder's link in each
@@ -208,14 +211,14 @@
   return assigned;
 }
 
-/// Whether the upstreams that a live candidate of this data centre holds are not known yet. They
-/// follow within one interval of presences.
+/// Whether the upstreams that a live candidate holds are not known yet. It sends them soon after it
+/// has heard that this entry is a candidate.
 bool IsHeldSetMissing(const State& aState, const Now& aNow)
 {
   return std::any_of(aState.mPeers.begin(), aState.mPeers.end(), [&](const auto& aPeer) {
     const auto& peer = aPeer.second;
-    return peer.mRecord.mDataCentre == aState.mOptions.mDataCentre && peer.mPresence.mCandidate &&
-           peer.mHeldUpstreams.mVersion == 0 && IsPresent(aState, peer, aNow);
+    return peer.mPresence.mCandidate && peer.mHeldUpstreams.mVersion == 0 &&
+           IsPresent(aState, peer, aNow);
   });
 }
 
@@ -371,7 +374,8 @@
   if (!aState.mCandidate && aState.mHolding.mSessions.empty()) {
     return;
   }
-  if (aState.mCandidate && IsHeldSetMissing(aState, aNow)) {
+  const bool isSettling = aNow.mTime - aState.mCandidateSince < kCandidateSettleTime;
+  if (aState.mCandidate && (isSettling || IsHeldSetMissing(aState, aNow))) {
     aState.mClaimsDue = true;
     return;
   }
--- a/src/libentry/neighbours.cpp
+++ b/src/libentry/neighbours.cpp
@@ -110,12 +110,13 @@
   return contacts.empty() ? std::nullopt : std::optional(contacts.front());
 }
 
-void SetCandidate(State& aState, bool aCandidate, Actions& aActions)
+void SetCandidate(State& aState, bool aCandidate, const Now& aNow, Actions& aActions)
 {
   if (aCandidate == aState.mCandidate) {
     return;
   }
   aState.mCandidate = aCandidate;
+  aState.mCandidateSince = aNow.mTime;
   aState.mClaimsDue = true;
   aState.mPresenceDue = true;
   AddReport(aActions, aCandidate ? "candidate_began" : "candidate_ended", {});
@@ -226,7 +227,7 @@
   if (first && aNow.mTime - aState.mStarted >= options.mSilentAfter) {
     aState.mCandidateUntil = aNow.mTime + Duration(options.mCandidateRetention);
   }
-  SetCandidate(aState, aNow.mTime < aState.mCandidateUntil, aActions);
+  SetCandidate(aState, aNow.mTime < aState.mCandidateUntil, aNow, aActions);
   const bool starting = aNow.mTime - aState.mStarted < options.mStartupPeriod;
   for (const auto& [dataCentre, ranking] : aState.mRankings) {
     if (dataCentre == options.mDataCentre) {
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -141,6 +141,9 @@
     aState.mClaimsDue = true;
   }
   const auto& former = peer.mPresence;
+  if (aPresence.mCandidate && !former.mCandidate) {
+    peer.mNextPresence = aNow.mTime; // It waits for the upstreams that this entry holds.
+  }
   aState.mClaimsDue = aState.mClaimsDue || aPresence.mLeaving != former.mLeaving ||
                       aPresence.mCandidate != former.mCandidate;
   aState.mNeighboursDue = aState.mNeighboursDue || aPresence.mLeaving != former.mLeaving ||
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -146,6 +146,7 @@
   std::uint64_t mHighestToken = 0;
   /// Peer addresses of the first live entries of this entry's data centre, as far as it knows.
   std::set<std::string, std::less<>> mFirstLive;
+  Time mCandidateSince{};
   Time mCandidateUntil{};
   bool mInStartupPeriod = true; ///< See Options::mStartupPeriod.
   /// For each data centre whose entries are all gone or draining: since when.
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -78,7 +78,8 @@
   /// The first entries of each data centre have this many times the processor time of the others.
   std::size_t mLargeNodesEach = 0;
   std::size_t mUpstreamsPerHolder = 64;
-  double mLinkMbps = 0; ///< See entry::Options.
+  std::chrono::milliseconds mListDelay{ 50 }; ///< Time to read the list of workers.
+  double mLinkMbps = 0;                       ///< See entry::Options.
   std::uint64_t mSeed = 1;
 };
 
