--- a/src/libentry/neighbours.cpp
+++ b/src/libentry/neighbours.cpp
@@ -123,6 +123,54 @@
   aActions.emplace_back(FollowUpstreams{ aCandidate });
 }
 
+/// Intervals at which this entry wants presences, by peer address.
+using Wanted = std::map<std::string, milliseconds>;
+
+void Want(const State& aState, const std::string& aAddress, milliseconds aInterval, Wanted& aWanted)
+{
+  if (!IsSelf(aState, aAddress)) {
+    const auto it = aWanted.emplace(aAddress, aInterval).first;
+    it->second = std::min(it->second, aInterval);
+  }
+}
+
+/// Adds the owners and holders of open jobs.
+void WantJobPeers(State& aState, Wanted& aWanted)
+{
+  const auto want = [&](Incarnation aIncarnation) {
+    if (const auto* peer = FindPeer(aState, aIncarnation)) {
+      Want(aState, peer->mAddress, aState.mOptions.mPresenceInterval, aWanted);
+    }
+  };
+  for (const auto& [number, call] : aState.mCalls) {
+    want(call.mHolder.value_or(Incarnation{}));
+  }
+  for (const auto& [call, request] : aState.mPeerRequests) {
+    want(call.first);
+  }
+}
+
+/// Makes exactly the wanted peers neighbours by this entry's choice.
+void ApplyWanted(State& aState, const Wanted& aWanted, const Now& aNow, Actions& aActions)
+{
+  for (auto& [address, peer] : aState.mPeers) {
+    if (!aWanted.contains(address)) {
+      peer.mWantedInterval = milliseconds{ 0 };
+    }
+  }
+  for (const auto& [address, interval] : aWanted) {
+    auto& peer = AddPeer(aState, address, aActions);
+    const bool isNew = peer.mWantedInterval.count() == 0;
+    if (isNew) {
+      peer.mSelectedAt = aNow.mTime;
+    }
+    if (isNew || interval < peer.mWantedInterval) {
+      peer.mNextPresence = aNow.mTime;
+    }
+    peer.mWantedInterval = interval;
+  }
+}
+
 /// Closes connections that neither this entry nor the peer has needed for some time.
 void DropUnusedPeers(State& aState, const Now& aNow, Actions& aActions)
 {
@@ -206,12 +254,9 @@
   aState.mNeighboursDue = false;
   aState.mNextNeighbours = aNow.mTime + Duration(kSelectionInterval);
   const auto& options = aState.mOptions;
-  std::map<std::string, milliseconds> wanted;
+  Wanted wanted;
   const auto want = [&](const std::string& aAddress, milliseconds aInterval) {
-    if (!IsSelf(aState, aAddress)) {
-      const auto it = wanted.emplace(aAddress, aInterval).first;
-      it->second = std::min(it->second, aInterval);
-    }
+    Want(aState, aAddress, aInterval, wanted);
   };
   const auto firstOf = [&](std::string_view aDataCentre) {
     const auto live = PartitionCount(aState, aDataCentre, aNow) + options.mStandbyCandidates;
@@ -248,32 +293,8 @@
       want(address, options.mPresenceInterval); // A seed; its presence tells the data centre.
     }
   }
-  const auto wantPeer = [&](Incarnation aIncarnation) {
-    if (const auto* peer = FindPeer(aState, aIncarnation)) {
-      want(peer->mAddress, options.mPresenceInterval);
-    }
-  };
-  for (const auto& [number, call] : aState.mCalls) {
-    wantPeer(call.mHolder.value_or(Incarnation{}));
-  }
-  for (const auto& [call, request] : aState.mPeerRequests) {
-    wantPeer(call.first);
-  }
-  for (auto& [address, peer] : aState.mPeers) {
-    if (!wanted.contains(address)) {
-      peer.mWantedInterval = milliseconds{ 0 };
-    }
-  }
-  for (const auto& [address, interval] : wanted) {
-    auto& peer = AddPeer(aState, address, aActions);
-    if (peer.mWantedInterval.count() == 0) {
-      peer.mSelectedAt = aNow.mTime;
-    }
-    if (peer.mWantedInterval.count() == 0 || interval < peer.mWantedInterval) {
-      peer.mNextPresence = aNow.mTime;
-    }
-    peer.mWantedInterval = interval;
-  }
+  WantJobPeers(aState, wanted);
+  ApplyWanted(aState, wanted, aNow, aActions);
   DropUnusedPeers(aState, aNow, aActions);
 }
 
