--- a/src/libentry/claims.cpp
+++ b/src/libentry/claims.cpp
@@ -22,8 +22,8 @@
 constexpr milliseconds kCandidateSettleTime{ 150 };
 /// A holder needs about a tenth of a core for 64 busy upstreams.
 constexpr double kUpstreamsPerCore = 640;
-/// Orders and polls of a busy upstream take about 0.2 Mbit/s of its holder's link in each
-/// direction, and callers and peers need as much again.
+/// An entry with a link of 25 Mbit/s can hold about as many upstreams as one with a tenth of a
+/// core.
 constexpr double kUpstreamsPerMbps = 2.5;
 constexpr double kCapacityOfClassZero = 64;
 
