Log crashed upstreams apart from unreachable ones

A refused connection is now an order status of its own. The first poll that is refused, another incarnation at the address, or a restart under the old id is reported once per incarnation as upstream_crashed with its evidence and the tasks that may have been at work; the counter is upstreams_crashed_total. A worker that had announced its shutdown is reported as upstream_left. No decision changes.

--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -113,9 +113,10 @@
   Unavailable,      ///< The upstream did nothing; a later attempt may succeed.
   OtherIncarnation, ///< Another process runs at the address.
   NotSent,          ///< No byte was sent.
+  Refused,          ///< No byte was sent: no process listens at the upstream's address.
   Unknown,          ///< No answer; the upstream may have executed the order or may do so later.
 };
-inline constexpr std::size_t kOrderStatuses = 10;
+inline constexpr std::size_t kOrderStatuses = 11;
 std::string_view ToString(OrderStatus aStatus);
 
 // Events.
@@ -221,6 +222,16 @@
   std::string mUpstream;
 };
 
+/// The upstream's process has ended without notice: its address refuses connections, or another
+/// process answers there. Sent once for each incarnation of the upstream and only if runs may be
+/// lost. An upstream that only does not answer may still run its tasks and is not reported.
+struct Crashed
+{
+  std::string mUpstream;
+  std::string_view mEvidence; ///< A string literal for logs.
+  std::vector<Run> mRuns;     ///< This entry's runs that may have been at work there.
+};
+
 /// A log event.
 struct Note
 {
@@ -237,6 +248,7 @@
                             UsableChanged,
                             HoldLost,
                             ClaimUnanswered,
+                            Crashed,
                             Note>;
 using Actions = std::vector<Action>;
 
@@ -287,6 +299,7 @@
   bool mPollPending = false;
   Time mNextPollAt{};
   std::uint32_t mLostPolls = 0; ///< In a row.
+  bool mCrashReported = false;  ///< Crashed has been sent for this incarnation.
   /// The upstream's clock, read between mClockReadAfter and mClockReadBefore.
   std::optional<std::int64_t> mClockMs;
   Time mClockReadAfter{};
--- a/src/include/pollenwall/net/http_pool.h
+++ b/src/include/pollenwall/net/http_pool.h
@@ -30,7 +30,8 @@
 {
   unsigned mStatus = 0; ///< 0: no response was received.
   std::string mBody;
-  bool mSent = false; ///< A byte of the request may have been sent.
+  bool mSent = false;    ///< A byte of the request may have been sent.
+  bool mRefused = false; ///< The server's machine refused the connection: no process listens there.
 };
 
 /// A request to send. mDone is called exactly once, never from within Call.
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -265,6 +265,23 @@
     mState.mPresenceDue = true;
   }
 
+  void operator()(holding::Crashed& aAction)
+  {
+    const auto it = mState.mUpstreams.find(aAction.mUpstream);
+    const bool leaving = it != mState.mUpstreams.end() && it->second.mRecord.mLeaving;
+    mState.mCounts.mUpstreamsCrashed += leaving ? 0 : 1;
+    std::string tasks;
+    for (const auto& run : aAction.mRuns) {
+      tasks.append(tasks.empty() ? "" : " ").append(ToString(run.mTask));
+    }
+    AddReport(mActions,
+              leaving ? "upstream_left" : "upstream_crashed",
+              { { "upstream", aAction.mUpstream },
+                { "evidence", std::string(aAction.mEvidence) },
+                { "tasks", std::move(tasks) } },
+              true);
+  }
+
   void operator()(holding::Note& aAction)
   {
     mState.mCounts.mPollsLost += aAction.mEvent == "upstream_silent" ? 1 : 0;
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -93,6 +93,7 @@
   std::uint64_t mClaims = 0;
   std::uint64_t mHoldsLost = 0;
   std::uint64_t mPollsLost = 0; ///< Times that an upstream became silent.
+  std::uint64_t mUpstreamsCrashed = 0;
   std::uint64_t mStartsUnanswered = 0;
   std::uint64_t mStartsRepeated = 0;
   std::uint64_t mPresencesSent = 0;
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <utility>
 
 namespace pollenwall::holding {
 namespace {
@@ -109,12 +110,29 @@
   aActions.emplace_back(HoldLost{ std::string(aUpstream) });
 }
 
+/// Reports that the upstream's process is gone and which runs it may have had.
+void ReportCrash(std::string_view aUpstream,
+                 Session& aSession,
+                 std::string_view aEvidence,
+                 Actions& aActions)
+{
+  if (aSession.mRuns.empty() || std::exchange(aSession.mCrashReported, true)) {
+    return;
+  }
+  Crashed crashed{ std::string(aUpstream), aEvidence, {} };
+  for (const auto& [run, own] : aSession.mRuns) {
+    crashed.mRuns.push_back(run);
+  }
+  aActions.emplace_back(std::move(crashed));
+}
+
 /// Ends a session whose upstream runs another incarnation. No run of the session exists there.
 void DropSession(State& aState, std::string_view aUpstream, Actions& aActions)
 {
   const auto it = aState.mSessions.find(aUpstream);
   auto session = std::move(it->second);
   aState.mSessions.erase(it);
+  ReportCrash(aUpstream, session, "other_incarnation", aActions);
   ReportAllRunsLost(aUpstream, session, ErrorCode::UpstreamLost, aActions);
   if (session.mUsable) {
     aActions.emplace_back(UsableChanged{ std::string(aUpstream), false });
@@ -222,6 +240,7 @@
     case OrderStatus::Rejected:
       return ErrorCode::BadRequest;
     case OrderStatus::NotSent:
+    case OrderStatus::Refused:
       return ErrorCode::OwnerUnreachable;
     default:
       return ErrorCode::Expired;
@@ -315,8 +334,9 @@
 std::string_view ToString(OrderStatus aStatus)
 {
   static constexpr std::array<std::string_view, kOrderStatuses> kNames{
-    "done",     "fenced",      "superseded",        "late",     "no_room",
-    "rejected", "unavailable", "other_incarnation", "not_sent", "unknown"
+    "done",     "fenced",   "superseded",  "late",
+    "no_room",  "rejected", "unavailable", "other_incarnation",
+    "not_sent", "refused",  "unknown"
   };
   return kNames.at(static_cast<std::size_t>(aStatus));
 }
@@ -464,6 +484,7 @@
     case OrderStatus::Unavailable:
     case OrderStatus::Rejected:
     case OrderStatus::NotSent:
+    case OrderStatus::Refused:
       if (own.mPhase == RunPhase::Running) {
         return; // Another copy has started it.
       }
@@ -521,6 +542,9 @@
         aState.mSessions.erase(aState.mSessions.find(aEvent.mUpstream));
         return;
       }
+      if (aEvent.mStatus == OrderStatus::Refused) {
+        ReportCrash(aEvent.mUpstream, *session, "connection_refused", aActions);
+      }
       ++session->mLostPolls;
       if (session->mPhase == SessionPhase::Ready &&
           session->mLostPolls < aState.mOptions.mMaxLostPolls) {
@@ -540,7 +564,9 @@
   if (aEvent.mBornMs != session->mBornMs) {
     if (session->mBornMs) {
       // A new process under the old id: it numbers its ends from 1 and runs only what it lists.
+      ReportCrash(aEvent.mUpstream, *session, "restarted", aActions);
       AddNote(aActions, "upstream_restarted", aEvent.mUpstream, "");
+      session->mCrashReported = false;
       session->mAcknowledgedEnd = 0;
       session->mLeaseEndMs = 0;
     }
--- a/src/libnet/http_pool.cpp
+++ b/src/libnet/http_pool.cpp
@@ -25,6 +25,7 @@
   Socket mSocket;
   bool mClosed = false;
   bool mSent = false;
+  bool mRefused = false;
   std::optional<HttpCall> mCall;
   std::string mWriteBuffer; ///< Kept when an early response ends the call before all is written.
   Clock::time_point mCallDeadline = Clock::time_point::max();
@@ -62,7 +63,8 @@
   std::erase(pool->mIdle, aConnection.get());
   std::erase(pool->mConnections, aConnection);
   if (aConnection->mCall) {
-    FinishLater(*pool, std::move(*aConnection->mCall), { 0, "", aConnection->mSent });
+    FinishLater(
+      *pool, std::move(*aConnection->mCall), { 0, "", aConnection->mSent, aConnection->mRefused });
     aConnection->mCall.reset();
   }
   SendWaitingCalls(pool);
@@ -82,7 +84,7 @@
   } else {
     Close(aConnection);
   }
-  call.mDone({ response.result_int(), std::move(response.body()), true });
+  call.mDone({ response.result_int(), std::move(response.body()), true, false });
   if (keep && pool) {
     SendWaitingCalls(pool);
   }
@@ -152,6 +154,7 @@
   connection->mSocket.async_connect(aPool->mServer,
                                     [connection](const boost::system::error_code& aEc) {
                                       const auto pool = connection->mPool.lock();
+                                      connection->mRefused = aEc == asio::error::connection_refused;
                                       if (aEc || connection->mClosed || !pool) {
                                         Close(connection);
                                         return;
