--- a/src/libentry/entry_test.cpp
+++ b/src/libentry/entry_test.cpp
@@ -12,35 +12,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-bool Expect(bool aCondition, std::string_view aWhat)
-{
-  if (!aCondition) {
-    std::cerr << "failed: " << aWhat << "\n";
-  }
-  return aCondition;
-}
-
-bool NoViolations(const World& aWorld)
-{
-  for (const auto& text : aWorld.mViolations) {
-    std::cerr << "violated: " << text << "\n";
-  }
-  return aWorld.mViolations.empty();
-}
-
-/// Whether each caller that is still connected has its answer.
-bool AllAnswered(const World& aWorld)
-{
-  bool all = true;
-  for (const auto& [request, call] : aWorld.mCalls) {
-    if (!call.mGone && !call.mAnswered) {
-      std::cerr << "no answer: " << call.mJob.mId << "\n";
-      all = false;
-    }
-  }
-  return all;
-}
-
 /// Guards against jobs that are lost, refused or delayed without any fault.
 bool NoFaults()
 {
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -20,6 +20,10 @@
 constexpr milliseconds kMaxLease{ 1000 };
 constexpr milliseconds kStopTime{ 30 };
 constexpr milliseconds kAnswerTimeout{ 300 };
+constexpr milliseconds kCrashDelay{ 10 }; ///< From the start of a deadly task.
+constexpr milliseconds kWorkerRestartTime{ 3000 };
+/// No deadly task may be started three times more after this many workers have crashed under it.
+constexpr std::uint32_t kMaxCrashes = 3;
 
 void Step(World& aWorld, std::size_t aNode, const Event& aEvent);
 
@@ -128,6 +132,15 @@
   }
   runningAt.insert(aWorker.mRecord.mId);
   ++aWorld.mStarts;
+  if (aWorld.mDeadlyTasks.contains(aOrder.mRun.mTask)) {
+    if (++aWorld.mCrashes[aOrder.mRun.mTask] > kMaxCrashes) {
+      AddViolation(aWorld,
+                   ToString(aOrder.mRun.mTask) + " is started after it has crashed " +
+                     std::to_string(kMaxCrashes) + " workers");
+    }
+    After(
+      aWorld, kCrashDelay, [&aWorld, id = aWorker.mRecord.mId] { CrashWorkerProcess(aWorld, id); });
+  }
   WorkerRun run;
   run.mNeeds.mMilliCores = kTaskMilliCores;
   run.mBegan = aWorld.mNow.mTime;
@@ -166,6 +179,14 @@
   return OrderStatus::Done;
 }
 
+/// Whether the worker's machine refuses connections of the entry.
+bool Refuses(const World& aWorld, std::size_t aNode, const std::string& aWorker)
+{
+  const auto it = aWorld.mWorkers.find(aWorker);
+  return it != aWorld.mWorkers.end() && !it->second.mAlive && it->second.mRefuses &&
+         !aWorld.mCutFromWorkers.contains({ aNode, aWorker });
+}
+
 bool Reaches(const World& aWorld, std::size_t aNode, const std::string& aWorker)
 {
   const auto it = aWorld.mWorkers.find(aWorker);
@@ -196,6 +217,10 @@
   const bool lost = late || UniformRandom(aWorld) < aWorld.mOptions.mLostAnswers;
   const auto orderDelay = late ? Duration(milliseconds(2000)) + Delay(aWorld) : Delay(aWorld);
   After(aWorld, orderDelay, [&aWorld, aNode, aWorker, generation, lost, aCallback, aMake] {
+    if (Refuses(aWorld, aNode, aWorker)) {
+      Reply(aWorld, aNode, generation, Delay(aWorld), aMake(OrderStatus::Refused, std::nullopt));
+      return;
+    }
     if (!Reaches(aWorld, aNode, aWorker)) {
       Reply(aWorld, aNode, generation, kAnswerTimeout, aMake(OrderStatus::Unknown, std::nullopt));
       return;
@@ -224,6 +249,11 @@
   answer.mUpstream = aOrder.mUpstream;
   answer.mSession = aOrder.mSession;
   answer.mSentAt = aSentAt;
+  if (Refuses(aWorld, aNode, aWorker)) {
+    answer.mStatus = OrderStatus::Refused;
+    Reply(aWorld, aNode, aGeneration, Delay(aWorld), answer);
+    return;
+  }
   if (!Reaches(aWorld, aNode, aWorker)) {
     Reply(aWorld, aNode, aGeneration, kAnswerTimeout, answer);
     return;
@@ -541,6 +571,11 @@
   return world;
 }
 
+std::string JobName(RequestId aRequest)
+{
+  return "job" + std::to_string(aRequest);
+}
+
 RequestId SubmitJob(World& aWorld,
                     std::size_t aNode,
                     std::uint32_t aTasks,
@@ -551,7 +586,7 @@
   CallRecord call;
   call.mNode = aNode;
   call.mSubmitted = aWorld.mNow.mTime;
-  call.mJob.mId = "job" + std::to_string(request);
+  call.mJob.mId = JobName(request);
   call.mJob.mService = kService;
   call.mJob.mTeam = "callers";
   call.mJob.mKind = "k" + std::to_string(aRun.count());
@@ -570,6 +605,19 @@
   return request;
 }
 
+RequestId ResubmitJob(World& aWorld, std::size_t aNode, RequestId aEarlier)
+{
+  const auto request = ++aWorld.mLastRequestId;
+  CallRecord call;
+  call.mNode = aNode;
+  call.mSubmitted = aWorld.mNow.mTime;
+  call.mJob = aWorld.mCalls.at(aEarlier).mJob;
+  const auto job = call.mJob;
+  aWorld.mCalls.emplace(request, std::move(call));
+  Step(aWorld, aNode, CallerSubmit{ request, job });
+  return request;
+}
+
 void GenerateLoad(World& aWorld, double aJobsPerSecond, Duration aTime, milliseconds aRun)
 {
   const auto until = aWorld.mNow.mTime + aTime;
@@ -580,6 +628,9 @@
     }
     const auto node = aWorld.mRandom() % aWorld.mNodes.size();
     if (aWorld.mNodes[node].mAlive && !aWorld.mNodes[node].mPaused) {
+      if (aWorld.mOptions.mDeadlyJobs > 0 && UniformRandom(aWorld) < aWorld.mOptions.mDeadlyJobs) {
+        aWorld.mDeadlyTasks.insert({ JobName(aWorld.mLastRequestId + 1), 0 });
+      }
       SubmitJob(aWorld, node, 1 + static_cast<std::uint32_t>(aWorld.mRandom() % 6), aRun);
     }
     const auto gap = -std::log(1 - UniformRandom(aWorld)) / aJobsPerSecond;
@@ -669,6 +720,22 @@
   worker.mRunning.clear();
 }
 
+void CrashWorkerProcess(World& aWorld, const std::string& aId)
+{
+  if (!aWorld.mWorkers.at(aId).mAlive) {
+    return;
+  }
+  CrashWorker(aWorld, aId);
+  aWorld.mWorkers.at(aId).mRefuses = true;
+  After(aWorld, kWorkerRestartTime, [&aWorld, aId] {
+    auto& worker = aWorld.mWorkers.at(aId);
+    Worker restarted;
+    restarted.mRecord = worker.mRecord;
+    restarted.mBornMs = aWorld.mNow.mUnixMs;
+    worker = std::move(restarted);
+  });
+}
+
 void BeginDrain(World& aWorld, std::size_t aNode)
 {
   Step(aWorld, aNode, Drain{});
@@ -713,4 +780,32 @@
     }));
 }
 
+bool Expect(bool aCondition, std::string_view aWhat)
+{
+  if (!aCondition) {
+    std::cerr << "failed: " << aWhat << "\n";
+  }
+  return aCondition;
+}
+
+bool NoViolations(const World& aWorld)
+{
+  for (const auto& text : aWorld.mViolations) {
+    std::cerr << "violated: " << text << "\n";
+  }
+  return aWorld.mViolations.empty();
+}
+
+bool AllAnswered(const World& aWorld)
+{
+  bool all = true;
+  for (const auto& [request, call] : aWorld.mCalls) {
+    if (!call.mGone && !call.mAnswered) {
+      std::cerr << "no answer: " << call.mJob.mId << "\n";
+      all = false;
+    }
+  }
+  return all;
+}
+
 } // namespace pollenwall::entry::test
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -24,8 +24,9 @@
 {
   UpstreamRecord mRecord;
   bool mAlive = true;
-  bool mHangs = false;  ///< Its tasks make no progress.
-  double mSlowness = 1; ///< Run times are multiplied by this.
+  bool mRefuses = false; ///< While not alive: its machine refuses connections, so it has crashed.
+  bool mHangs = false;   ///< Its tasks make no progress.
+  double mSlowness = 1;  ///< Run times are multiplied by this.
   bool mFailsAll = false;
   UnixMs mBornMs = 0;
   std::uint64_t mToken = 0;
@@ -72,6 +73,7 @@
   double mLostAnswers = 0;  ///< Fraction of orders to workers whose answer is lost.
   double mLateOrders = 0;   ///< Fraction of orders that are executed 2 s late and not answered.
   double mFailingTasks = 0; ///< Fraction of runs that fail.
+  double mDeadlyJobs = 0;   ///< Fraction of the jobs of GenerateLoad whose first task is deadly.
   std::uint32_t mMaxFailures = 3;
   double mTargetStretch = 0; ///< See JobSpec.
   std::chrono::milliseconds mTargetSlack{ 60 };
@@ -95,6 +97,9 @@
   RequestId mLastRequestId = 0;
   std::map<TaskId, std::set<std::string>> mRunningAt; ///< Workers that run a task.
   std::map<TaskId, std::uint32_t> mDone;
+  /// Tasks that crash each worker that starts them.
+  std::set<TaskId> mDeadlyTasks;
+  std::map<TaskId, std::uint32_t> mCrashes; ///< Workers that crashed under a deadly task.
   std::set<std::pair<std::size_t, std::size_t>> mCutNodes; ///< Sender and receiver; one direction.
   std::set<std::pair<std::size_t, std::string>> mCutFromWorkers; ///< Node and worker.
   std::size_t mRepliesToLose = 0;       ///< The next replies between entries that are lost.
@@ -127,6 +132,9 @@
 /// Schedules a callback.
 void After(World& aWorld, Duration aTime, std::function<void()> aCallback);
 
+/// The id of the job that SubmitJob submits with a request number.
+std::string JobName(RequestId aRequest);
+
 /// Submits a job of identical tasks to an entry.
 RequestId SubmitJob(World& aWorld,
                     std::size_t aNode,
@@ -134,6 +142,10 @@
                     std::chrono::milliseconds aRun,
                     std::chrono::milliseconds aDeadline = std::chrono::seconds(3));
 
+/// Submits the job of an earlier call again, as a caller without an answer does. Call ids in the
+/// logs of the two submissions are the same.
+RequestId ResubmitJob(World& aWorld, std::size_t aNode, RequestId aEarlier);
+
 /// Submits jobs with Poisson arrivals for aTime, each to a random entry if that is running.
 void GenerateLoad(World& aWorld,
                   double aJobsPerSecond,
@@ -145,7 +157,10 @@
 void Restart(World& aWorld, std::size_t aNode, const std::vector<std::string>& aSeeds = {});
 void Pause(World& aWorld, std::size_t aNode);
 void Resume(World& aWorld, std::size_t aNode);
+/// Ends a worker silently, as a loss of power does.
 void CrashWorker(World& aWorld, const std::string& aId);
+/// Ends a worker's process; it starts again under the same id after 3 s.
+void CrashWorkerProcess(World& aWorld, const std::string& aId);
 void BeginDrain(World& aWorld, std::size_t aNode);
 
 /// Cuts an entry off from all other entries, or reconnects it.
@@ -159,4 +174,13 @@
 
 double UniformRandom(World& aWorld);
 
+/// Prints aWhat if the condition does not hold. Returns the condition.
+bool Expect(bool aCondition, std::string_view aWhat);
+
+/// Whether no invariant was violated; prints the violations.
+bool NoViolations(const World& aWorld);
+
+/// Whether each caller that is still connected has its answer; prints the jobs without one.
+bool AllAnswered(const World& aWorld);
+
 } // namespace pollenwall::entry::test
