Give up a task under which upstreams crash

Callers saw 504 after their whole deadline for a job with a task that crashes the workers that start it, and the callers of the tasks beside it waited 0.85 s for each of up to six crashes.

Cause: only runs with the verdict 'ran' count as failures.

The scheduling core now records which tasks were at work on each crashed upstream. A task is given up after two crashes that fewer tasks of other jobs share, and after three in any case; its job is answered as failed when the second crash is detected, without waiting for the lease. Upstreams that only do not answer, or that had announced their shutdown, are not counted: their tasks may still be at work and are not the cause.

deadly_task_test failed before with 11 crashed workers and passes.

--- a/src/include/pollenwall/dispatch.h
+++ b/src/include/pollenwall/dispatch.h
@@ -103,6 +103,13 @@
   double mDoneFraction = 0; ///< Fraction of its work that is done, 0 to 1.
 };
 
+/// An upstream's process has ended without notice. A task under which this happens repeatedly fails
+/// its job, so that it does not crash further upstreams.
+struct UpstreamCrashed
+{
+  std::vector<TaskId> mTasks; ///< Those that may have been at work there.
+};
+
 /// Sets the number of slots of an upstream that this entry may use: its own share under the current
 /// view (see ownership.h), minus lent and plus borrowed credits. Sent whenever that changes. When
 /// the number falls below the running tasks, these still end normally.
@@ -165,6 +172,7 @@
                            Cancel,
                            TaskEnded,
                            TaskProgress,
+                           UpstreamCrashed,
                            SetCredits,
                            UpstreamSign,
                            ConfigurationApplied,
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -659,9 +659,33 @@
          aJob.mAnswer.mError->mCode != ErrorCode::TaskFailed;
 }
 
+Error DeadlyTaskError(std::uint32_t aTask)
+{
+  return MakeError(ErrorCode::TaskFailed,
+                   Verdict::MayHaveRun,
+                   "Upstreams crashed under task " + std::to_string(aTask) + ".");
+}
+
+/// Answers a submission whose job was given up, maybe by another entry, for crashing upstreams.
+void AnswerDeadlyJob(const Submit& aEvent, std::uint32_t aTask, Actions& aActions)
+{
+  if (aEvent.mRequest == 0) {
+    return;
+  }
+  JobAnswer answer{ aEvent.mJob.mId, JobState::Failed, Verdict::MayHaveRun, {}, {} };
+  answer.mTasks.assign(aEvent.mJob.mTasks.size(),
+                       { Verdict::MayHaveRun, ErrorCode::Cancelled, "" });
+  answer.mTasks[aTask].mCode = ErrorCode::TaskFailed;
+  answer.mError = DeadlyTaskError(aTask);
+  aActions.emplace_back(Answer{ aEvent.mRequest, std::move(answer) });
+}
+
 void Apply(State& aState, const Submit& aEvent, const Now& aNow, Actions& aActions)
 {
   const auto& spec = aEvent.mJob;
+  if (const auto task = crashes::FindDeadlyTask(aState.mCrashes, spec.mId)) {
+    return AnswerDeadlyJob(aEvent, *task, aActions);
+  }
   const auto refuse = [&](Error aError) {
     ++aState.mCounts.mJobsRefused;
     aActions.emplace_back(Refuse{ aEvent.mRequest, spec.mId, std::move(aError) });
@@ -824,6 +848,18 @@
             aNow.mTime + Jittered(aState, Duration(kRetryDelay) * (1U << doublings)));
 }
 
+void Apply(State& aState, const UpstreamCrashed& aEvent, const Now& aNow, Actions& aActions)
+{
+  for (const auto& task : crashes::Record(aState.mCrashes, aEvent.mTasks, aNow)) {
+    ++aState.mCounts.mDeadlyTasks;
+    const auto it = aState.mJobByName.find(task.mJob);
+    if (it == aState.mJobByName.end() || aState.mJobs[it->second].mState != JobState::Running) {
+      continue;
+    }
+    EndJob(aState, it->second, JobState::Failed, DeadlyTaskError(task.mIndex), aNow, aActions);
+  }
+}
+
 void Apply(State& aState, const TaskProgress& aEvent, const Now& aNow, Actions& aActions)
 {
   ApplyProgress(aState, aEvent, aNow, aActions);
@@ -1035,6 +1071,7 @@
   RefuseJobsPastLatestStart(aState, aNow, aActions);
   RequeueDelayedTasks(aState, aNow);
   ForgetEndedJobs(aState, aNow);
+  crashes::Forget(aState.mCrashes, aNow);
   SweepAttempts(aState, aNow);
   const double passed = std::max(0.0, Seconds(aNow.mTime - aState.mLastTick));
   aState.mLastTick = aNow.mTime;
--- a/src/libdispatch/queries.cpp
+++ b/src/libdispatch/queries.cpp
@@ -270,6 +270,7 @@
     { "task_refusals_total", counts.mTaskRefusals },
     { "task_retries_total", counts.mTaskRetries },
     { "task_restarts_total", counts.mTaskRestarts },
+    { "deadly_tasks_total", counts.mDeadlyTasks },
     { "tasks_moved_total{reason=\"slow\"}", counts.mTasksSlow },
     { "tasks_moved_total{reason=\"stalled\"}", counts.mTasksStalled },
     { "task_starts_total", counts.mTaskStarts },
--- a/src/libdispatch/state.h
+++ b/src/libdispatch/state.h
@@ -15,6 +15,8 @@
 #include <pollenwall/run_times.h>
 #include <pollenwall/task_queue.h>
 
+#include "crashes.h"
+
 /// The internal state behind dispatch.h, shared by the source files of this library.
 namespace pollenwall::dispatch {
 
@@ -204,6 +206,7 @@
   std::uint64_t mTaskRestarts = 0; ///< Retries of tasks that may have run.
   std::uint64_t mTasksStalled = 0; ///< Moved because they made no progress.
   std::uint64_t mTasksSlow = 0;    ///< Moved because they were far slower than expected.
+  std::uint64_t mDeadlyTasks = 0;  ///< Given up because upstreams crashed under them.
   std::uint64_t mRetriesDeferred = 0;
   std::uint64_t mLateOutcomes = 0;
   std::uint64_t mUnknownOutcomes = 0;
@@ -242,6 +245,7 @@
   std::size_t mQueuedTasks = 0; ///< Including delayed ones.
   std::size_t mRunningTasks = 0;
   admission::RetryBudget mRetryBudget;
+  crashes::State mCrashes;
   Time mLastTick{};
   Counts mCounts;
 };
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -280,6 +280,14 @@
                 { "evidence", std::string(aAction.mEvidence) },
                 { "tasks", std::move(tasks) } },
               true);
+    if (leaving) {
+      return; // Its end was announced; the tasks are not the cause.
+    }
+    dispatch::UpstreamCrashed crashed;
+    for (const auto& run : aAction.mRuns) {
+      crashed.mTasks.push_back(run.mTask);
+    }
+    Dispatch(mState, crashed, mNow);
   }
 
   void operator()(holding::Note& aAction)
