Tell other candidates which tasks were on crashed upstreams

A caller whose connection broke, or whose holder died, submits the job again to another process. A deadly task then crashed two upstreams for each process that saw it, without a limit.

Cause: crashes were known only to the process that had detected them.

Each crash is now sent to all candidates as it is detected, and those of the last minute to an entry of the same data centre that becomes a candidate. A report has an identity, so copies count once. A submission of a job with a task that is known to be deadly is answered as failed without a start.

Evidence: CrashesOutliveTheHolder failed before (five crashed workers when the owner is the holder and dies five times, job never answered as failed) and passes with two.

--- a/src/include/pollenwall/dispatch.h
+++ b/src/include/pollenwall/dispatch.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include <pollenwall/configuration.h>
+#include <pollenwall/crash_report.h>
 #include <pollenwall/job.h>
 #include <pollenwall/placement.h>
 #include <pollenwall/time.h>
@@ -103,11 +104,11 @@
   double mDoneFraction = 0; ///< Fraction of its work that is done, 0 to 1.
 };
 
-/// An upstream's process has ended without notice. A task under which this happens repeatedly fails
-/// its job, so that it does not crash further upstreams.
+/// An upstream of this or another entry has crashed. A task under which this happens repeatedly
+/// fails its job, here or when it is submitted later, so that it does not crash further upstreams.
 struct UpstreamCrashed
 {
-  std::vector<TaskId> mTasks; ///< Those that may have been at work there.
+  CrashReport mReport;
 };
 
 /// Sets the number of slots of an upstream that this entry may use: its own share under the current
@@ -329,6 +330,9 @@
 /// passed its deadline, or when a task of it has been sent to an upstream.
 std::optional<Withdrawn> Withdraw(State& aState, std::string_view aId, const Now& aNow);
 
+/// The crashes of the last minute, oldest first, for an entry that does not know them.
+std::vector<CrashReport> RecentCrashes(const State& aState);
+
 /// Monotonic counters by name, for metrics.
 std::vector<std::pair<std::string, std::uint64_t>> Counters(const State& aState);
 
--- a/src/include/pollenwall/messages.h
+++ b/src/include/pollenwall/messages.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <pollenwall/configuration.h>
+#include <pollenwall/crash_report.h>
 #include <pollenwall/ids.h>
 #include <pollenwall/job.h>
 
@@ -318,6 +319,15 @@
   friend bool operator==(const Entries&, const Entries&) = default;
 };
 
+/// Crashes of upstreams, sent to the entries that may hold upstreams: to all when a crash is
+/// detected, and those of the last minute to one that has just become a candidate.
+struct Crashes
+{
+  std::vector<CrashReport> mReports;
+
+  friend bool operator==(const Crashes&, const Crashes&) = default;
+};
+
 using Message = std::variant<Hello,
                              Heartbeat,
                              Submit,
@@ -332,7 +342,8 @@
                              ConfigFetch,
                              ConfigItems,
                              Presence,
-                             Entries>;
+                             Entries,
+                             Crashes>;
 
 /// Encodes a message as a msgpack map with the key "type", without the frame's length prefix.
 std::string Encode(const Message& aMessage);
--- a/src/libdispatch/crashes.cpp
+++ b/src/libdispatch/crashes.cpp
@@ -14,35 +14,41 @@
 std::size_t UnexplainedCrashes(const State& aState, const TaskId& aTask)
 {
   const auto& crashes = aState.mSuspects.at(aTask).mCrashes;
-  return static_cast<std::size_t>(std::count_if(
-    crashes.begin(), crashes.end(), [&](auto aIt) { return !aState.mCrashes.at(aIt).mExplained; }));
+  return static_cast<std::size_t>(
+    std::count_if(crashes.begin(), crashes.end(), [&](const CrashId& aId) {
+      return !aState.mCrashes.at(aId).mExplained;
+    }));
 }
 
 /// Whether the task is the only explanation of a crash, apart from tasks of the same job: those
 /// fail together with it.
 bool IsSoleSuspect(const State& aState, const Crash& aCrash, const TaskId& aTask)
 {
+  const auto& tasks = aCrash.mReport.mTasks;
   const auto count = UnexplainedCrashes(aState, aTask);
-  return count >= kMinCrashes &&
-         std::all_of(aCrash.mTasks.begin(), aCrash.mTasks.end(), [&](const TaskId& aOther) {
+  return count >= kMinCrashes && std::all_of(tasks.begin(), tasks.end(), [&](const TaskId& aOther) {
            return aOther.mJob == aTask.mJob || UnexplainedCrashes(aState, aOther) < count;
          });
 }
 
 } // namespace
 
-std::vector<TaskId> Record(State& aState, std::vector<TaskId> aTasks, const Now& aNow)
+std::vector<TaskId> Record(State& aState, const CrashReport& aReport, const Now& aNow)
 {
-  const auto number = ++aState.mLastCrash;
-  auto& crash = aState.mCrashes[number];
-  crash = { std::move(aTasks), aNow.mTime };
-  for (const auto& task : crash.mTasks) {
+  const CrashId id{ aReport.mReporter, aReport.mNumber };
+  const auto [it, isNew] = aState.mCrashes.try_emplace(id, Crash{ aReport, aNow.mTime });
+  if (!isNew) {
+    return {};
+  }
+  aState.mOldest.push_back(id);
+  auto& crash = it->second;
+  for (const auto& task : aReport.mTasks) {
     auto& suspect = aState.mSuspects[task];
-    suspect.mCrashes.push_back(number);
+    suspect.mCrashes.push_back(id);
     crash.mExplained = crash.mExplained || suspect.mDeadly;
   }
   std::vector<TaskId> deadly;
-  for (const auto& task : crash.mTasks) {
+  for (const auto& task : aReport.mTasks) {
     const auto& suspect = aState.mSuspects.at(task);
     if (!suspect.mDeadly &&
         (suspect.mCrashes.size() >= kMaxCrashes || IsSoleSuspect(aState, crash, task))) {
@@ -52,8 +58,8 @@
   for (const auto& task : deadly) {
     auto& suspect = aState.mSuspects.at(task);
     suspect.mDeadly = true;
-    for (const auto it : suspect.mCrashes) {
-      aState.mCrashes.at(it).mExplained = true;
+    for (const auto& other : suspect.mCrashes) {
+      aState.mCrashes.at(other).mExplained = true;
     }
   }
   return deadly;
@@ -73,17 +79,20 @@
 
 void Forget(State& aState, const Now& aNow)
 {
-  while (!aState.mCrashes.empty() &&
-         aNow.mTime - aState.mCrashes.begin()->second.mAt > Duration(kRetention)) {
-    const auto oldest = aState.mCrashes.begin();
-    for (const auto& task : oldest->second.mTasks) {
+  while (!aState.mOldest.empty()) {
+    const auto crash = aState.mCrashes.find(aState.mOldest.front());
+    if (aNow.mTime - crash->second.mRecordedAt <= Duration(kRetention)) {
+      return;
+    }
+    for (const auto& task : crash->second.mReport.mTasks) {
       const auto it = aState.mSuspects.find(task);
-      std::erase(it->second.mCrashes, oldest->first);
+      std::erase(it->second.mCrashes, crash->first);
       if (it->second.mCrashes.empty()) {
         aState.mSuspects.erase(it);
       }
     }
-    aState.mCrashes.erase(oldest);
+    aState.mCrashes.erase(crash);
+    aState.mOldest.pop_front();
   }
 }
 
--- a/src/libdispatch/crashes.h
+++ b/src/libdispatch/crashes.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
-#include <pollenwall/ids.h>
+#include <pollenwall/crash_report.h>
 #include <pollenwall/time.h>
 
 /// Finds the tasks that crash the upstreams that start them, from the tasks that were at work on
@@ -14,32 +16,35 @@
 /// nothing. No I/O and no clock. Not thread safe.
 namespace pollenwall::crashes {
 
+using CrashId = std::pair<Incarnation, std::uint64_t>; ///< Reporter and number of the report.
+
 struct Crash
 {
-  std::vector<TaskId> mTasks; ///< Those at work on the upstream.
-  Time mAt{};
+  CrashReport mReport;
+  Time mRecordedAt{};
   bool mExplained = false; ///< One of the tasks is known to be deadly.
 };
 
 struct Suspect
 {
-  std::vector<std::uint64_t> mCrashes; ///< Keys in State::mCrashes, ascending.
+  std::vector<CrashId> mCrashes;
   bool mDeadly = false;
 };
 
 struct State
 {
-  std::uint64_t mLastCrash = 0;
-  std::map<std::uint64_t, Crash> mCrashes; ///< In the order of their times.
+  std::map<CrashId, Crash> mCrashes;
+  std::deque<CrashId> mOldest; ///< The keys of mCrashes in the order of Crash::mRecordedAt.
   std::map<TaskId, Suspect> mSuspects;
 };
 
-/// Records the crash of an upstream. Returns the tasks that are deadly according to this crash.
+/// Records the crash of an upstream, as seen by this entry or by another one. Returns the tasks
+/// that are deadly according to this crash. A report that is already known changes nothing.
 ///
 /// A task is deadly when two crashes that no known deadly task explains happened under it, and
 /// fewer under each task of other jobs on the same upstream. Whatever happened to other tasks, it
 /// is deadly after three crashes.
-std::vector<TaskId> Record(State& aState, std::vector<TaskId> aTasks, const Now& aNow);
+std::vector<TaskId> Record(State& aState, const CrashReport& aReport, const Now& aNow);
 
 /// The index of a task of the job that is known to be deadly.
 std::optional<std::uint32_t> FindDeadlyTask(const State& aState, const std::string& aJob);
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -850,7 +850,7 @@
 
 void Apply(State& aState, const UpstreamCrashed& aEvent, const Now& aNow, Actions& aActions)
 {
-  for (const auto& task : crashes::Record(aState.mCrashes, aEvent.mTasks, aNow)) {
+  for (const auto& task : crashes::Record(aState.mCrashes, aEvent.mReport, aNow)) {
     ++aState.mCounts.mDeadlyTasks;
     const auto it = aState.mJobByName.find(task.mJob);
     if (it == aState.mJobByName.end() || aState.mJobs[it->second].mState != JobState::Running) {
--- a/src/libdispatch/queries.cpp
+++ b/src/libdispatch/queries.cpp
@@ -246,6 +246,15 @@
   return ids;
 }
 
+std::vector<CrashReport> RecentCrashes(const State& aState)
+{
+  std::vector<CrashReport> reports;
+  for (const auto& id : aState.mCrashes.mOldest) {
+    reports.push_back(aState.mCrashes.mCrashes.at(id).mReport);
+  }
+  return reports;
+}
+
 std::vector<std::pair<std::string, std::uint64_t>> Counters(const State& aState)
 {
   const auto& counts = aState.mCounts;
--- a/src/libentry/deadly_task_test.cpp
+++ b/src/libentry/deadly_task_test.cpp
@@ -35,6 +35,25 @@
          call.mError->mCode == ErrorCode::TaskFailed;
 }
 
+/// The entry that holds the most workers.
+std::size_t HolderOf(const World& aWorld)
+{
+  std::size_t best = 0;
+  double most = 0;
+  for (std::size_t n = 0; n < aWorld.mNodes.size(); ++n) {
+    if (!aWorld.mNodes[n].mAlive) {
+      continue;
+    }
+    for (const auto& [name, value] : Gauges(*aWorld.mNodes[n].mState, aWorld.mNow)) {
+      if (name == "upstreams{state=\"held\"}" && value > most) {
+        best = n;
+        most = value;
+      }
+    }
+  }
+  return best;
+}
+
 /// Guards against a task that crashes worker after worker until its caller's deadline passes.
 bool DeadlyTaskIsGivenUp()
 {
@@ -51,11 +70,45 @@
          ok;
 }
 
+/// Guards against crashes that are forgotten with the process that has seen them: the job is
+/// submitted again after each death of its holder, by its caller through another entry if the
+/// holder was also the owner.
+bool CrashesOutliveTheHolder(bool aOwnerIsHolder)
+{
+  WorldOptions options;
+  options.mDataCentres = 1;
+  options.mNodesEach = 4;
+  options.mWorkersEach = 12;
+  auto world = MakeStartedWorld(options);
+  auto& w = *world;
+  constexpr int kDeaths = 5;
+  RequestId request = 0;
+  for (int n = 0; n < kDeaths; ++n) {
+    const auto holder = HolderOf(w);
+    const auto entry = aOwnerIsHolder ? holder : (holder + 1) % w.mNodes.size();
+    if (request == 0) {
+      request = SubmitDeadlyJob(w, entry, 3);
+    } else if (w.mCalls.at(request).mGone) {
+      request = ResubmitJob(w, entry, request);
+    }
+    RunFor(w, milliseconds(300));
+    Kill(w, holder);
+    RunFor(w, milliseconds(500));
+    Restart(w, holder);
+    RunFor(w, seconds(2));
+  }
+  bool ok = NoViolations(w);
+  return Expect(HasFailed(w, request), "the job is answered as failed after its holder's death") &&
+         ok;
+}
+
 } // namespace
 
 int main()
 {
   bool ok = DeadlyTaskIsGivenUp();
+  ok = CrashesOutliveTheHolder(true) && ok;
+  ok = CrashesOutliveTheHolder(false) && ok;
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
 }
--- a/src/libentry/entry.cpp
+++ b/src/libentry/entry.cpp
@@ -67,6 +67,11 @@
     HandleOutcome(aState, reply->mNumber, peer, reply->mAnswer, reply->mError, aNow, aActions);
   } else if (const auto* cancel = std::get_if<message::Cancel>(&aEvent.mMessage)) {
     CancelPeerJob(aState, peer, cancel->mNumber, aNow);
+  } else if (const auto* crashes = std::get_if<message::Crashes>(&aEvent.mMessage)) {
+    for (const auto& report : crashes->mReports) {
+      dispatch::Handle(
+        *aState.mDispatch, dispatch::UpstreamCrashed{ report }, aNow, aState.mDispatchActions);
+    }
   }
 }
 
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -283,11 +283,17 @@
     if (leaving) {
       return; // Its end was announced; the tasks are not the cause.
     }
-    dispatch::UpstreamCrashed crashed;
+    CrashReport report{ mState.mOptions.mIncarnation, mState.mCounts.mUpstreamsCrashed, {} };
     for (const auto& run : aAction.mRuns) {
-      crashed.mTasks.push_back(run.mTask);
+      report.mTasks.push_back(run.mTask);
     }
-    Dispatch(mState, crashed, mNow);
+    // The job may be submitted to another holder when this entry dies.
+    for (const auto& [address, peer] : mState.mPeers) {
+      if (peer.mPresence.mCandidate) {
+        mActions.emplace_back(SendPeer{ address, message::Crashes{ { report } } });
+      }
+    }
+    Dispatch(mState, dispatch::UpstreamCrashed{ std::move(report) }, mNow);
   }
 
   void operator()(holding::Note& aAction)
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -149,6 +149,8 @@
   aState.mNeighboursDue = aState.mNeighboursDue || aPresence.mLeaving != former.mLeaving ||
                           aPresence.mPartitions != former.mPartitions ||
                           aPresence.mHolders != former.mHolders;
+  const bool newCandidate =
+    aPresence.mCandidate && (!former.mCandidate || former.mIncarnation != aPresence.mIncarnation);
   const bool sendEntries = aPresence.mNeedsEntries && aState.mEntriesRead &&
                            aNow.mTime - peer.mEntriesSentAt >= kEntriesInterval;
   peer.mPresence = aPresence;
@@ -163,6 +165,12 @@
     }
     aActions.emplace_back(SendPeer{ aFrom, std::move(entries) });
   }
+  if (newCandidate && peer.mRecord.mDataCentre == aState.mOptions.mDataCentre) {
+    message::Crashes crashes{ dispatch::RecentCrashes(*aState.mDispatch) };
+    if (!crashes.mReports.empty()) {
+      aActions.emplace_back(SendPeer{ aFrom, std::move(crashes) });
+    }
+  }
 }
 
 namespace {
--- a/src/libmessages/messages.cpp
+++ b/src/libmessages/messages.cpp
@@ -530,6 +530,15 @@
     a("mbps", v.mLinkMbps);
   } else if constexpr (IsSame<T, Entries>) {
     a("entries", v.mEntries);
+  } else if constexpr (IsSame<T, TaskId>) {
+    a("job", v.mJob);
+    a("index", v.mIndex);
+  } else if constexpr (IsSame<T, CrashReport>) {
+    a("reporter", v.mReporter);
+    a("number", v.mNumber);
+    a("tasks", v.mTasks);
+  } else if constexpr (IsSame<T, Crashes>) {
+    a("reports", v.mReports);
   } else {
     // Short keys: presences are most of the messages between entries.
     static_assert(IsSame<T, Presence>);
@@ -556,9 +565,9 @@
 
 /// Values of the key "type", in the order of Message's alternatives.
 constexpr std::array<std::string_view, std::variant_size_v<Message>> kTypeNames{
-  "hello",          "heartbeat",    "submit",       "status",   "cancel",
-  "submit_reply",   "borrow",       "grant",        "return",   "handover",
-  "handover_reply", "config_fetch", "config_items", "presence", "entries",
+  "hello",        "heartbeat", "submit",  "status",   "cancel",         "submit_reply",
+  "borrow",       "grant",     "return",  "handover", "handover_reply", "config_fetch",
+  "config_items", "presence",  "entries", "crashes",
 };
 constexpr std::string_view kTypeKey = "type";
 
--- a/src/libmessages/messages_test.cpp
+++ b/src/libmessages/messages_test.cpp
@@ -208,6 +208,12 @@
       return AnyPresence();
     case 13:
       return Entries{ AnyList(AnyEntry) };
+    case 14:
+      return Crashes{ AnyList([] {
+        return CrashReport{ { AnyNumber() }, AnyNumber(), AnyList([] {
+                              return TaskId{ AnyText(), AnyCount() };
+                            }) };
+      }) };
     default:
       return ConfigItems{ AnyNumber(), AnyText() };
   }
--- a/src/libnode/node.cpp
+++ b/src/libnode/node.cpp
@@ -206,7 +206,7 @@
   OnConfigItems(aState, aMessage, aNow, aActions);
 }
 
-/// Ignored, like Entries: only entries that work with fencing tokens send them.
+/// Ignored, like Entries and Crashes: only entries that work with fencing tokens send them.
 void Receive(State& /*aState*/,
              Incarnation /*aFrom*/,
              const message::Presence& /*aMessage*/,
@@ -223,6 +223,14 @@
 {
 }
 
+void Receive(State& /*aState*/,
+             Incarnation /*aFrom*/,
+             const message::Crashes& /*aMessage*/,
+             const Now& /*aNow*/,
+             Actions& /*aActions*/)
+{
+}
+
 // Events.
 
 void Apply(State& aState, CallerSubmit& aEvent, const Now& aNow, Actions& aActions)
