Place no task beside one that may have crashed an upstream

Callers whose tasks shared a worker with a deadly one lost several runs, and some were told that their job had failed.

Cause: tasks that are lost together start again at the same moment, and the scheduler fills the fullest upstream first, so they met again on the next one. The next crash then hit both, and the wrong task could be given up.

A task under which an upstream has crashed starts where the fewest tasks run, and its upstream takes no other task until it has ended. A second crash therefore tells which task is the cause.

--- a/src/include/pollenwall/placement.h
+++ b/src/include/pollenwall/placement.h
@@ -77,6 +77,7 @@
   bool mConfigured = false;
   std::uint32_t mCredits = 0;
   std::uint32_t mRunning = 0;
+  std::uint32_t mSuspects = 0;    ///< Running tasks that were started with Request::mSuspect.
   Needs mUsed;                    ///< Sum over the running tasks.
   bool mLeaving = false;          ///< Confirmed.
   bool mSuspected = false;        ///< Has an unconfirmed sign of leaving that has not expired.
@@ -194,6 +195,10 @@
   /// Half-open upstreams and those whose last task failed or that had no recent success are chosen
   /// last.
   bool mPreferProven = false;
+  /// An upstream has crashed under the task. It is placed where few others run, and no other task
+  /// is placed beside it: the next crash would cost that one its run, and would not tell which of
+  /// them is the cause.
+  bool mSuspect = false;
   Time mNow{};
 };
 
@@ -216,6 +221,9 @@
 /// Counts a start. The upstream must come from a Choose with no change of the state since.
 void CountStart(State& aState, UpstreamIndex aUpstream, const Needs& aNeeds, const Now& aNow);
 
+/// Adds to the number of running suspects; aChange is 1 or -1. See Request::mSuspect.
+void CountSuspect(State& aState, UpstreamIndex aUpstream, int aChange, const Now& aNow);
+
 /// The outcome of one start request, as far as it concerns the upstream.
 enum class StartOutcome
 {
--- a/src/libdispatch/crashes.cpp
+++ b/src/libdispatch/crashes.cpp
@@ -77,6 +77,17 @@
   return std::nullopt;
 }
 
+std::vector<std::uint32_t> FindSuspects(const State& aState, const std::string& aJob)
+{
+  std::vector<std::uint32_t> suspects;
+  for (auto it = aState.mSuspects.lower_bound({ aJob, 0 });
+       it != aState.mSuspects.end() && it->first.mJob == aJob;
+       ++it) {
+    suspects.push_back(it->first.mIndex);
+  }
+  return suspects;
+}
+
 void Forget(State& aState, const Now& aNow)
 {
   while (!aState.mOldest.empty()) {
--- a/src/libdispatch/crashes.h
+++ b/src/libdispatch/crashes.h
@@ -49,6 +49,9 @@
 /// The index of a task of the job that is known to be deadly.
 std::optional<std::uint32_t> FindDeadlyTask(const State& aState, const std::string& aJob);
 
+/// The indices of a job's tasks under which upstreams have crashed.
+std::vector<std::uint32_t> FindSuspects(const State& aState, const std::string& aJob);
+
 /// Removes crashes after a minute. The callers of a job that need not be kept send it again within
 /// seconds or never.
 void Forget(State& aState, const Now& aNow);
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -284,7 +284,11 @@
   attempt.mStarted = aNow.mTime;
   attempt.mLong = task.mLong;
   attempt.mFractionChangedAt = aNow.mTime;
+  attempt.mSuspect = task.mSuspect;
   placement::CountStart(aState.mPlacement, aUpstream, needs, aNow);
+  if (attempt.mSuspect) {
+    placement::CountSuspect(aState.mPlacement, aUpstream, 1, aNow);
+  }
   AdjustQueuedTasks(aState, job, 0, 1);
   ++aState.mRunningTasks;
   ++service.mRunning[task.mLong ? 1 : 0];
@@ -390,6 +394,7 @@
                                       avoid ? task.mAvoidedUpstream : kNone,
                                       job.mTasks.size() <= kMaxProbeJobTasks && task.mFailures == 0,
                                       task.mFailures > 0 || task.mMoved,
+                                      task.mSuspect,
                                       aNow.mTime };
     const auto upstream = placement::Choose(aState.mPlacement, request, aState.mRandom);
     queue::AdvanceVirtualTime(queue, job.mTeam);
@@ -659,6 +664,21 @@
          aJob.mAnswer.mError->mCode != ErrorCode::TaskFailed;
 }
 
+/// Marks the tasks of a running job under which upstreams have crashed.
+void MarkSuspects(State& aState, const std::string& aJob)
+{
+  const auto it = aState.mJobByName.find(aJob);
+  if (it == aState.mJobByName.end() || aState.mJobs[it->second].mState != JobState::Running) {
+    return;
+  }
+  auto& tasks = aState.mJobs[it->second].mTasks;
+  for (const auto n : crashes::FindSuspects(aState.mCrashes, aJob)) {
+    if (n < tasks.size()) {
+      tasks[n].mSuspect = true;
+    }
+  }
+}
+
 Error DeadlyTaskError(std::uint32_t aTask)
 {
   return MakeError(ErrorCode::TaskFailed,
@@ -755,6 +775,7 @@
                                  accepted.mGeneration,
                                  0 });
   }
+  MarkSuspects(aState, spec.mId);
   ++aState.mCounts.mJobsAccepted;
   CountInflow(aState, accepted, aNow);
   EnqueueJob(aState, index);
@@ -850,7 +871,11 @@
 
 void Apply(State& aState, const UpstreamCrashed& aEvent, const Now& aNow, Actions& aActions)
 {
-  for (const auto& task : crashes::Record(aState.mCrashes, aEvent.mReport, aNow)) {
+  const auto deadly = crashes::Record(aState.mCrashes, aEvent.mReport, aNow);
+  for (const auto& task : aEvent.mReport.mTasks) {
+    MarkSuspects(aState, task.mJob);
+  }
+  for (const auto& task : deadly) {
     ++aState.mCounts.mDeadlyTasks;
     const auto it = aState.mJobByName.find(task.mJob);
     if (it == aState.mJobByName.end() || aState.mJobs[it->second].mState != JobState::Running) {
@@ -900,6 +925,9 @@
   if (task.mLearned && task.mMedian.count() > 0) {
     ratio = static_cast<double>(ranFor.count()) / static_cast<double>(task.mMedian.count());
   }
+  if (attempt.mSuspect) {
+    placement::CountSuspect(aState.mPlacement, attempt.mUpstream, -1, aNow);
+  }
   placement::CountEnd(
     aState.mPlacement, attempt.mUpstream, attempt.mNeeds, report, ratio, aState.mRandom, aNow);
   const auto used = outcome.mVerdict == Verdict::NotRun ? Duration{ 0 } : ranFor;
--- a/src/libdispatch/state.h
+++ b/src/libdispatch/state.h
@@ -39,6 +39,7 @@
   bool mLong = false;
   bool mLearned = false; ///< The estimate is based on outcomes, not on a declaration or default.
   bool mMoved = false;   ///< A run was stopped because it stalled or was slow.
+  bool mSuspect = false; ///< See placement::Request::mSuspect.
   bool mRetryCharged = false; ///< The retry budget has been charged for the next start.
   std::uint32_t mSlice = 0;   ///< Index in Job::mSlices.
   std::uint32_t mAttempt = 0;
@@ -62,6 +63,7 @@
   Needs mNeeds;
   Time mStarted{};
   bool mLong = false;
+  bool mSuspect = false; ///< Counted by placement::CountSuspect.
   bool mStopped = false;
   bool mOverdueCounted = false;         ///< Reported to placement as overdue.
   bool mMoving = false;                 ///< Stopped in order to restart on another upstream.
--- a/src/libentry/deadly_task_test.cpp
+++ b/src/libentry/deadly_task_test.cpp
@@ -70,6 +70,39 @@
          ok;
 }
 
+/// Guards against tasks that share the fate of a deadly one: lost together with it, started again
+/// beside it and given up in its place. Pattern: every tenth job has a deadly task, for 10 s, on
+/// upstreams with two tasks each.
+bool OtherTasksAreServed(std::uint64_t aSeed)
+{
+  WorldOptions options;
+  options.mDataCentres = 1;
+  options.mNodesEach = 3;
+  options.mWorkersEach = 48;
+  options.mDeadlyJobs = 0.1;
+  options.mSeed = aSeed;
+  auto world = MakeStartedWorld(options);
+  auto& w = *world;
+  GenerateLoad(w, 30, seconds(10), milliseconds(100));
+  RunFor(w, seconds(16));
+  std::size_t lost = 0;
+  std::size_t others = 0;
+  for (const auto& [request, call] : w.mCalls) {
+    const bool deadly = w.mDeadlyTasks.contains({ call.mJob.mId, 0 });
+    if (deadly) {
+      continue;
+    }
+    ++others;
+    if (!call.mComplete) {
+      ++lost;
+      std::cerr << "not complete: " << call.mJob.mId << "\n";
+    }
+  }
+  std::cout << "seed " << aSeed << ": " << lost << " of " << others
+            << " jobs without a deadly task are not complete\n";
+  return NoViolations(w) && Expect(lost == 0, "jobs without a deadly task complete");
+}
+
 /// Guards against crashes that are forgotten with the process that has seen them: the job is
 /// submitted again after each death of its holder, by its caller through another entry if the
 /// holder was also the owner.
@@ -104,9 +137,16 @@
 
 } // namespace
 
-int main()
+/// With an argument it plays OtherTasksAreServed with that seed.
+int main(int aCount, char** aArguments)
 {
+  if (aCount > 1) {
+    return OtherTasksAreServed(std::stoull(aArguments[1])) ? 0 : 1;
+  }
   bool ok = DeadlyTaskIsGivenUp();
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    ok = OtherTasksAreServed(seed) && ok;
+  }
   ok = CrashesOutliveTheHolder(true) && ok;
   ok = CrashesOutliveTheHolder(false) && ok;
   std::cout << (ok ? "passed" : "failed") << "\n";
--- a/src/libplacement/placement.cpp
+++ b/src/libplacement/placement.cpp
@@ -58,6 +58,9 @@
 /// logarithm of a run-time ratio. Differences in speed of less than a tenth then matter less than
 /// the load.
 constexpr double kEmptyCost = 0.1;
+/// Extra cost of each running task beside a suspect, in the same unit: a crash costs each of them
+/// several run times.
+constexpr double kEndangeredTaskCost = 1;
 /// Multiples to which RoundUp rounds needs with mExclusiveUpstreams. A task waits until its
 /// rounded needs fit, so the step limits the capacity that it waits for without using it.
 constexpr std::uint32_t kMilliCoresStep = kMilliCoresPerCore;
@@ -94,7 +97,7 @@
 bool CanTake(const Pool& aPool, const Upstream& aUpstream, const Now& aNow)
 {
   if (!aUpstream.mConfigured || IsLeaving(aUpstream) || aUpstream.mRunning >= aUpstream.mCredits ||
-      aNow.mTime < aUpstream.mBackoffUntil) {
+      aUpstream.mSuspects > 0 || aNow.mTime < aUpstream.mBackoffUntil) {
     return false;
   }
   if (aUpstream.mHalfOpen && aUpstream.mRunning > 0) {
@@ -383,9 +386,11 @@
   cost += std::max(0.0, relative - kToleratedLogRatio);
   const auto& capacity = aState.mPools[upstream.mService].mShapes[upstream.mShape].mCapacity;
   if (aState.mOptions.mExclusiveUpstreams) {
+    const double usedFraction =
+      static_cast<double>(upstream.mUsed.mMilliCores) / std::max(1U, capacity.mMilliCores);
     return cost + relative +
-           kEmptyCost * (1 - static_cast<double>(upstream.mUsed.mMilliCores) /
-                               std::max(1U, capacity.mMilliCores));
+           (aRequest.mSuspect ? kEndangeredTaskCost * upstream.mRunning
+                              : kEmptyCost * (1 - usedFraction));
   }
   cost += kLoadCost * upstream.mRunning / upstream.mCredits;
   if (upstream.mDataCentre != aState.mHomeDataCentre) {
@@ -619,6 +624,13 @@
   Refresh(aState, aUpstream, aNow);
 }
 
+void CountSuspect(State& aState, UpstreamIndex aUpstream, int aChange, const Now& aNow)
+{
+  auto& suspects = aState.mUpstreams[aUpstream].mSuspects;
+  suspects = static_cast<std::uint32_t>(static_cast<int>(suspects) + aChange);
+  Refresh(aState, aUpstream, aNow);
+}
+
 void CountEnd(State& aState,
               UpstreamIndex aUpstream,
               const Needs& aNeeds,
