Count runs that are lost together as one failure of their upstream

An upstream with two tasks that a deadly task had crashed took single tasks only for a second or more after its restart under the same id, so jobs waited while it had room.

Cause: each run that is lost with an upstream counts as a failure, and two failures in a row exclude it. One crash loses all of its runs at once.

Losses at the same time now count once.

RestartedUpstreamIsUsed failed before (a job that needs all places of four upstreams takes 0.8 s instead of 0.4 s) and passes.

--- a/src/include/pollenwall/placement.h
+++ b/src/include/pollenwall/placement.h
@@ -52,6 +52,7 @@
   std::uint32_t mOutcomeCount = 0;
   std::uint32_t mConsecutiveFailures = 0;
   Time mLastSuccessAt{};
+  std::optional<Time> mLastLossAt; ///< When a run was last lost with the upstream.
   std::optional<std::uint64_t>
     mSlowJob; ///< Last job passed to CountSlowJob; reset by a normal run.
   /// Moving average, starting at 0, of the natural logarithm of run time over expected run time.
--- a/src/libentry/deadly_task_test.cpp
+++ b/src/libentry/deadly_task_test.cpp
@@ -103,6 +103,28 @@
   return NoViolations(w) && Expect(lost == 0, "jobs without a deadly task complete");
 }
 
+/// Guards against an upstream that is excluded for the tasks that it lost when a deadly task
+/// crashed it: after its restart it would get single tasks only, for seconds. Pattern: a deadly
+/// task crashes two of four upstreams; when both are back, a job needs all places.
+bool RestartedUpstreamIsUsed()
+{
+  WorldOptions options;
+  options.mDataCentres = 1;
+  options.mWorkersEach = 4;
+  auto world = MakeStartedWorld(options);
+  auto& w = *world;
+  constexpr std::uint32_t kPlaces = 8; // Two tasks on each upstream.
+  const auto deadly = SubmitDeadlyJob(w, 0, kPlaces);
+  RunFor(w, milliseconds(5500)); // Both crashed upstreams are back.
+  const auto request = SubmitJob(w, 0, kPlaces, milliseconds(400));
+  RunFor(w, seconds(3));
+  const auto& call = w.mCalls.at(request);
+  bool ok = NoViolations(w) && Expect(HasFailed(w, deadly), "the deadly job is given up");
+  return Expect(call.mComplete && *call.mAnswered < call.mSubmitted + Duration(milliseconds(700)),
+                "all tasks run at once, also on the upstreams that had crashed") &&
+         ok;
+}
+
 /// Guards against crashes that are forgotten with the process that has seen them: the job is
 /// submitted again after each death of its holder, by its caller through another entry if the
 /// holder was also the owner.
@@ -144,6 +166,7 @@
     return OtherTasksAreServed(std::stoull(aArguments[1])) ? 0 : 1;
   }
   bool ok = DeadlyTaskIsGivenUp();
+  ok = RestartedUpstreamIsUsed() && ok;
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     ok = OtherTasksAreServed(seed) && ok;
   }
--- a/src/libplacement/placement.cpp
+++ b/src/libplacement/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include <pollenwall/admission.h>
 
@@ -645,8 +646,12 @@
   upstream.mUsed.mMilliCores -= aNeeds.mMilliCores;
   upstream.mUsed.mMemoryBytes -= aNeeds.mMemoryBytes;
   upstream.mUsed.mAccelerators -= aNeeds.mAccelerators;
-  const bool failed = aOutcome == StartOutcome::Failed || aOutcome == StartOutcome::Lost ||
-                      aOutcome == StartOutcome::Refused;
+  // Runs that end at the same time were lost by one event, for example a crash. Counted one by one,
+  // a single crash would exclude an upstream with several tasks.
+  const bool lostBefore =
+    aOutcome == StartOutcome::Lost && std::exchange(health.mLastLossAt, aNow.mTime) == aNow.mTime;
+  const bool failed = aOutcome == StartOutcome::Failed || aOutcome == StartOutcome::Refused ||
+                      (aOutcome == StartOutcome::Lost && !lostBefore);
   if (failed || aOutcome == StartOutcome::RanWell) {
     const bool probe = IsUnhealthy(upstream) && upstream.mRunning == 0;
     health.mRanWell = kOutcomeDecay * health.mRanWell + (failed ? 0 : 1);
