--- a/src/libentry/entry_test.cpp
+++ b/src/libentry/entry_test.cpp
@@ -1022,6 +1022,38 @@
          Expect(Complete(w) == w.mCalls.size(), "all jobs complete");
 }
 
+/// Guards against starts beyond a capacity that has shrunk while the upstream runs tasks, and
+/// against room that stays unused after it has grown again. Pattern: under load, half of the
+/// upstreams shrink from two tasks to one or to none, and grow again after a second, several times.
+bool CapacityShrinksAndGrows()
+{
+  constexpr std::uint32_t kWhole = 32000;
+  WorldOptions options;
+  options.mDataCentres = 1;
+  auto world = MakeWorld(options);
+  auto& w = *world;
+  RunFor(w, seconds(4));
+  GenerateLoad(w, 20, seconds(8), milliseconds(200));
+  for (int n = 0; n < 4; ++n) {
+    for (auto it = w.mWorkers.begin(); it != w.mWorkers.end(); ++it) {
+      const bool shrinks = std::distance(w.mWorkers.begin(), it) % 2 == n % 2;
+      SetCapacity(w, it->first, !shrinks ? kWhole : n < 2 ? kWhole / 2 : 0);
+    }
+    RunFor(w, seconds(1));
+    for (const auto& [id, worker] : w.mWorkers) {
+      SetCapacity(w, id, kWhole);
+    }
+    RunFor(w, seconds(1));
+  }
+  RunFor(w, seconds(4));
+  const auto request = SubmitJob(w, 0, 16, milliseconds(400)); // Needs all places.
+  RunFor(w, seconds(3));
+  const auto& call = w.mCalls.at(request);
+  return NoViolations(w) && AllAnswered(w) &&
+         Expect(call.mComplete && *call.mAnswered < call.mSubmitted + Duration(milliseconds(700)),
+                "all room is used again after the capacity has grown");
+}
+
 } // namespace
 
 int main(int aCount, char** aArguments)
@@ -1064,6 +1096,7 @@
   }
   ok = RefusedSubmissionStaysRefused() && ok;
   ok = EchoesOfTheFutureAreIgnored() && ok;
+  ok = CapacityShrinksAndGrows() && ok;
   constexpr std::uint64_t kSeeds = 60;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     ok = RandomFaults(seed) && ok;
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iostream>
+#include <utility>
 
 namespace pollenwall::entry::test {
 namespace {
@@ -20,7 +21,8 @@
 constexpr milliseconds kMaxLease{ 1000 };
 constexpr milliseconds kStopTime{ 30 };
 constexpr milliseconds kAnswerTimeout{ 300 };
-constexpr milliseconds kCrashDelay{ 10 }; ///< From the start of a deadly task.
+constexpr milliseconds kMaxOrderTime{ 100 }; ///< From the decision to start a run to its start.
+constexpr milliseconds kCrashDelay{ 10 };    ///< From the start of a deadly task.
 constexpr milliseconds kWorkerRestartTime{ 3000 };
 /// No deadly task may be started three times more after this many workers have crashed under it.
 constexpr std::uint32_t kMaxCrashes = 3;
@@ -156,7 +158,9 @@
   for (const auto& [other, running] : aWorker.mRunning) {
     used += running.mNeeds.mMilliCores;
   }
-  if (used > aWorker.mRecord.mCapacity.mMilliCores) {
+  const bool mayUseFormer = aWorld.mNow.mTime - aWorker.mCapacitySince < Duration(kMaxOrderTime);
+  if (used > std::max(aWorker.mRecord.mCapacity.mMilliCores,
+                      mayUseFormer ? aWorker.mFormerMilliCores : 0)) {
     AddViolation(aWorld, "worker " + aWorker.mRecord.mId + " is over its capacity");
   }
   return OrderStatus::Done;
@@ -605,6 +609,14 @@
   return request;
 }
 
+void SetCapacity(World& aWorld, const std::string& aId, std::uint32_t aMilliCores)
+{
+  auto& worker = aWorld.mWorkers.at(aId);
+  worker.mFormerMilliCores = std::exchange(worker.mRecord.mCapacity.mMilliCores, aMilliCores);
+  worker.mCapacitySince = aWorld.mNow.mTime;
+  ListWorkers(aWorld);
+}
+
 RequestId ResubmitJob(World& aWorld, std::size_t aNode, RequestId aEarlier)
 {
   const auto request = ++aWorld.mLastRequestId;
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -23,6 +23,8 @@
 struct Worker
 {
   UpstreamRecord mRecord;
+  std::uint32_t mFormerMilliCores = 0; ///< Before the last SetCapacity.
+  Time mCapacitySince{};
   bool mAlive = true;
   bool mRefuses = false; ///< While not alive: its machine refuses connections, so it has crashed.
   bool mHangs = false;   ///< Its tasks make no progress.
@@ -142,6 +144,10 @@
                     std::chrono::milliseconds aRun,
                     std::chrono::milliseconds aDeadline = std::chrono::seconds(3));
 
+/// Changes the capacity of a worker while it runs, and lists it. Starts that were ordered before
+/// may still use the former capacity.
+void SetCapacity(World& aWorld, const std::string& aId, std::uint32_t aMilliCores);
+
 /// Submits the job of an earlier call again, as a caller without an answer does. Call ids in the
 /// logs of the two submissions are the same.
 RequestId ResubmitJob(World& aWorld, std::size_t aNode, RequestId aEarlier);
