Count the crash of an upstream that was silent first

A task whose workers go dark as they crash was started again without a limit: its caller got 504, submitted the job again, and more workers crashed.

Cause: a crash is reported with the runs that the hold still has. After a silent end these have lapsed when the upstream comes back as a new process, so nothing was reported.

A hold now remembers the runs that lapsed since the upstream became silent until a process answers at its address: another incarnation reports them as crashed, the same one forgets them. An upstream that was only silent is still not counted.

SilentCrashesAreCounted failed before (12 crashed workers in three submissions) and passes with at most five, the most that the users' rule allows.

--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -296,6 +296,9 @@
   std::optional<UnixMs> mBornMs;      ///< As in the latest answered poll; see PollAnswered.
   std::map<Run, OwnRun> mRuns;
   std::vector<Run> mForeignRuns; ///< Runs of earlier holders, being stopped.
+  /// Runs that lapsed since the upstream became silent. Whether it crashed under them is known only
+  /// when a process answers at its address again.
+  std::vector<Run> mLapsedRuns;
   bool mPollPending = false;
   Time mNextPollAt{};
   std::uint32_t mLostPolls = 0; ///< In a row.
--- a/src/libentry/deadly_task_test.cpp
+++ b/src/libentry/deadly_task_test.cpp
@@ -21,10 +21,13 @@
 }
 
 /// Submits a job to an entry; its first task is deadly.
-RequestId SubmitDeadlyJob(World& aWorld, std::size_t aNode, std::uint32_t aTasks)
+RequestId SubmitDeadlyJob(World& aWorld,
+                          std::size_t aNode,
+                          std::uint32_t aTasks,
+                          milliseconds aDeadline = seconds(10))
 {
   aWorld.mDeadlyTasks.insert({ JobName(aWorld.mLastRequestId + 1), 0 });
-  return SubmitJob(aWorld, aNode, aTasks, milliseconds(100), seconds(10));
+  return SubmitJob(aWorld, aNode, aTasks, milliseconds(100), aDeadline);
 }
 
 /// Whether the caller was told that the job has failed by its own fault.
@@ -103,6 +106,26 @@
   return NoViolations(w) && Expect(lost == 0, "jobs without a deadly task complete");
 }
 
+/// Guards against crashes that are not counted because the upstream was silent before it came back
+/// as a new process. The job expires before enough is known; its caller submits it twice more.
+bool SilentCrashesAreCounted()
+{
+  WorldOptions options;
+  options.mDataCentres = 1;
+  options.mSilentCrashes = true;
+  options.mMaxCrashes = 5; // A task may be started twice more after three workers have crashed.
+  auto world = MakeStartedWorld(options);
+  auto& w = *world;
+  auto request = SubmitDeadlyJob(w, 0, 3, seconds(4));
+  for (int n = 0; n < 2; ++n) {
+    RunFor(w, milliseconds(5300));
+    request = ResubmitJob(w, 0, request);
+  }
+  RunFor(w, seconds(5));
+  return NoViolations(w) &&
+         Expect(HasFailed(w, request), "the job is answered as failed once the crashes are known");
+}
+
 /// Guards against an upstream that is excluded for the tasks that it lost when a deadly task
 /// crashed it: after its restart it would get single tasks only, for seconds. Pattern: a deadly
 /// task crashes two of four upstreams; when both are back, a job needs all places.
@@ -166,6 +189,7 @@
     return OtherTasksAreServed(std::stoull(aArguments[1])) ? 0 : 1;
   }
   bool ok = DeadlyTaskIsGivenUp();
+  ok = SilentCrashesAreCounted() && ok;
   ok = RestartedUpstreamIsUsed() && ok;
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     ok = OtherTasksAreServed(seed) && ok;
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -24,8 +24,6 @@
 constexpr milliseconds kMaxOrderTime{ 100 }; ///< From the decision to start a run to its start.
 constexpr milliseconds kCrashDelay{ 10 };    ///< From the start of a deadly task.
 constexpr milliseconds kWorkerRestartTime{ 3000 };
-/// No deadly task may be started three times more after this many workers have crashed under it.
-constexpr std::uint32_t kMaxCrashes = 3;
 
 void Step(World& aWorld, std::size_t aNode, const Event& aEvent);
 
@@ -135,10 +133,10 @@
   runningAt.insert(aWorker.mRecord.mId);
   ++aWorld.mStarts;
   if (aWorld.mDeadlyTasks.contains(aOrder.mRun.mTask)) {
-    if (++aWorld.mCrashes[aOrder.mRun.mTask] > kMaxCrashes) {
+    if (++aWorld.mCrashes[aOrder.mRun.mTask] > aWorld.mOptions.mMaxCrashes) {
       AddViolation(aWorld,
                    ToString(aOrder.mRun.mTask) + " is started after it has crashed " +
-                     std::to_string(kMaxCrashes) + " workers");
+                     std::to_string(aWorld.mOptions.mMaxCrashes) + " workers");
     }
     After(
       aWorld, kCrashDelay, [&aWorld, id = aWorker.mRecord.mId] { CrashWorkerProcess(aWorld, id); });
@@ -738,7 +736,7 @@
     return;
   }
   CrashWorker(aWorld, aId);
-  aWorld.mWorkers.at(aId).mRefuses = true;
+  aWorld.mWorkers.at(aId).mRefuses = !aWorld.mOptions.mSilentCrashes;
   After(aWorld, kWorkerRestartTime, [&aWorld, aId] {
     auto& worker = aWorld.mWorkers.at(aId);
     Worker restarted;
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -116,10 +116,11 @@
                  std::string_view aEvidence,
                  Actions& aActions)
 {
-  if (aSession.mRuns.empty() || std::exchange(aSession.mCrashReported, true)) {
+  if ((aSession.mRuns.empty() && aSession.mLapsedRuns.empty()) ||
+      std::exchange(aSession.mCrashReported, true)) {
     return;
   }
-  Crashed crashed{ std::string(aUpstream), aEvidence, {} };
+  Crashed crashed{ std::string(aUpstream), aEvidence, aSession.mLapsedRuns };
   for (const auto& [run, own] : aSession.mRuns) {
     crashed.mRuns.push_back(run);
   }
@@ -572,6 +573,7 @@
     }
     session->mBornMs = aEvent.mBornMs;
   }
+  session->mLapsedRuns.clear();
   for (const auto& end : aEvent.mEnds) {
     if (end.mNumber > session->mAcknowledgedEnd) {
       HandleEnd(aEvent.mUpstream, *session, end, aNow, aActions);
@@ -600,6 +602,9 @@
     if (unreachable && !session.mRuns.empty() && HasLeaseLapsed(aState, session, aNow)) {
       const bool lost = session.mPhase == SessionPhase::Lost;
       AddNote(aActions, "runs_lapsed", upstream, std::to_string(session.mRuns.size()));
+      for (const auto& [run, own] : session.mRuns) {
+        session.mLapsedRuns.push_back(run);
+      }
       ReportAllRunsLost(
         upstream, session, lost ? ErrorCode::OwnerUnsettled : ErrorCode::UpstreamLost, aActions);
     }
