Remember crashes for ten minutes and bound what is remembered

A task may run for more than a minute before it crashes its upstream, so that each crash was forgotten before the next; and nothing bounded the memory of the record, or the time to evaluate a report with very many tasks from a peer.

Crashes are kept for ten minutes, at most 4,096 of them. A report with more than 1,000 tasks is refused when it is decoded.

--- a/src/include/pollenwall/dispatch.h
+++ b/src/include/pollenwall/dispatch.h
@@ -330,7 +330,7 @@
 /// passed its deadline, or when a task of it has been sent to an upstream.
 std::optional<Withdrawn> Withdraw(State& aState, std::string_view aId, const Now& aNow);
 
-/// The crashes of the last minute, oldest first, for an entry that does not know them.
+/// The crashes that are remembered, oldest first, for an entry that does not know them.
 std::vector<CrashReport> RecentCrashes(const State& aState);
 
 /// Monotonic counters by name, for metrics.
--- a/src/include/pollenwall/messages.h
+++ b/src/include/pollenwall/messages.h
@@ -319,8 +319,10 @@
   friend bool operator==(const Entries&, const Entries&) = default;
 };
 
+inline constexpr std::size_t kMaxTasksPerCrash = 1000; ///< Reports with more are not valid.
+
 /// Crashes of upstreams, sent to the entries that may hold upstreams: to all when a crash is
-/// detected, and those of the last minute to one that has just become a candidate.
+/// detected, and those that are remembered to one that has just become a candidate.
 struct Crashes
 {
   std::vector<CrashReport> mReports;
--- a/src/libdispatch/crashes.cpp
+++ b/src/libdispatch/crashes.cpp
@@ -8,7 +8,6 @@
 
 constexpr std::size_t kMinCrashes = 2;
 constexpr std::size_t kMaxCrashes = 3;
-constexpr std::chrono::seconds kRetention{ 60 };
 
 /// Number of crashes under a task that no known deadly task explains.
 std::size_t UnexplainedCrashes(const State& aState, const TaskId& aTask)
@@ -92,7 +91,8 @@
 {
   while (!aState.mOldest.empty()) {
     const auto crash = aState.mCrashes.find(aState.mOldest.front());
-    if (aNow.mTime - crash->second.mRecordedAt <= Duration(kRetention)) {
+    if (aNow.mTime - crash->second.mRecordedAt <= Duration(kRetention) &&
+        aState.mOldest.size() <= kMaxCrashesKept) {
       return;
     }
     for (const auto& task : crash->second.mReport.mTasks) {
--- a/src/libdispatch/crashes.h
+++ b/src/libdispatch/crashes.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -16,6 +18,12 @@
 /// nothing. No I/O and no clock. Not thread safe.
 namespace pollenwall::crashes {
 
+/// Crashes are kept for this long. A task may run for minutes before it crashes its upstream, and
+/// the caller of a job without an answer sends it again some seconds later.
+inline constexpr std::chrono::minutes kRetention{ 10 };
+/// More crashes than in this time are not kept: about 2 MB, and one message to a new candidate.
+inline constexpr std::size_t kMaxCrashesKept = 4096;
+
 using CrashId = std::pair<Incarnation, std::uint64_t>; ///< Reporter and number of the report.
 
 struct Crash
@@ -52,8 +60,7 @@
 /// The indices of a job's tasks under which upstreams have crashed.
 std::vector<std::uint32_t> FindSuspects(const State& aState, const std::string& aJob);
 
-/// Removes crashes after a minute. The callers of a job that need not be kept send it again within
-/// seconds or never.
+/// Removes old crashes. Called regularly.
 void Forget(State& aState, const Now& aNow);
 
 } // namespace pollenwall::crashes
--- /dev/null
+++ b/src/libdispatch/crashes_test.cpp
@@ -0,0 +1,108 @@
+#include <iostream>
+
+#include "crashes.h"
+
+namespace {
+
+using namespace pollenwall;
+using namespace pollenwall::crashes;
+using std::chrono::seconds;
+
+constexpr Incarnation kReporter{ 1 };
+
+bool Expect(bool aCondition, std::string_view aWhat)
+{
+  if (!aCondition) {
+    std::cerr << "failed: " << aWhat << "\n";
+  }
+  return aCondition;
+}
+
+struct Log
+{
+  State mState;
+  Now mNow{ Time{ seconds(1000) }, 0 };
+  std::uint64_t mLastNumber = 0;
+};
+
+/// Records a crash under these tasks and returns those that are deadly.
+std::vector<TaskId> Crashed(Log& aLog, std::vector<TaskId> aTasks)
+{
+  return Record(aLog.mState, { kReporter, ++aLog.mLastNumber, std::move(aTasks) }, aLog.mNow);
+}
+
+/// Guards against a task that is given up for what another task does.
+bool TheCommonTaskIsDeadly()
+{
+  Log log;
+  bool ok = Expect(Crashed(log, { { "a", 0 }, { "b", 0 } }).empty(), "one crash proves nothing");
+  ok &= Expect(Crashed(log, { { "a", 0 }, { "c", 0 } }) == std::vector<TaskId>{ { "a", 0 } },
+               "the task that both crashes have in common is deadly");
+  ok &= Expect(Crashed(log, { { "b", 0 }, { "d", 0 } }).empty(),
+               "a crash that a deadly task explains does not count for the tasks beside it");
+  ok &= Expect(FindDeadlyTask(log.mState, "a") == 0U, "a submission of the job finds the task");
+  return Expect(!FindDeadlyTask(log.mState, "b"), "the other jobs are not affected") && ok;
+}
+
+/// Guards against tasks that are started without a limit because they always crash together.
+bool TheThirdCrashDecides()
+{
+  Log log;
+  const std::vector<TaskId> both{ { "a", 0 }, { "b", 0 } };
+  bool ok = Expect(Crashed(log, both).empty() && Crashed(log, both).empty(),
+                   "two crashes do not tell which of two tasks is the cause");
+  return Expect(Crashed(log, both) == both, "no task is started after three crashes") && ok;
+}
+
+/// Guards against a job whose deadly task is not found because its tasks share all upstreams.
+bool TasksOfOneJobAreNotTold()
+{
+  Log log;
+  const std::vector<TaskId> both{ { "a", 0 }, { "a", 1 } };
+  return Expect(Crashed(log, both).empty() && Crashed(log, both) == both,
+                "tasks of one job fail together");
+}
+
+/// Guards against a crash that counts twice because two entries pass on its report.
+bool CopiesCountOnce()
+{
+  Log log;
+  const CrashReport report{ kReporter, 7, { { "a", 0 } } };
+  bool ok = true;
+  for (int n = 0; n < 5; ++n) {
+    ok &= Expect(Record(log.mState, report, log.mNow).empty(), "a copy counts once");
+  }
+  return ok;
+}
+
+/// Guards against memory that grows with the number of crashes, or that is never freed.
+bool MemoryIsBounded()
+{
+  Log log;
+  for (std::size_t n = 0; n < 2 * kMaxCrashesKept; ++n) {
+    Crashed(log, { { "job" + std::to_string(n), 0 }, { "job" + std::to_string(n + 1), 0 } });
+    Forget(log.mState, log.mNow);
+  }
+  bool ok = Expect(log.mState.mCrashes.size() <= kMaxCrashesKept &&
+                     log.mState.mSuspects.size() <= 2 * kMaxCrashesKept,
+                   "the number of crashes that are kept is bounded");
+  log.mNow.mTime += Duration(kRetention) + Duration(seconds(1));
+  Forget(log.mState, log.mNow);
+  return Expect(log.mState.mCrashes.empty() && log.mState.mSuspects.empty() &&
+                  log.mState.mOldest.empty(),
+                "old crashes are forgotten") &&
+         ok;
+}
+
+} // namespace
+
+int main()
+{
+  bool ok = TheCommonTaskIsDeadly();
+  ok &= TheThirdCrashDecides();
+  ok &= TasksOfOneJobAreNotTold();
+  ok &= CopiesCountOnce();
+  ok &= MemoryIsBounded();
+  std::cout << (ok ? "passed" : "failed") << "\n";
+  return ok ? 0 : 1;
+}
--- a/src/libmessages/messages.cpp
+++ b/src/libmessages/messages.cpp
@@ -1,5 +1,6 @@
 #include <pollenwall/messages.h>
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <cstring>
@@ -575,7 +576,11 @@
 template<typename T>
 bool IsValid(const T& aValue)
 {
-  if constexpr (std::is_same_v<T, Reply>) {
+  if constexpr (std::is_same_v<T, Crashes>) {
+    return std::all_of(aValue.mReports.begin(), aValue.mReports.end(), [](const auto& aReport) {
+      return aReport.mTasks.size() <= kMaxTasksPerCrash;
+    });
+  } else if constexpr (std::is_same_v<T, Reply>) {
     return aValue.mAnswer.has_value() != aValue.mError.has_value();
   } else if constexpr (std::is_same_v<T, Hello>) {
     return aValue.mIncarnation.mValue != 0 && !aValue.mDataCentre.empty();
--- a/src/libmessages/messages_test.cpp
+++ b/src/libmessages/messages_test.cpp
@@ -342,11 +342,27 @@
   return !Decode(Encode(submit));
 }
 
+/// Guards against a report whose evaluation would block the entry, as its time grows with the
+/// square of the number of tasks.
+bool HugeCrashReportsAreRefused()
+{
+  Crashes crashes{ { CrashReport{ { 1 }, 1, {} } } };
+  crashes.mReports[0].mTasks.assign(kMaxTasksPerCrash, { "j", 0 });
+  const bool largest = Decode(Encode(crashes)) == Message(crashes);
+  crashes.mReports[0].mTasks.push_back({ "j", 0 });
+  const bool passed = largest && !Decode(Encode(crashes));
+  if (!passed) {
+    std::cerr << "failed: a crash report has at most kMaxTasksPerCrash tasks\n";
+  }
+  return passed;
+}
+
 } // namespace
 
 int main()
 {
   bool passed = MessagesRoundTrip();
+  passed &= HugeCrashReportsAreRefused();
   passed &= TruncatedMessagesAreRefused();
   passed &= CorruptMessagesNeverCrash();
   passed &= HugeCountsAreRefused();
