Soak: tasks that crash their worker

Four jobs in a thousand now have one; the worker starts again 0.5 to 3 s later. The judge reports a task that is started three times after three workers have died under it, and accepts a failed job if two have died under one of its tasks.

Behind the soak's forwarders a crashed worker does not refuse connections but is silent.

--- a/scripts/harness/judge.py
+++ b/scripts/harness/judge.py
@@ -7,6 +7,12 @@
 # Tolerance for clock steps: a run that ends in the same millisecond in which the next one starts
 # does not overlap it.
 CLOCK_STEP_S = 0.002
+# A task may be given up after this many workers have died under it.
+MIN_DEATHS = 2
+# A task is not started again MAX_STARTS_AFTER_DEATHS + 1 times after DEATHS_TO_LIMIT workers have
+# died under it.
+DEATHS_TO_LIMIT = 3
+MAX_STARTS_AFTER_DEATHS = 2
 MAX_ATTEMPTS = 2  # `attempts` of the routes: failed runs after which a task fails its job.
 
 
@@ -55,6 +61,8 @@
             self._record_start(line)
         elif line.get("event") == "run_ended":
             self._record_end(line)
+        elif line.get("event") == "worker_crashed":
+            self.record_worker_death(line["worker"], line["steady_ms"] / 1000)
 
     def _record_start(self, line):
         self.starts += 1
@@ -114,6 +122,12 @@
         by_job = {}
         for task, runs in self.runs.items():
             by_job.setdefault(task.split(".")[0], {})[int(task.split(".")[-1])] = runs
+            died = sorted(it.end for it in runs if it.outcome == "died")
+            if len(died) >= DEATHS_TO_LIMIT:
+                late = [it for it in runs if it.start > died[DEATHS_TO_LIMIT - 1]]
+                if len(late) > MAX_STARTS_AFTER_DEATHS:
+                    self.add_violation("budget", f"{task} was started {len(late)} times after "
+                                                 f"{DEATHS_TO_LIMIT} workers had died under it")
             for run in runs:
                 if run.end is None and run.worker in reachable:
                     self.add_violation(
@@ -131,9 +145,11 @@
             if missing:
                 self.add_violation("false_answer", f"{name} is completed without tasks {missing}")
         elif status == 200 and state == "failed":
-            if not any(sum(it.outcome == "failed" for it in runs) >= MAX_ATTEMPTS
+            if not any(sum(it.outcome == "failed" for it in runs) >= MAX_ATTEMPTS or
+                       sum(it.outcome == "died" for it in runs) >= MIN_DEATHS
                        for runs in tasks.values()):
                 self.add_violation(
-                    "false_answer", f"{name} is failed without {MAX_ATTEMPTS} failures")
+                    "false_answer", f"{name} is failed without {MAX_ATTEMPTS} failures or "
+                                    f"{MIN_DEATHS} workers that died under a task")
         if tasks and all(it[1] in (429, 503) for it in job.answers) and not job.gave_up:
             self.add_violation("refused", f"{name} was refused as not run, and has run")
--- a/scripts/harness/judge_test.py
+++ b/scripts/harness/judge_test.py
@@ -33,6 +33,26 @@
         self.job.answers.append((1.06, 200, "completed"))
         self.assertEqual(self.rules(started("a.0.0.0"), ended("a.0.0.0")), [])
 
+    def crashes(self, count):
+        """Lines of runs of one task that each crash their worker, one a second."""
+        for n in range(count):
+            worker, at = f"w{n}", 1000 * (n + 1)
+            yield started("a.0.0.0", n + 1, worker, at)
+            yield json.dumps({"event": "worker_crashed", "worker": worker, "steady_ms": at + 10})
+
+    def test_a_task_that_crashes_its_workers_may_be_given_up(self):
+        self.job.answers.append((2.1, 200, "failed"))
+        self.assertEqual(self.rules(*self.crashes(2)), [])
+
+    def test_a_task_is_given_up_after_one_crash(self):
+        self.job.answers.append((1.1, 200, "failed"))
+        self.assertEqual(self.rules(*self.crashes(1)), ["false_answer"])
+
+    def test_starts_after_three_crashes(self):
+        self.assertEqual(self.rules(*self.crashes(5)), [])
+        self.judge.runs.clear()
+        self.assertEqual(self.rules(*self.crashes(6)), ["budget"])
+
     def test_overlapping_runs(self):
         self.assertEqual(self.rules(started("a.0.0.0"), started("a.0.0.0", 2, "w2", 1020),
                                     ended("a.0.0.0"), ended("a.0.0.0", 2, "w2", 1100)), ["twice"])
--- a/scripts/harness/soak.py
+++ b/scripts/harness/soak.py
@@ -18,6 +18,7 @@
 
 DATA_CENTRES = ("north", "south")
 MILLICORES = 8000  # Capacity of a worker.
+DEADLY_JOBS = 0.004  # Fraction of the jobs whose task crashes each worker that starts it.
 # The names in backquotes are those of the platform's figures.
 DEADLINE_S = 1.5  # Time that a caller waits for an answer.
 RETRY_DELAY_S = 1.3  # `retryDelayMs`: callers without an answer submit the job again after this.
@@ -57,6 +58,8 @@
     def __init__(self, options):
         self.options = options
         self.random = random.Random(options.seed)
+        # Apart from the other draws, so that the regression seeds repeat their faults.
+        self.deadly_random = random.Random(options.seed + 1)
         self.directory = tempfile.mkdtemp(prefix=f"pollenwall-soak-{options.seed}-")
         self.base = options.base
         # Runs copies of the programs, so that a build meanwhile does not replace them.
@@ -250,6 +253,9 @@
             job = Job(f"{self.random.getrandbits(64):016x}", "", self.random.randint(1, 4))
             job.spec = json.dumps({"work_ms": self.random.choice((20, 50, 50, 150, 400)),
                                    "millicores": 2000, "fails": self.random.random() < 0.01})
+            if self.deadly_random.random() < DEADLY_JOBS:
+                job.count = 1
+                job.spec = json.dumps({"work_ms": 50, "millicores": 2000, "crashes": True})
             self.judge.jobs[job.name] = job
             disconnect_after = self.random.uniform(
                 0.02, 0.5) if self.random.random() < 0.05 else None
@@ -289,6 +295,10 @@
             if not faulted and self.judge.check_finished_tasks(time.monotonic() - 2) and \
                     not self.closing:
                 note("a task ran twice; the soak continues")
+            for worker in self.workers:
+                if not worker.faulted and not worker.process.running():  # Crashed by a task.
+                    worker.faulted = True
+                    asyncio.ensure_future(self.restart_worker(worker))
             for entry in self.entries:
                 if entry.process and not entry.process.running() and not entry.stopping:
                     self.judge.add_violation("ended", f"{entry.name} ended by itself with "
@@ -381,6 +391,11 @@
         await asyncio.sleep(seconds)
         self.start_worker(worker)
 
+    async def restart_worker(self, worker):
+        await asyncio.sleep(self.deadly_random.uniform(0.5, 3.0))
+        self.read_worker_logs()
+        self.start_worker(worker)
+
     async def pause_worker(self, seconds):
         worker = self.random.choice(self.workers)
         if worker.faulted or not worker.process.running():
