Hold back a task that was lost with three silent upstreams

Callers' jobs with a deadly task crashed five or more workers where a crashed worker does not refuse connections, for example behind a forwarder.

Cause: such a crash is known only when the worker answers again as a new process, seconds later. Until then its run counts as lost with a silent upstream, for which there was no limit.

Runs that lapse with a silent upstream are now reported as a suspected crash, which is confirmed or withdrawn when a process answers there. A task under which three crashes are confirmed or suspected is not started until one is decided, and a submission of its job waits as for runs that are being stopped. A suspicion never fails a job. A confirmed crash is withdrawn too if the same process answers, as when a network device had refused the connections.

--- a/src/include/pollenwall/dispatch.h
+++ b/src/include/pollenwall/dispatch.h
@@ -104,8 +104,9 @@
   double mDoneFraction = 0; ///< Fraction of its work that is done, 0 to 1.
 };
 
-/// An upstream of this or another entry has crashed. A task under which this happens repeatedly
-/// fails its job, here or when it is submitted later, so that it does not crash further upstreams.
+/// An upstream of this or another entry has crashed, may have, or has not after all. A task under
+/// which upstreams crash repeatedly fails its job, here or when it is submitted later, so that it
+/// does not crash further ones.
 struct UpstreamCrashed
 {
   CrashReport mReport;
--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include <pollenwall/crash_report.h>
 #include <pollenwall/ids.h>
 #include <pollenwall/job.h>
 #include <pollenwall/time.h>
@@ -222,12 +223,14 @@
   std::string mUpstream;
 };
 
-/// The upstream's process has ended without notice: its address refuses connections, or another
-/// process answers there. Sent once for each incarnation of the upstream and only if runs may be
-/// lost. An upstream that only does not answer may still run its tasks and is not reported.
+/// The upstream's process has ended without notice (its address refuses connections, or another
+/// process answers there), may have, or has not after all. Sent only if it may have had runs, at
+/// most once in each state for one crash.
 struct Crashed
 {
   std::string mUpstream;
+  std::uint64_t mNumber = 0; ///< Of the crash; unique in this State.
+  CrashState mState = CrashState::Confirmed;
   std::string_view mEvidence; ///< A string literal for logs.
   std::vector<Run> mRuns;     ///< This entry's runs that may have been at work there.
 };
@@ -296,13 +299,14 @@
   std::optional<UnixMs> mBornMs;      ///< As in the latest answered poll; see PollAnswered.
   std::map<Run, OwnRun> mRuns;
   std::vector<Run> mForeignRuns; ///< Runs of earlier holders, being stopped.
-  /// Runs that lapsed since the upstream became silent. Whether it crashed under them is known only
+  /// Runs that lapsed since the upstream became silent. Whether it has crashed under them is known
   /// when a process answers at its address again.
   std::vector<Run> mLapsedRuns;
   bool mPollPending = false;
   Time mNextPollAt{};
-  std::uint32_t mLostPolls = 0; ///< In a row.
-  bool mCrashReported = false;  ///< Crashed has been sent for this incarnation.
+  std::uint32_t mLostPolls = 0;   ///< In a row.
+  std::uint64_t mCrashNumber = 0; ///< Of the crash reported for this incarnation; 0: none.
+  bool mCrashConfirmed = false;   ///< It has been reported as confirmed.
   /// The upstream's clock, read between mClockReadAfter and mClockReadBefore.
   std::optional<std::int64_t> mClockMs;
   Time mClockReadAfter{};
@@ -314,6 +318,7 @@
 {
   Options mOptions;
   std::uint64_t mLastSession = 0;
+  std::uint64_t mLastCrash = 0;
   std::map<std::string, Session, std::less<>> mSessions; ///< By upstream key.
 };
 
--- a/src/libdispatch/crashes.cpp
+++ b/src/libdispatch/crashes.cpp
@@ -9,48 +9,52 @@
 constexpr std::size_t kMinCrashes = 2;
 constexpr std::size_t kMaxCrashes = 3;
 
-/// Number of crashes under a task that no known deadly task explains.
+bool IsConfirmed(const State& aState, const CrashId& aId)
+{
+  return aState.mCrashes.at(aId).mReport.mState == CrashState::Confirmed;
+}
+
+std::size_t ConfirmedCrashes(const State& aState, const Suspect& aSuspect)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aSuspect.mCrashes.begin(), aSuspect.mCrashes.end(), [&](const CrashId& aId) {
+      return IsConfirmed(aState, aId);
+    }));
+}
+
+/// Number of confirmed crashes under a task that no known deadly task explains.
 std::size_t UnexplainedCrashes(const State& aState, const TaskId& aTask)
 {
   const auto& crashes = aState.mSuspects.at(aTask).mCrashes;
   return static_cast<std::size_t>(
     std::count_if(crashes.begin(), crashes.end(), [&](const CrashId& aId) {
-      return !aState.mCrashes.at(aId).mExplained;
+      return IsConfirmed(aState, aId) && !aState.mCrashes.at(aId).mExplained;
     }));
 }
 
 /// Whether the task is the only explanation of a crash, apart from tasks of the same job: those
 /// fail together with it.
-bool IsSoleSuspect(const State& aState, const Crash& aCrash, const TaskId& aTask)
+bool IsSoleSuspect(const State& aState, const CrashReport& aReport, const TaskId& aTask)
 {
-  const auto& tasks = aCrash.mReport.mTasks;
   const auto count = UnexplainedCrashes(aState, aTask);
-  return count >= kMinCrashes && std::all_of(tasks.begin(), tasks.end(), [&](const TaskId& aOther) {
+  return count >= kMinCrashes &&
+         std::all_of(aReport.mTasks.begin(), aReport.mTasks.end(), [&](const TaskId& aOther) {
            return aOther.mJob == aTask.mJob || UnexplainedCrashes(aState, aOther) < count;
          });
 }
 
-} // namespace
-
-std::vector<TaskId> Record(State& aState, const CrashReport& aReport, const Now& aNow)
+/// Marks and returns the tasks that are deadly according to a confirmed crash.
+std::vector<TaskId> FindCause(State& aState, Crash& aCrash)
 {
-  const CrashId id{ aReport.mReporter, aReport.mNumber };
-  const auto [it, isNew] = aState.mCrashes.try_emplace(id, Crash{ aReport, aNow.mTime });
-  if (!isNew) {
-    return {};
-  }
-  aState.mOldest.push_back(id);
-  auto& crash = it->second;
-  for (const auto& task : aReport.mTasks) {
-    auto& suspect = aState.mSuspects[task];
-    suspect.mCrashes.push_back(id);
-    crash.mExplained = crash.mExplained || suspect.mDeadly;
-  }
+  const auto& tasks = aCrash.mReport.mTasks;
+  aCrash.mExplained = std::any_of(tasks.begin(), tasks.end(), [&](const TaskId& aTask) {
+    return aState.mSuspects.at(aTask).mDeadly;
+  });
   std::vector<TaskId> deadly;
-  for (const auto& task : aReport.mTasks) {
+  for (const auto& task : tasks) {
     const auto& suspect = aState.mSuspects.at(task);
-    if (!suspect.mDeadly &&
-        (suspect.mCrashes.size() >= kMaxCrashes || IsSoleSuspect(aState, crash, task))) {
+    if (!suspect.mDeadly && (ConfirmedCrashes(aState, suspect) >= kMaxCrashes ||
+                             IsSoleSuspect(aState, aCrash.mReport, task))) {
       deadly.push_back(task);
     }
   }
@@ -64,6 +68,54 @@
   return deadly;
 }
 
+void Remove(State& aState, const CrashId& aId)
+{
+  const auto crash = aState.mCrashes.find(aId);
+  if (crash == aState.mCrashes.end()) {
+    return;
+  }
+  for (const auto& task : crash->second.mReport.mTasks) {
+    const auto it = aState.mSuspects.find(task);
+    if (it == aState.mSuspects.end()) {
+      continue; // The report names the task twice.
+    }
+    std::erase(it->second.mCrashes, aId);
+    if (it->second.mCrashes.empty()) {
+      aState.mSuspects.erase(it);
+    }
+  }
+  aState.mCrashes.erase(crash);
+}
+
+} // namespace
+
+std::vector<TaskId> Record(State& aState, const CrashReport& aReport, const Now& aNow)
+{
+  const CrashId id{ aReport.mReporter, aReport.mNumber };
+  if (aReport.mState == CrashState::Cleared) {
+    Remove(aState, id);
+    return {};
+  }
+  const auto [it, isNew] = aState.mCrashes.try_emplace(id, Crash{ aReport, aNow.mTime });
+  auto& crash = it->second;
+  if (isNew) {
+    aState.mOldest.push_back(id);
+    for (const auto& task : crash.mReport.mTasks) {
+      aState.mSuspects[task].mCrashes.push_back(id);
+    }
+  } else if (crash.mReport.mState == aReport.mState || IsConfirmed(aState, id)) {
+    return {};
+  }
+  crash.mReport.mState = aReport.mState;
+  return IsConfirmed(aState, id) ? FindCause(aState, crash) : std::vector<TaskId>{};
+}
+
+bool IsOnHold(const State& aState, const TaskId& aTask)
+{
+  const auto it = aState.mSuspects.find(aTask);
+  return it != aState.mSuspects.end() && it->second.mCrashes.size() >= kMaxCrashes;
+}
+
 std::optional<std::uint32_t> FindDeadlyTask(const State& aState, const std::string& aJob)
 {
   for (auto it = aState.mSuspects.lower_bound({ aJob, 0 });
@@ -82,7 +134,9 @@
   for (auto it = aState.mSuspects.lower_bound({ aJob, 0 });
        it != aState.mSuspects.end() && it->first.mJob == aJob;
        ++it) {
-    suspects.push_back(it->first.mIndex);
+    if (ConfirmedCrashes(aState, it->second) > 0) {
+      suspects.push_back(it->first.mIndex);
+    }
   }
   return suspects;
 }
@@ -90,19 +144,14 @@
 void Forget(State& aState, const Now& aNow)
 {
   while (!aState.mOldest.empty()) {
-    const auto crash = aState.mCrashes.find(aState.mOldest.front());
-    if (aNow.mTime - crash->second.mRecordedAt <= Duration(kRetention) &&
+    const auto& id = aState.mOldest.front();
+    const auto crash = aState.mCrashes.find(id);
+    if (crash != aState.mCrashes.end() &&
+        aNow.mTime - crash->second.mRecordedAt <= Duration(kRetention) &&
         aState.mOldest.size() <= kMaxCrashesKept) {
       return;
     }
-    for (const auto& task : crash->second.mReport.mTasks) {
-      const auto it = aState.mSuspects.find(task);
-      std::erase(it->second.mCrashes, crash->first);
-      if (it->second.mCrashes.empty()) {
-        aState.mSuspects.erase(it);
-      }
-    }
-    aState.mCrashes.erase(crash);
+    Remove(aState, id);
     aState.mOldest.pop_front();
   }
 }
--- a/src/libdispatch/crashes.h
+++ b/src/libdispatch/crashes.h
@@ -42,22 +42,27 @@
 struct State
 {
   std::map<CrashId, Crash> mCrashes;
-  std::deque<CrashId> mOldest; ///< The keys of mCrashes in the order of Crash::mRecordedAt.
+  /// The keys of mCrashes in the order of Crash::mRecordedAt, and some that have been removed.
+  std::deque<CrashId> mOldest;
   std::map<TaskId, Suspect> mSuspects;
 };
 
-/// Records the crash of an upstream, as seen by this entry or by another one. Returns the tasks
-/// that are deadly according to this crash. A report that is already known changes nothing.
+/// Records that an upstream of this or another entry has crashed, may have, or has not. Returns the
+/// tasks that are deadly according to a confirmed crash. A copy of a report changes nothing.
 ///
-/// A task is deadly when two crashes that no known deadly task explains happened under it, and
-/// fewer under each task of other jobs on the same upstream. Whatever happened to other tasks, it
-/// is deadly after three crashes.
+/// A task is deadly when two confirmed crashes that no known deadly task explains happened under
+/// it, and fewer under each task of other jobs on the same upstream. Whatever happened to other
+/// tasks, it is deadly after three confirmed crashes.
 std::vector<TaskId> Record(State& aState, const CrashReport& aReport, const Now& aNow);
 
+/// Whether the task must not be started before more is known: three upstreams have crashed under it
+/// or may have.
+bool IsOnHold(const State& aState, const TaskId& aTask);
+
 /// The index of a task of the job that is known to be deadly.
 std::optional<std::uint32_t> FindDeadlyTask(const State& aState, const std::string& aJob);
 
-/// The indices of a job's tasks under which upstreams have crashed.
+/// The indices of a job's tasks under which upstreams have crashed for certain.
 std::vector<std::uint32_t> FindSuspects(const State& aState, const std::string& aJob);
 
 /// Removes old crashes. Called regularly.
--- a/src/libdispatch/crashes_test.cpp
+++ b/src/libdispatch/crashes_test.cpp
@@ -28,7 +28,9 @@
 /// Records a crash under these tasks and returns those that are deadly.
 std::vector<TaskId> Crashed(Log& aLog, std::vector<TaskId> aTasks)
 {
-  return Record(aLog.mState, { kReporter, ++aLog.mLastNumber, std::move(aTasks) }, aLog.mNow);
+  return Record(aLog.mState,
+                { kReporter, ++aLog.mLastNumber, CrashState::Confirmed, std::move(aTasks) },
+                aLog.mNow);
 }
 
 /// Guards against a task that is given up for what another task does.
@@ -67,7 +69,7 @@
 bool CopiesCountOnce()
 {
   Log log;
-  const CrashReport report{ kReporter, 7, { { "a", 0 } } };
+  const CrashReport report{ kReporter, 7, CrashState::Confirmed, { { "a", 0 } } };
   bool ok = true;
   for (int n = 0; n < 5; ++n) {
     ok &= Expect(Record(log.mState, report, log.mNow).empty(), "a copy counts once");
@@ -75,6 +77,29 @@
   return ok;
 }
 
+/// Guards against a task that is given up, or kept waiting for ever, because its upstreams were
+/// silent for a while, and against one that is started without a limit meanwhile.
+bool SilentUpstreamsAreNotBlamed()
+{
+  Log log;
+  const TaskId task{ "a", 0 };
+  const auto report = [&](std::uint64_t aNumber, CrashState aState) {
+    return Record(log.mState, { kReporter, aNumber, aState, { task } }, log.mNow);
+  };
+  bool ok = true;
+  for (std::uint64_t n = 1; n <= 3; ++n) {
+    ok &= Expect(!IsOnHold(log.mState, task), "a task may start after fewer than three losses");
+    ok &= Expect(report(n, CrashState::Suspected).empty(), "a suspicion makes no task deadly");
+  }
+  ok &= Expect(IsOnHold(log.mState, task), "a task is on hold while three upstreams are silent");
+  ok &= Expect(report(2, CrashState::Cleared).empty() && !IsOnHold(log.mState, task),
+               "it may start again when one of them answers");
+  ok &= Expect(report(1, CrashState::Confirmed).empty(), "one confirmed crash proves nothing");
+  return Expect(report(3, CrashState::Confirmed) == std::vector<TaskId>{ task },
+                "it is deadly when two of them have crashed") &&
+         ok;
+}
+
 /// Guards against memory that grows with the number of crashes, or that is never freed.
 bool MemoryIsBounded()
 {
@@ -102,6 +127,7 @@
   ok &= TheThirdCrashDecides();
   ok &= TasksOfOneJobAreNotTold();
   ok &= CopiesCountOnce();
+  ok &= SilentUpstreamsAreNotBlamed();
   ok &= MemoryIsBounded();
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds kRetryDelay{ 5 };
 constexpr std::uint32_t kMaxRetryDoublings = 6;
 constexpr milliseconds kRetryBudgetDelay{ 50 };
+/// Interval at which it is checked whether a task on hold may start; see crashes::IsOnHold.
+constexpr milliseconds kHoldCheckInterval{ 50 };
 /// For this time a task is only retried on other upstreams than the one that refused it. While none
 /// of them is free, it is delayed by kAvoidRetryDelay.
 constexpr milliseconds kAvoidDuration{ 200 };
@@ -538,6 +540,11 @@
       continue;
     }
     auto& task = job.mTasks[timer.mTask];
+    if (crashes::IsOnHold(aState.mCrashes, { *job.mId, timer.mTask })) {
+      timer.mAt = aNow.mTime + Duration(kHoldCheckInterval);
+      aState.mDelayTimers.push(timer);
+      continue;
+    }
     if (!task.mRetryCharged && !admission::TryRetry(aState.mRetryBudget, aNow.mTime)) {
       ++aState.mCounts.mRetriesDeferred;
       timer.mAt = aNow.mTime + Jittered(aState, kRetryBudgetDelay);
@@ -679,6 +686,20 @@
   }
 }
 
+/// Whether a task of the job must not be started; see crashes::IsOnHold.
+bool HasTaskOnHold(const State& aState, const JobSpec& aSpec)
+{
+  if (aState.mCrashes.mSuspects.empty()) {
+    return false;
+  }
+  for (std::uint32_t n = 0; n < aSpec.mTasks.size(); ++n) {
+    if (crashes::IsOnHold(aState.mCrashes, { aSpec.mId, n })) {
+      return true;
+    }
+  }
+  return false;
+}
+
 Error DeadlyTaskError(std::uint32_t aTask)
 {
   return MakeError(ErrorCode::TaskFailed,
@@ -730,6 +751,13 @@
     }
     return AddWaiter(aState, it->second, aEvent.mRequest, aActions);
   }
+  if (HasTaskOnHold(aState, spec)) {
+    auto error = MakeError(ErrorCode::OwnerUnsettled,
+                           Verdict::MayHaveRun,
+                           "Upstreams that ran earlier submissions are silent.");
+    error.mRetryAfter = kStoppingRetryAfter;
+    return refuse(std::move(error));
+  }
   if (!aState.mAccepting) {
     return refuse(MakeError(ErrorCode::Stopping, Verdict::NotRun, "The entry is stopping."));
   }
--- a/src/libdispatch/queries.cpp
+++ b/src/libdispatch/queries.cpp
@@ -249,8 +249,11 @@
 std::vector<CrashReport> RecentCrashes(const State& aState)
 {
   std::vector<CrashReport> reports;
+  const auto& crashes = aState.mCrashes.mCrashes;
   for (const auto& id : aState.mCrashes.mOldest) {
-    reports.push_back(aState.mCrashes.mCrashes.at(id).mReport);
+    if (const auto it = crashes.find(id); it != crashes.end()) {
+      reports.push_back(it->second.mReport);
+    }
   }
   return reports;
 }
--- a/src/libentry/deadly_task_test.cpp
+++ b/src/libentry/deadly_task_test.cpp
@@ -113,7 +113,6 @@
   WorldOptions options;
   options.mDataCentres = 1;
   options.mSilentCrashes = true;
-  options.mMaxCrashes = 5; // A task may be started twice more after three workers have crashed.
   auto world = MakeStartedWorld(options);
   auto& w = *world;
   auto request = SubmitDeadlyJob(w, 0, 3, seconds(4));
@@ -126,6 +125,35 @@
          Expect(HasFailed(w, request), "the job is answered as failed once the crashes are known");
 }
 
+/// Guards against a task that is given up because its upstreams could not be reached for a while.
+/// Pattern: each of its first three upstreams is cut off from all entries for 4 s while it runs the
+/// task.
+bool SilentUpstreamsAreNotBlamed()
+{
+  WorldOptions options;
+  options.mDataCentres = 1;
+  auto world = MakeStartedWorld(options);
+  auto& w = *world;
+  const auto request = SubmitJob(w, 0, 1, milliseconds(300), seconds(10));
+  const TaskId task{ JobName(request), 0 };
+  std::set<std::string> cut;
+  for (int n = 0; n < 500 && cut.size() < 3; ++n) {
+    RunFor(w, milliseconds(10));
+    for (const auto& id : w.mRunningAt[task]) {
+      if (!cut.insert(id).second) {
+        continue;
+      }
+      for (std::size_t node = 0; node < w.mNodes.size(); ++node) {
+        w.mCutFromWorkers.insert({ node, id });
+        After(w, seconds(4), [&w, node, id] { w.mCutFromWorkers.erase({ node, id }); });
+      }
+    }
+  }
+  RunFor(w, seconds(8));
+  return NoViolations(w) && Expect(cut.size() == 3, "three upstreams were cut off") &&
+         Expect(w.mCalls.at(request).mComplete, "the job completes");
+}
+
 /// Guards against an upstream that is excluded for the tasks that it lost when a deadly task
 /// crashed it: after its restart it would get single tasks only, for seconds. Pattern: a deadly
 /// task crashes two of four upstreams; when both are back, a job needs all places.
@@ -190,6 +218,7 @@
   }
   bool ok = DeadlyTaskIsGivenUp();
   ok = SilentCrashesAreCounted() && ok;
+  ok = SilentUpstreamsAreNotBlamed() && ok;
   ok = RestartedUpstreamIsUsed() && ok;
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     ok = OtherTasksAreServed(seed) && ok;
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -267,25 +267,25 @@
 
   void operator()(holding::Crashed& aAction)
   {
-    const auto it = mState.mUpstreams.find(aAction.mUpstream);
-    const bool leaving = it != mState.mUpstreams.end() && it->second.mRecord.mLeaving;
-    mState.mCounts.mUpstreamsCrashed += leaving ? 0 : 1;
+    CrashReport report{ mState.mOptions.mIncarnation, aAction.mNumber, aAction.mState, {} };
     std::string tasks;
     for (const auto& run : aAction.mRuns) {
+      report.mTasks.push_back(run.mTask);
       tasks.append(tasks.empty() ? "" : " ").append(ToString(run.mTask));
     }
-    AddReport(mActions,
-              leaving ? "upstream_left" : "upstream_crashed",
-              { { "upstream", aAction.mUpstream },
-                { "evidence", std::string(aAction.mEvidence) },
-                { "tasks", std::move(tasks) } },
-              true);
-    if (leaving) {
-      return; // Its end was announced; the tasks are not the cause.
+    const auto it = mState.mUpstreams.find(aAction.mUpstream);
+    const bool leaving = it != mState.mUpstreams.end() && it->second.mRecord.mLeaving;
+    if (aAction.mState == CrashState::Confirmed) {
+      mState.mCounts.mUpstreamsCrashed += leaving ? 0 : 1;
+      AddReport(mActions,
+                leaving ? "upstream_left" : "upstream_crashed",
+                { { "upstream", aAction.mUpstream },
+                  { "evidence", std::string(aAction.mEvidence) },
+                  { "tasks", std::move(tasks) } },
+                true);
     }
-    CrashReport report{ mState.mOptions.mIncarnation, mState.mCounts.mUpstreamsCrashed, {} };
-    for (const auto& run : aAction.mRuns) {
-      report.mTasks.push_back(run.mTask);
+    if (leaving && aAction.mState != CrashState::Cleared) {
+      return; // Its end was announced; the tasks are not the cause.
     }
     // The job may be submitted to another holder when this entry dies.
     for (const auto& [address, peer] : mState.mPeers) {
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds kMaxOrderTime{ 100 }; ///< From the decision to start a run to its start.
 constexpr milliseconds kCrashDelay{ 10 };    ///< From the start of a deadly task.
 constexpr milliseconds kWorkerRestartTime{ 3000 };
+/// No deadly task may be started after this many workers have crashed under it.
+constexpr std::uint32_t kMaxCrashes = 3;
 
 void Step(World& aWorld, std::size_t aNode, const Event& aEvent);
 
@@ -133,10 +135,10 @@
   runningAt.insert(aWorker.mRecord.mId);
   ++aWorld.mStarts;
   if (aWorld.mDeadlyTasks.contains(aOrder.mRun.mTask)) {
-    if (++aWorld.mCrashes[aOrder.mRun.mTask] > aWorld.mOptions.mMaxCrashes) {
+    if (++aWorld.mCrashes[aOrder.mRun.mTask] > kMaxCrashes) {
       AddViolation(aWorld,
                    ToString(aOrder.mRun.mTask) + " is started after it has crashed " +
-                     std::to_string(aWorld.mOptions.mMaxCrashes) + " workers");
+                     std::to_string(kMaxCrashes) + " workers");
     }
     After(
       aWorld, kCrashDelay, [&aWorld, id = aWorker.mRecord.mId] { CrashWorkerProcess(aWorld, id); });
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -76,9 +76,7 @@
   double mLateOrders = 0;      ///< Fraction of orders that are executed 2 s late and not answered.
   double mFailingTasks = 0;    ///< Fraction of runs that fail.
   bool mSilentCrashes = false; ///< Deadly tasks take their worker's machine down with it.
-  /// No deadly task may be started after this many workers have crashed under it.
-  std::uint32_t mMaxCrashes = 3;
-  double mDeadlyJobs = 0; ///< Fraction of the jobs of GenerateLoad whose first task is deadly.
+  double mDeadlyJobs = 0;      ///< Fraction of the jobs of GenerateLoad whose first task is deadly.
   std::uint32_t mMaxFailures = 3;
   double mTargetStretch = 0; ///< See JobSpec.
   std::chrono::milliseconds mTargetSlack{ 60 };
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -110,30 +110,47 @@
   aActions.emplace_back(HoldLost{ std::string(aUpstream) });
 }
 
-/// Reports that the upstream's process is gone and which runs it may have had.
-void ReportCrash(std::string_view aUpstream,
+/// Reports that the upstream has crashed or may have, and the runs that it may have had.
+void ReportCrash(State& aState,
+                 std::string_view aUpstream,
                  Session& aSession,
+                 CrashState aCrashState,
                  std::string_view aEvidence,
                  Actions& aActions)
 {
-  if ((aSession.mRuns.empty() && aSession.mLapsedRuns.empty()) ||
-      std::exchange(aSession.mCrashReported, true)) {
+  if ((aSession.mRuns.empty() && aSession.mLapsedRuns.empty()) || aSession.mCrashConfirmed) {
     return;
   }
-  Crashed crashed{ std::string(aUpstream), aEvidence, aSession.mLapsedRuns };
+  if (aSession.mCrashNumber == 0) {
+    aSession.mCrashNumber = ++aState.mLastCrash;
+  }
+  aSession.mCrashConfirmed = aCrashState == CrashState::Confirmed;
+  Crashed crashed{
+    std::string(aUpstream), aSession.mCrashNumber, aCrashState, aEvidence, aSession.mLapsedRuns
+  };
   for (const auto& [run, own] : aSession.mRuns) {
     crashed.mRuns.push_back(run);
   }
   aActions.emplace_back(std::move(crashed));
 }
 
+/// Withdraws the report of a crash when the same process answers again: its machine may have
+/// refused connections for another reason.
+void WithdrawCrash(std::string_view aUpstream, Session& aSession, Actions& aActions)
+{
+  if (aSession.mCrashNumber != 0) {
+    aActions.emplace_back(
+      Crashed{ std::string(aUpstream), aSession.mCrashNumber, CrashState::Cleared, "", {} });
+  }
+}
+
 /// Ends a session whose upstream runs another incarnation. No run of the session exists there.
 void DropSession(State& aState, std::string_view aUpstream, Actions& aActions)
 {
   const auto it = aState.mSessions.find(aUpstream);
   auto session = std::move(it->second);
   aState.mSessions.erase(it);
-  ReportCrash(aUpstream, session, "other_incarnation", aActions);
+  ReportCrash(aState, aUpstream, session, CrashState::Confirmed, "other_incarnation", aActions);
   ReportAllRunsLost(aUpstream, session, ErrorCode::UpstreamLost, aActions);
   if (session.mUsable) {
     aActions.emplace_back(UsableChanged{ std::string(aUpstream), false });
@@ -544,7 +561,12 @@
         return;
       }
       if (aEvent.mStatus == OrderStatus::Refused) {
-        ReportCrash(aEvent.mUpstream, *session, "connection_refused", aActions);
+        ReportCrash(aState,
+                    aEvent.mUpstream,
+                    *session,
+                    CrashState::Confirmed,
+                    "connection_refused",
+                    aActions);
       }
       ++session->mLostPolls;
       if (session->mPhase == SessionPhase::Ready &&
@@ -562,17 +584,20 @@
   }
   session->mLostPolls = 0;
   ReportUsable(aEvent.mUpstream, *session, aActions);
-  if (aEvent.mBornMs != session->mBornMs) {
+  if (aEvent.mBornMs == session->mBornMs) {
+    WithdrawCrash(aEvent.mUpstream, *session, aActions);
+  } else {
     if (session->mBornMs) {
       // A new process under the old id: it numbers its ends from 1 and runs only what it lists.
-      ReportCrash(aEvent.mUpstream, *session, "restarted", aActions);
+      ReportCrash(aState, aEvent.mUpstream, *session, CrashState::Confirmed, "restarted", aActions);
       AddNote(aActions, "upstream_restarted", aEvent.mUpstream, "");
-      session->mCrashReported = false;
       session->mAcknowledgedEnd = 0;
       session->mLeaseEndMs = 0;
     }
     session->mBornMs = aEvent.mBornMs;
   }
+  session->mCrashNumber = 0;
+  session->mCrashConfirmed = false;
   session->mLapsedRuns.clear();
   for (const auto& end : aEvent.mEnds) {
     if (end.mNumber > session->mAcknowledgedEnd) {
@@ -602,6 +627,9 @@
     if (unreachable && !session.mRuns.empty() && HasLeaseLapsed(aState, session, aNow)) {
       const bool lost = session.mPhase == SessionPhase::Lost;
       AddNote(aActions, "runs_lapsed", upstream, std::to_string(session.mRuns.size()));
+      if (!lost) {
+        ReportCrash(aState, upstream, session, CrashState::Suspected, "silent", aActions);
+      }
       for (const auto& [run, own] : session.mRuns) {
         session.mLapsedRuns.push_back(run);
       }
--- a/src/libmessages/messages.cpp
+++ b/src/libmessages/messages.cpp
@@ -31,6 +31,10 @@
 {
   return static_cast<std::uint64_t>(JobState::Failed);
 }
+constexpr std::uint64_t MaxEnumerator(CrashState /*aTag*/)
+{
+  return static_cast<std::uint64_t>(CrashState::Cleared);
+}
 constexpr std::uint64_t MaxEnumerator(Verdict /*aTag*/)
 {
   return static_cast<std::uint64_t>(Verdict::Ran);
@@ -537,6 +541,7 @@
   } else if constexpr (IsSame<T, CrashReport>) {
     a("reporter", v.mReporter);
     a("number", v.mNumber);
+    a("state", v.mState);
     a("tasks", v.mTasks);
   } else if constexpr (IsSame<T, Crashes>) {
     a("reports", v.mReports);
--- a/src/libmessages/messages_test.cpp
+++ b/src/libmessages/messages_test.cpp
@@ -210,7 +210,9 @@
       return Entries{ AnyList(AnyEntry) };
     case 14:
       return Crashes{ AnyList([] {
-        return CrashReport{ { AnyNumber() }, AnyNumber(), AnyList([] {
+        const auto state =
+          *rc::gen::element(CrashState::Suspected, CrashState::Confirmed, CrashState::Cleared);
+        return CrashReport{ { AnyNumber() }, AnyNumber(), state, AnyList([] {
                               return TaskId{ AnyText(), AnyCount() };
                             }) };
       }) };
@@ -346,7 +348,7 @@
 /// square of the number of tasks.
 bool HugeCrashReportsAreRefused()
 {
-  Crashes crashes{ { CrashReport{ { 1 }, 1, {} } } };
+  Crashes crashes{ { CrashReport{ { 1 }, 1, CrashState::Confirmed, {} } } };
   crashes.mReports[0].mTasks.assign(kMaxTasksPerCrash, { "j", 0 });
   const bool largest = Decode(Encode(crashes)) == Message(crashes);
   crashes.mReports[0].mTasks.push_back({ "j", 0 });
