Count only crashes that an upstream's machine confirms

Cause: a refused connection counted as a crash, but some cuts of the network refuse connections too; and a start that was not answered counted as a run, though that start had never been carried out.

A machine whose process has ended closes its connections before it refuses new ones; a cut leaves them silent. The connection pool now tells the two apart, and only the first is an order status of its own. Runs that are not known to have begun are reported apart as suspected, so they can hold a task back but not fail it. A crash that another process confirms is logged as such.

CutUpstreamsAreNotBlamed(2, true) failed before and passes; EndedServersAreToldFromCutOnes tests the pool on sockets.

--- a/src/include/pollenwall/crash_report.h
+++ b/src/include/pollenwall/crash_report.h
@@ -10,7 +10,8 @@
 enum class CrashState
 {
   Suspected, ///< The upstream is silent and its runs have lapsed; they may have crashed it.
-  Confirmed, ///< Its process has ended without notice.
+  Refused,   ///< Its machine has closed its connections and refuses new ones.
+  Confirmed, ///< Another process has taken its place.
   Cleared,   ///< The same process has answered again.
 };
 
--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -114,7 +114,7 @@
   Unavailable,      ///< The upstream did nothing; a later attempt may succeed.
   OtherIncarnation, ///< Another process runs at the address.
   NotSent,          ///< No byte was sent.
-  Refused,          ///< No byte was sent: no process listens at the upstream's address.
+  Refused,          ///< No byte was sent; the upstream's process has ended without notice.
   Unknown,          ///< No answer; the upstream may have executed the order or may do so later.
 };
 inline constexpr std::size_t kOrderStatuses = 11;
@@ -223,16 +223,15 @@
   std::string mUpstream;
 };
 
-/// The upstream's process has ended without notice (its address refuses connections, or another
-/// process answers there), may have, or has not after all. Sent only if it may have had runs, at
-/// most once in each state for one crash.
+/// The upstream may have crashed, has crashed, or has not after all. Sent only if it may have had
+/// runs, with rising certainty and at most once in each state for one crash.
 struct Crashed
 {
   std::string mUpstream;
   std::uint64_t mNumber = 0; ///< Of the crash; unique in this State.
   CrashState mState = CrashState::Confirmed;
-  std::string_view mEvidence; ///< A string literal for logs.
-  std::vector<Run> mRuns;     ///< This entry's runs that may have been at work there.
+  std::vector<Run> mRuns;           ///< This entry's runs that were at work there.
+  std::vector<Run> mUnansweredRuns; ///< Those of which it is unknown whether they had begun.
 };
 
 /// A log event.
@@ -278,6 +277,12 @@
   Time mStopConfirmedAt{};
 };
 
+struct LapsedRun
+{
+  Run mRun;
+  bool mBegan = false; ///< It is known to have been at work on the upstream.
+};
+
 enum class SessionPhase
 {
   Claiming, ///< The first poll with the token is not answered yet.
@@ -301,12 +306,12 @@
   std::vector<Run> mForeignRuns; ///< Runs of earlier holders, being stopped.
   /// Runs that lapsed since the upstream became silent. Whether it has crashed under them is known
   /// when a process answers at its address again.
-  std::vector<Run> mLapsedRuns;
+  std::vector<LapsedRun> mLapsedRuns;
   bool mPollPending = false;
   Time mNextPollAt{};
   std::uint32_t mLostPolls = 0;   ///< In a row.
   std::uint64_t mCrashNumber = 0; ///< Of the crash reported for this incarnation; 0: none.
-  bool mCrashConfirmed = false;   ///< It has been reported as confirmed.
+  CrashState mCrashState = CrashState::Suspected; ///< As last reported, if mCrashNumber is not 0.
   /// The upstream's clock, read between mClockReadAfter and mClockReadBefore.
   std::optional<std::int64_t> mClockMs;
   Time mClockReadAfter{};
--- a/src/include/pollenwall/net/http_pool.h
+++ b/src/include/pollenwall/net/http_pool.h
@@ -30,8 +30,10 @@
 {
   unsigned mStatus = 0; ///< 0: no response was received.
   std::string mBody;
-  bool mSent = false;    ///< A byte of the request may have been sent.
-  bool mRefused = false; ///< The server's machine refused the connection: no process listens there.
+  bool mSent = false; ///< A byte of the request may have been sent.
+  /// The server's process has ended: its machine closed the connections that there were and refuses
+  /// new ones. A cut of the network may refuse connections too, but does not close any.
+  bool mServerGone = false;
 };
 
 /// A request to send. mDone is called exactly once, never from within Call.
@@ -66,6 +68,8 @@
   std::vector<HttpPoolConnection*> mIdle; ///< The most recently used is at the back.
   std::deque<HttpCall> mWaiting;
   std::uint64_t mOpenedConnections = 0;
+  /// The server closed the connection that ended last; false if that was closed after a timeout.
+  bool mClosedByServer = false;
 };
 
 /// Makes a call over an idle connection, a new one, or the first one that becomes idle.
--- a/src/libdispatch/crashes.cpp
+++ b/src/libdispatch/crashes.cpp
@@ -9,27 +9,27 @@
 constexpr std::size_t kMinCrashes = 2;
 constexpr std::size_t kMaxCrashes = 3;
 
-bool IsConfirmed(const State& aState, const CrashId& aId)
-{
-  return aState.mCrashes.at(aId).mReport.mState == CrashState::Confirmed;
-}
-
-std::size_t ConfirmedCrashes(const State& aState, const Suspect& aSuspect)
+/// Number of crashes under a task that are more than suspected, or of those that no known deadly
+/// task explains.
+std::size_t CountCrashes(const State& aState, const TaskId& aTask, bool aOnlyUnexplained)
 {
+  const auto& crashes = aState.mSuspects.at(aTask).mCrashes;
   return static_cast<std::size_t>(
-    std::count_if(aSuspect.mCrashes.begin(), aSuspect.mCrashes.end(), [&](const CrashId& aId) {
-      return IsConfirmed(aState, aId);
+    std::count_if(crashes.begin(), crashes.end(), [&](const CrashId& aId) {
+      const auto& crash = aState.mCrashes.at(aId);
+      return crash.mReport.mState != CrashState::Suspected &&
+             !(aOnlyUnexplained && crash.mExplained);
     }));
 }
 
-/// Number of confirmed crashes under a task that no known deadly task explains.
 std::size_t UnexplainedCrashes(const State& aState, const TaskId& aTask)
 {
-  const auto& crashes = aState.mSuspects.at(aTask).mCrashes;
-  return static_cast<std::size_t>(
-    std::count_if(crashes.begin(), crashes.end(), [&](const CrashId& aId) {
-      return IsConfirmed(aState, aId) && !aState.mCrashes.at(aId).mExplained;
-    }));
+  return CountCrashes(aState, aTask, true);
+}
+
+std::size_t ProbableCrashes(const State& aState, const TaskId& aTask)
+{
+  return CountCrashes(aState, aTask, false);
 }
 
 /// Whether the task is the only explanation of a crash, apart from tasks of the same job: those
@@ -43,7 +43,7 @@
          });
 }
 
-/// Marks and returns the tasks that are deadly according to a confirmed crash.
+/// Marks and returns the tasks that are deadly according to a crash.
 std::vector<TaskId> FindCause(State& aState, Crash& aCrash)
 {
   const auto& tasks = aCrash.mReport.mTasks;
@@ -53,7 +53,7 @@
   std::vector<TaskId> deadly;
   for (const auto& task : tasks) {
     const auto& suspect = aState.mSuspects.at(task);
-    if (!suspect.mDeadly && (ConfirmedCrashes(aState, suspect) >= kMaxCrashes ||
+    if (!suspect.mDeadly && (ProbableCrashes(aState, task) >= kMaxCrashes ||
                              IsSoleSuspect(aState, aCrash.mReport, task))) {
       deadly.push_back(task);
     }
@@ -103,11 +103,11 @@
     for (const auto& task : crash.mReport.mTasks) {
       aState.mSuspects[task].mCrashes.push_back(id);
     }
-  } else if (crash.mReport.mState == aReport.mState || IsConfirmed(aState, id)) {
+  } else if (crash.mReport.mState >= aReport.mState) {
     return {};
   }
   crash.mReport.mState = aReport.mState;
-  return IsConfirmed(aState, id) ? FindCause(aState, crash) : std::vector<TaskId>{};
+  return aReport.mState == CrashState::Suspected ? std::vector<TaskId>{} : FindCause(aState, crash);
 }
 
 bool IsOnHold(const State& aState, const TaskId& aTask)
@@ -134,7 +134,7 @@
   for (auto it = aState.mSuspects.lower_bound({ aJob, 0 });
        it != aState.mSuspects.end() && it->first.mJob == aJob;
        ++it) {
-    if (ConfirmedCrashes(aState, it->second) > 0) {
+    if (ProbableCrashes(aState, it->first) > 0) {
       suspects.push_back(it->first.mIndex);
     }
   }
--- a/src/libdispatch/crashes.h
+++ b/src/libdispatch/crashes.h
@@ -48,11 +48,11 @@
 };
 
 /// Records that an upstream of this or another entry has crashed, may have, or has not. Returns the
-/// tasks that are deadly according to a confirmed crash. A copy of a report changes nothing.
+/// tasks that are deadly according to this crash. A copy of a report changes nothing.
 ///
-/// A task is deadly when two confirmed crashes that no known deadly task explains happened under
-/// it, and fewer under each task of other jobs on the same upstream. Whatever happened to other
-/// tasks, it is deadly after three confirmed crashes.
+/// A suspected crash makes no task deadly. Of the others, a task is deadly after two that no known
+/// deadly task explains, if fewer happened under each task of other jobs on the same upstream; and
+/// after three in any case.
 std::vector<TaskId> Record(State& aState, const CrashReport& aReport, const Now& aNow);
 
 /// Whether the task must not be started before more is known: three upstreams have crashed under it
@@ -62,7 +62,7 @@
 /// The index of a task of the job that is known to be deadly.
 std::optional<std::uint32_t> FindDeadlyTask(const State& aState, const std::string& aJob);
 
-/// The indices of a job's tasks under which upstreams have crashed for certain.
+/// The indices of a job's tasks under which upstreams have crashed, more than suspected.
 std::vector<std::uint32_t> FindSuspects(const State& aState, const std::string& aJob);
 
 /// Removes old crashes. Called regularly.
--- a/src/libentry/deadly_task_test.cpp
+++ b/src/libentry/deadly_task_test.cpp
@@ -126,18 +126,19 @@
 }
 
 /// Guards against a task that is given up because its upstreams could not be reached for a while.
-/// Pattern: each of its first three upstreams is cut off from all entries for 4 s while it runs the
-/// task.
-bool SilentUpstreamsAreNotBlamed()
+/// Pattern: each of its first upstreams is cut off from all entries for 4 s while it runs the task;
+/// the cut loses or refuses connections.
+bool CutUpstreamsAreNotBlamed(std::size_t aUpstreams, bool aRefuse)
 {
   WorldOptions options;
   options.mDataCentres = 1;
+  options.mCutsRefuse = aRefuse;
   auto world = MakeStartedWorld(options);
   auto& w = *world;
   const auto request = SubmitJob(w, 0, 1, milliseconds(300), seconds(10));
   const TaskId task{ JobName(request), 0 };
   std::set<std::string> cut;
-  for (int n = 0; n < 500 && cut.size() < 3; ++n) {
+  for (int n = 0; n < 500 && cut.size() < aUpstreams; ++n) {
     RunFor(w, milliseconds(10));
     for (const auto& id : w.mRunningAt[task]) {
       if (!cut.insert(id).second) {
@@ -150,7 +151,7 @@
     }
   }
   RunFor(w, seconds(8));
-  return NoViolations(w) && Expect(cut.size() == 3, "three upstreams were cut off") &&
+  return NoViolations(w) && Expect(cut.size() == aUpstreams, "all cuts were made") &&
          Expect(w.mCalls.at(request).mComplete, "the job completes");
 }
 
@@ -218,7 +219,8 @@
   }
   bool ok = DeadlyTaskIsGivenUp();
   ok = SilentCrashesAreCounted() && ok;
-  ok = SilentUpstreamsAreNotBlamed() && ok;
+  ok = CutUpstreamsAreNotBlamed(3, false) && ok;
+  ok = CutUpstreamsAreNotBlamed(2, true) && ok;
   ok = RestartedUpstreamIsUsed() && ok;
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     ok = OtherTasksAreServed(seed) && ok;
--- a/src/libentry/entry.cpp
+++ b/src/libentry/entry.cpp
@@ -261,7 +261,10 @@
   counters.emplace_back("upstream_claims_total", counts.mClaims);
   counters.emplace_back("upstream_holds_lost_total", counts.mHoldsLost);
   counters.emplace_back("upstream_looks_lost_total", counts.mPollsLost);
-  counters.emplace_back("upstreams_crashed_total", counts.mUpstreamsCrashed);
+  counters.emplace_back("upstreams_crashed_total{evidence=\"connection_refused\"}",
+                        counts.mUpstreamsRefusing);
+  counters.emplace_back("upstreams_crashed_total{evidence=\"other_process\"}",
+                        counts.mUpstreamsReplaced);
   counters.emplace_back("starts_unanswered_total", counts.mStartsUnanswered);
   counters.emplace_back("starts_repeated_total", counts.mStartsRepeated);
   counters.emplace_back("presences_total{direction=\"out\"}", counts.mPresencesSent);
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -160,6 +160,16 @@
   void operator()(dispatch::Finished& /*aAction*/) {}
 };
 
+/// Names of the tasks for a log line, separated by spaces.
+std::string TasksOf(const std::vector<holding::Run>& aRuns)
+{
+  std::string names;
+  for (const auto& run : aRuns) {
+    names.append(names.empty() ? "" : " ").append(ToString(run.mTask));
+  }
+  return names;
+}
+
 void Dispatch(State& aState, const dispatch::Event& aEvent, const Now& aNow)
 {
   dispatch::Handle(*aState.mDispatch, aEvent, aNow, aState.mDispatchActions);
@@ -265,29 +275,19 @@
     mState.mPresenceDue = true;
   }
 
-  void operator()(holding::Crashed& aAction)
+  /// Reports a crash to the scheduling core and to the candidates: the job may be submitted to
+  /// another holder when this entry dies.
+  void ReportCrash(std::uint64_t aNumber,
+                   CrashState aCrashState,
+                   const std::vector<holding::Run>& aRuns)
   {
-    CrashReport report{ mState.mOptions.mIncarnation, aAction.mNumber, aAction.mState, {} };
-    std::string tasks;
-    for (const auto& run : aAction.mRuns) {
-      report.mTasks.push_back(run.mTask);
-      tasks.append(tasks.empty() ? "" : " ").append(ToString(run.mTask));
-    }
-    const auto it = mState.mUpstreams.find(aAction.mUpstream);
-    const bool leaving = it != mState.mUpstreams.end() && it->second.mRecord.mLeaving;
-    if (aAction.mState == CrashState::Confirmed) {
-      mState.mCounts.mUpstreamsCrashed += leaving ? 0 : 1;
-      AddReport(mActions,
-                leaving ? "upstream_left" : "upstream_crashed",
-                { { "upstream", aAction.mUpstream },
-                  { "evidence", std::string(aAction.mEvidence) },
-                  { "tasks", std::move(tasks) } },
-                true);
+    if (aRuns.empty() && aCrashState != CrashState::Cleared) {
+      return;
     }
-    if (leaving && aAction.mState != CrashState::Cleared) {
-      return; // Its end was announced; the tasks are not the cause.
+    CrashReport report{ mState.mOptions.mIncarnation, aNumber, aCrashState, {} };
+    for (const auto& run : aRuns) {
+      report.mTasks.push_back(run.mTask);
     }
-    // The job may be submitted to another holder when this entry dies.
     for (const auto& [address, peer] : mState.mPeers) {
       if (peer.mPresence.mCandidate) {
         mActions.emplace_back(SendPeer{ address, message::Crashes{ { report } } });
@@ -296,6 +296,35 @@
     Dispatch(mState, dispatch::UpstreamCrashed{ std::move(report) }, mNow);
   }
 
+  void operator()(holding::Crashed& aAction)
+  {
+    const auto it = mState.mUpstreams.find(aAction.mUpstream);
+    const bool leaving = it != mState.mUpstreams.end() && it->second.mRecord.mLeaving;
+    const auto state = aAction.mState;
+    if (state == CrashState::Refused || state == CrashState::Confirmed) {
+      auto& counts = mState.mCounts;
+      auto& count =
+        state == CrashState::Refused ? counts.mUpstreamsRefusing : counts.mUpstreamsReplaced;
+      count += leaving ? 0 : 1;
+      AddReport(
+        mActions,
+        leaving ? "upstream_left" : "upstream_crashed",
+        { { "upstream", aAction.mUpstream },
+          { "evidence", state == CrashState::Confirmed ? "other_process" : "connection_refused" },
+          { "tasks", TasksOf(aAction.mRuns) },
+          { "unanswered", TasksOf(aAction.mUnansweredRuns) } },
+        true);
+    }
+    if (leaving && state != CrashState::Cleared) {
+      return; // Its end was announced; the tasks are not the cause.
+    }
+    ReportCrash(2 * aAction.mNumber, state, aAction.mRuns);
+    // A run of which it is unknown whether it had begun is never proof against its task.
+    ReportCrash(2 * aAction.mNumber + 1,
+                state == CrashState::Cleared ? state : CrashState::Suspected,
+                aAction.mUnansweredRuns);
+  }
+
   void operator()(holding::Note& aAction)
   {
     mState.mCounts.mPollsLost += aAction.mEvent == "upstream_silent" ? 1 : 0;
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -92,8 +92,9 @@
   std::uint64_t mOwnersLost = 0;
   std::uint64_t mClaims = 0;
   std::uint64_t mHoldsLost = 0;
-  std::uint64_t mPollsLost = 0; ///< Times that an upstream became silent.
-  std::uint64_t mUpstreamsCrashed = 0;
+  std::uint64_t mPollsLost = 0;         ///< Times that an upstream became silent.
+  std::uint64_t mUpstreamsRefusing = 0; ///< Crashes reported as CrashState::Refused.
+  std::uint64_t mUpstreamsReplaced = 0; ///< Crashes reported as CrashState::Confirmed.
   std::uint64_t mStartsUnanswered = 0;
   std::uint64_t mStartsRepeated = 0;
   std::uint64_t mPresencesSent = 0;
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -183,12 +183,18 @@
   return OrderStatus::Done;
 }
 
-/// Whether the worker's machine refuses connections of the entry.
-bool Refuses(const World& aWorld, std::size_t aNode, const std::string& aWorker)
+/// The status of an order that ends at once because the connection is refused; nothing if it is
+/// not. Only a crashed worker has closed the connections that there were.
+std::optional<OrderStatus> RefusedStatus(const World& aWorld,
+                                         std::size_t aNode,
+                                         const std::string& aWorker)
 {
+  if (aWorld.mCutFromWorkers.contains({ aNode, aWorker })) {
+    return aWorld.mOptions.mCutsRefuse ? std::optional(OrderStatus::NotSent) : std::nullopt;
+  }
   const auto it = aWorld.mWorkers.find(aWorker);
-  return it != aWorld.mWorkers.end() && !it->second.mAlive && it->second.mRefuses &&
-         !aWorld.mCutFromWorkers.contains({ aNode, aWorker });
+  const bool crashed = it != aWorld.mWorkers.end() && !it->second.mAlive && it->second.mRefuses;
+  return crashed ? std::optional(OrderStatus::Refused) : std::nullopt;
 }
 
 bool Reaches(const World& aWorld, std::size_t aNode, const std::string& aWorker)
@@ -221,8 +227,8 @@
   const bool lost = late || UniformRandom(aWorld) < aWorld.mOptions.mLostAnswers;
   const auto orderDelay = late ? Duration(milliseconds(2000)) + Delay(aWorld) : Delay(aWorld);
   After(aWorld, orderDelay, [&aWorld, aNode, aWorker, generation, lost, aCallback, aMake] {
-    if (Refuses(aWorld, aNode, aWorker)) {
-      Reply(aWorld, aNode, generation, Delay(aWorld), aMake(OrderStatus::Refused, std::nullopt));
+    if (const auto refused = RefusedStatus(aWorld, aNode, aWorker)) {
+      Reply(aWorld, aNode, generation, Delay(aWorld), aMake(*refused, std::nullopt));
       return;
     }
     if (!Reaches(aWorld, aNode, aWorker)) {
@@ -253,8 +259,8 @@
   answer.mUpstream = aOrder.mUpstream;
   answer.mSession = aOrder.mSession;
   answer.mSentAt = aSentAt;
-  if (Refuses(aWorld, aNode, aWorker)) {
-    answer.mStatus = OrderStatus::Refused;
+  if (const auto refused = RefusedStatus(aWorld, aNode, aWorker)) {
+    answer.mStatus = *refused;
     Reply(aWorld, aNode, aGeneration, Delay(aWorld), answer);
     return;
   }
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -75,6 +75,7 @@
   double mLostAnswers = 0;     ///< Fraction of orders to workers whose answer is lost.
   double mLateOrders = 0;      ///< Fraction of orders that are executed 2 s late and not answered.
   double mFailingTasks = 0;    ///< Fraction of runs that fail.
+  bool mCutsRefuse = false;    ///< Connections over a cut to a worker are refused instead of lost.
   bool mSilentCrashes = false; ///< Deadly tasks take their worker's machine down with it.
   double mDeadlyJobs = 0;      ///< Fraction of the jobs of GenerateLoad whose first task is deadly.
   std::uint32_t mMaxFailures = 3;
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -115,32 +115,31 @@
                  std::string_view aUpstream,
                  Session& aSession,
                  CrashState aCrashState,
-                 std::string_view aEvidence,
                  Actions& aActions)
 {
-  if ((aSession.mRuns.empty() && aSession.mLapsedRuns.empty()) || aSession.mCrashConfirmed) {
+  const bool isReported = aSession.mCrashNumber != 0;
+  if ((aSession.mRuns.empty() && aSession.mLapsedRuns.empty()) ||
+      (isReported && aSession.mCrashState >= aCrashState)) {
     return;
   }
-  if (aSession.mCrashNumber == 0) {
-    aSession.mCrashNumber = ++aState.mLastCrash;
+  aSession.mCrashNumber = isReported ? aSession.mCrashNumber : ++aState.mLastCrash;
+  aSession.mCrashState = aCrashState;
+  Crashed crashed{ std::string(aUpstream), aSession.mCrashNumber, aCrashState, {}, {} };
+  for (const auto& [run, began] : aSession.mLapsedRuns) {
+    (began ? crashed.mRuns : crashed.mUnansweredRuns).push_back(run);
   }
-  aSession.mCrashConfirmed = aCrashState == CrashState::Confirmed;
-  Crashed crashed{
-    std::string(aUpstream), aSession.mCrashNumber, aCrashState, aEvidence, aSession.mLapsedRuns
-  };
   for (const auto& [run, own] : aSession.mRuns) {
-    crashed.mRuns.push_back(run);
+    (own.mPhase == RunPhase::Running ? crashed.mRuns : crashed.mUnansweredRuns).push_back(run);
   }
   aActions.emplace_back(std::move(crashed));
 }
 
-/// Withdraws the report of a crash when the same process answers again: its machine may have
-/// refused connections for another reason.
+/// Withdraws the report of a crash when the same process answers again.
 void WithdrawCrash(std::string_view aUpstream, Session& aSession, Actions& aActions)
 {
   if (aSession.mCrashNumber != 0) {
     aActions.emplace_back(
-      Crashed{ std::string(aUpstream), aSession.mCrashNumber, CrashState::Cleared, "", {} });
+      Crashed{ std::string(aUpstream), aSession.mCrashNumber, CrashState::Cleared, {}, {} });
   }
 }
 
@@ -150,7 +149,7 @@
   const auto it = aState.mSessions.find(aUpstream);
   auto session = std::move(it->second);
   aState.mSessions.erase(it);
-  ReportCrash(aState, aUpstream, session, CrashState::Confirmed, "other_incarnation", aActions);
+  ReportCrash(aState, aUpstream, session, CrashState::Confirmed, aActions);
   ReportAllRunsLost(aUpstream, session, ErrorCode::UpstreamLost, aActions);
   if (session.mUsable) {
     aActions.emplace_back(UsableChanged{ std::string(aUpstream), false });
@@ -561,12 +560,7 @@
         return;
       }
       if (aEvent.mStatus == OrderStatus::Refused) {
-        ReportCrash(aState,
-                    aEvent.mUpstream,
-                    *session,
-                    CrashState::Confirmed,
-                    "connection_refused",
-                    aActions);
+        ReportCrash(aState, aEvent.mUpstream, *session, CrashState::Refused, aActions);
       }
       ++session->mLostPolls;
       if (session->mPhase == SessionPhase::Ready &&
@@ -589,7 +583,7 @@
   } else {
     if (session->mBornMs) {
       // A new process under the old id: it numbers its ends from 1 and runs only what it lists.
-      ReportCrash(aState, aEvent.mUpstream, *session, CrashState::Confirmed, "restarted", aActions);
+      ReportCrash(aState, aEvent.mUpstream, *session, CrashState::Confirmed, aActions);
       AddNote(aActions, "upstream_restarted", aEvent.mUpstream, "");
       session->mAcknowledgedEnd = 0;
       session->mLeaseEndMs = 0;
@@ -597,7 +591,6 @@
     session->mBornMs = aEvent.mBornMs;
   }
   session->mCrashNumber = 0;
-  session->mCrashConfirmed = false;
   session->mLapsedRuns.clear();
   for (const auto& end : aEvent.mEnds) {
     if (end.mNumber > session->mAcknowledgedEnd) {
@@ -628,10 +621,10 @@
       const bool lost = session.mPhase == SessionPhase::Lost;
       AddNote(aActions, "runs_lapsed", upstream, std::to_string(session.mRuns.size()));
       if (!lost) {
-        ReportCrash(aState, upstream, session, CrashState::Suspected, "silent", aActions);
+        ReportCrash(aState, upstream, session, CrashState::Suspected, aActions);
       }
       for (const auto& [run, own] : session.mRuns) {
-        session.mLapsedRuns.push_back(run);
+        session.mLapsedRuns.push_back({ run, own.mPhase == RunPhase::Running });
       }
       ReportAllRunsLost(
         upstream, session, lost ? ErrorCode::OwnerUnsettled : ErrorCode::UpstreamLost, aActions);
--- a/src/libmessages/messages_test.cpp
+++ b/src/libmessages/messages_test.cpp
@@ -210,8 +210,8 @@
       return Entries{ AnyList(AnyEntry) };
     case 14:
       return Crashes{ AnyList([] {
-        const auto state =
-          *rc::gen::element(CrashState::Suspected, CrashState::Confirmed, CrashState::Cleared);
+        const auto state = *rc::gen::element(
+          CrashState::Suspected, CrashState::Refused, CrashState::Confirmed, CrashState::Cleared);
         return CrashReport{ { AnyNumber() }, AnyNumber(), state, AnyList([] {
                               return TaskId{ AnyText(), AnyCount() };
                             }) };
--- a/src/libnet/http_pool.cpp
+++ b/src/libnet/http_pool.cpp
@@ -25,7 +25,7 @@
   Socket mSocket;
   bool mClosed = false;
   bool mSent = false;
-  bool mRefused = false;
+  bool mServerGone = false;
   std::optional<HttpCall> mCall;
   std::string mWriteBuffer; ///< Kept when an early response ends the call before all is written.
   Clock::time_point mCallDeadline = Clock::time_point::max();
@@ -63,13 +63,24 @@
   std::erase(pool->mIdle, aConnection.get());
   std::erase(pool->mConnections, aConnection);
   if (aConnection->mCall) {
-    FinishLater(
-      *pool, std::move(*aConnection->mCall), { 0, "", aConnection->mSent, aConnection->mRefused });
+    FinishLater(*pool,
+                std::move(*aConnection->mCall),
+                { 0, "", aConnection->mSent, aConnection->mServerGone });
     aConnection->mCall.reset();
   }
   SendWaitingCalls(pool);
 }
 
+/// Closes a connection that the server has closed.
+void CloseByServer(const ConnectionPtr& aConnection)
+{
+  const auto pool = aConnection->mPool.lock();
+  if (pool && !aConnection->mClosed) {
+    pool->mClosedByServer = true;
+  }
+  Close(aConnection);
+}
+
 void Complete(const ConnectionPtr& aConnection)
 {
   const auto pool = aConnection->mPool.lock();
@@ -111,7 +122,11 @@
         return;
       }
       aConnection->mBuffer.commit(aBytes);
-      if (aEc || !aConnection->mCall || !Parse(aConnection)) {
+      if (aEc) {
+        CloseByServer(aConnection);
+        return;
+      }
+      if (!aConnection->mCall || !Parse(aConnection)) {
         Close(aConnection);
         return;
       }
@@ -132,7 +147,7 @@
                     asio::buffer(aConnection->mWriteBuffer),
                     [aConnection](const boost::system::error_code& aEc, std::size_t) {
                       if (aEc) {
-                        Close(aConnection);
+                        CloseByServer(aConnection);
                       }
                     });
 }
@@ -151,18 +166,19 @@
   connection->mCall = std::move(aCall);
   aPool->mConnections.push_back(connection);
   ++aPool->mOpenedConnections;
-  connection->mSocket.async_connect(aPool->mServer,
-                                    [connection](const boost::system::error_code& aEc) {
-                                      const auto pool = connection->mPool.lock();
-                                      connection->mRefused = aEc == asio::error::connection_refused;
-                                      if (aEc || connection->mClosed || !pool) {
-                                        Close(connection);
-                                        return;
-                                      }
-                                      ConfigureSocket(connection->mSocket);
-                                      Write(connection, pool->mLimits);
-                                      Read(connection);
-                                    });
+  connection->mSocket.async_connect(
+    aPool->mServer, [connection](const boost::system::error_code& aEc) {
+      const auto pool = connection->mPool.lock();
+      connection->mServerGone =
+        aEc == asio::error::connection_refused && pool && pool->mClosedByServer;
+      if (aEc || connection->mClosed || !pool) {
+        Close(connection);
+        return;
+      }
+      ConfigureSocket(connection->mSocket);
+      Write(connection, pool->mLimits);
+      Read(connection);
+    });
 }
 
 /// Takes the most recently used idle connection that the server has not closed, or returns null.
@@ -175,7 +191,7 @@
     if (!IsStale(connection->mSocket)) {
       return connection;
     }
-    Close(connection);
+    CloseByServer(connection);
   }
   return nullptr;
 }
@@ -228,6 +244,7 @@
     }
   }
   for (const auto& connection : due) {
+    aPool.mClosedByServer = false;
     Close(connection);
   }
 }
--- a/src/libnet/net_test.cpp
+++ b/src/libnet/net_test.cpp
@@ -2,13 +2,16 @@
 
 #include <cstdlib>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <rapidcheck.h>
 
 #include <unistd.h>
 
 #include <pollenwall/net/fiber.h>
 #include <pollenwall/net/frame.h>
+#include <pollenwall/net/http_pool.h>
 
 using namespace pollenwall;
 
@@ -123,6 +126,38 @@
   return true;
 }
 
+/// Guards against a server behind a cut that refuses connections being taken for one whose process
+/// has ended, and the other way round. The server leaves a call unanswered or closes its
+/// connection, and then refuses connections.
+bool EndedServersAreToldFromCutOnes(boost::asio::io_context& aContext, bool aCloses)
+{
+  constexpr std::chrono::milliseconds kTimeout{ 50 };
+  net::Tcp::acceptor acceptor(aContext, { boost::asio::ip::address_v4::loopback(), 0 });
+  net::Tcp::socket accepted(aContext);
+  acceptor.async_accept(accepted, [&](const boost::system::error_code& aEc) {
+    if (!aEc && aCloses) {
+      accepted.close();
+    }
+  });
+  const auto pool =
+    std::make_shared<net::HttpPool>(aContext, acceptor.local_endpoint(), net::HttpPoolLimits{});
+  boost::asio::steady_timer sweep(aContext, 2 * kTimeout);
+  sweep.async_wait([&pool](const boost::system::error_code&) { net::Sweep(*pool); });
+  const auto call = [&pool, kTimeout] {
+    net::OneShot<net::HttpCallResult> answer;
+    net::Call(pool, { "GET / HTTP/1.1\r\n\r\n", kTimeout, [&answer](net::HttpCallResult aResult) {
+                       answer.Set(std::move(aResult));
+                     } });
+    return answer.Wait();
+  };
+  const auto first = call();
+  acceptor.close();
+  const auto second = call();
+  return test::Expect(first.mStatus == 0 && !first.mServerGone, "the first call has no answer") &&
+         test::Expect(second.mStatus == 0 && !second.mSent && second.mServerGone == aCloses,
+                      "a server is gone if it has closed its connections and refuses new ones");
+}
+
 } // namespace
 
 int main()
@@ -136,6 +171,8 @@
   passed &= FibersWakeWithTheirOwnValue(context);
   passed &= HandlersRunWhileFibersAreReady(context);
   passed &= AnExceptionEndsOnlyItsFiber();
+  passed &= EndedServersAreToldFromCutOnes(context, true);
+  passed &= EndedServersAreToldFromCutOnes(context, false);
   passed &= test::HttpServerTests(context);
   passed &= test::TlsTests(context);
   std::fflush(nullptr);
