Check the number of a deadly task against the job that is submitted

A caller that used the id of a given-up job again for a job with fewer tasks got 'failed', and the entry wrote beyond the end of the answer's tasks.

Cause: the deadly task is found by the job's id alone.

IdOfAGivenUpJobIsUsedAgain failed before (the smaller job was answered as failed) and passes. Found by reading the change.

--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -724,8 +724,9 @@
 void Apply(State& aState, const Submit& aEvent, const Now& aNow, Actions& aActions)
 {
   const auto& spec = aEvent.mJob;
-  if (const auto task = crashes::FindDeadlyTask(aState.mCrashes, spec.mId)) {
-    return AnswerDeadlyJob(aEvent, *task, aActions);
+  const auto deadly = crashes::FindDeadlyTask(aState.mCrashes, spec.mId);
+  if (deadly && *deadly < spec.mTasks.size()) { // Otherwise the id now names another job.
+    return AnswerDeadlyJob(aEvent, *deadly, aActions);
   }
   const auto refuse = [&](Error aError) {
     ++aState.mCounts.mJobsRefused;
--- a/src/libentry/deadly_task_test.cpp
+++ b/src/libentry/deadly_task_test.cpp
@@ -125,6 +125,24 @@
          Expect(HasFailed(w, request), "the job is answered as failed once the crashes are known");
 }
 
+/// Guards against an entry that ends when a caller uses the id of a given-up job for a smaller job,
+/// which lacks the task that was deadly.
+bool IdOfAGivenUpJobIsUsedAgain()
+{
+  WorldOptions options;
+  options.mDataCentres = 1;
+  auto world = MakeStartedWorld(options);
+  auto& w = *world;
+  w.mDeadlyTasks.insert({ JobName(1), 2 });
+  const auto first = SubmitJob(w, 0, 3, milliseconds(100));
+  RunFor(w, seconds(12)); // Until the answer of the first job is forgotten.
+  w.mCalls.at(first).mJob.mTasks.resize(1);
+  const auto second = ResubmitJob(w, 0, first);
+  RunFor(w, seconds(1));
+  return NoViolations(w) && Expect(HasFailed(w, first), "the first job is given up") &&
+         Expect(w.mCalls.at(second).mComplete, "the smaller job runs");
+}
+
 /// Guards against a task that is given up because its upstreams could not be reached for a while.
 /// Pattern: each of its first upstreams is cut off from all entries for 4 s while it runs the task;
 /// the cut loses or refuses connections.
@@ -219,6 +237,7 @@
   }
   bool ok = DeadlyTaskIsGivenUp();
   ok = SilentCrashesAreCounted() && ok;
+  ok = IdOfAGivenUpJobIsUsedAgain() && ok;
   ok = CutUpstreamsAreNotBlamed(3, false) && ok;
   ok = CutUpstreamsAreNotBlamed(2, true) && ok;
   ok = RestartedUpstreamIsUsed() && ok;
