Forget that a server closed a connection once it answers again

A worker that had closed an idle connection long ago and is later cut off, with refused connections, would count as crashed if no call was in progress.

Found by reading the change; an answer now resets what the pool remembers.

--- a/src/include/pollenwall/net/http_pool.h
+++ b/src/include/pollenwall/net/http_pool.h
@@ -68,7 +68,7 @@
   std::vector<HttpPoolConnection*> mIdle; ///< The most recently used is at the back.
   std::deque<HttpCall> mWaiting;
   std::uint64_t mOpenedConnections = 0;
-  /// The server closed the connection that ended last; false if that was closed after a timeout.
+  /// The server has closed a connection since the last answer or timeout of a call.
   bool mClosedByServer = false;
 };
 
--- a/src/libnet/http_pool.cpp
+++ b/src/libnet/http_pool.cpp
@@ -85,6 +85,9 @@
 {
   const auto pool = aConnection->mPool.lock();
   const bool keep = aConnection->mParser->keep_alive() && aConnection->mBuffer.size() == 0;
+  if (pool) {
+    pool->mClosedByServer = false;
+  }
   auto response = aConnection->mParser->release();
   aConnection->mParser.reset();
   auto call = std::move(*aConnection->mCall);
