--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -114,7 +114,7 @@
   Unavailable,      ///< The upstream did nothing; a later attempt may succeed.
   OtherIncarnation, ///< Another process runs at the address.
   NotSent,          ///< No byte was sent.
-  Refused,          ///< No byte was sent; the upstream's process has ended without notice.
+  ServerGone,       ///< No byte was sent; the upstream's process has ended, see HttpCallResult.
   Unknown,          ///< No answer; the upstream may have executed the order or may do so later.
 };
 inline constexpr std::size_t kOrderStatuses = 11;
--- a/src/libdispatch/crashes.cpp
+++ b/src/libdispatch/crashes.cpp
@@ -6,6 +6,7 @@
 namespace pollenwall::crashes {
 namespace {
 
+/// A task may be given up from the first number of crashes on, and is not started after the second.
 constexpr std::size_t kMinCrashes = 2;
 constexpr std::size_t kMaxCrashes = 3;
 
--- a/src/libdispatch/crashes.h
+++ b/src/libdispatch/crashes.h
@@ -21,7 +21,7 @@
 /// Crashes are kept for this long. A task may run for minutes before it crashes its upstream, and
 /// the caller of a job without an answer sends it again some seconds later.
 inline constexpr std::chrono::minutes kRetention{ 10 };
-/// More crashes than in this time are not kept: about 2 MB, and one message to a new candidate.
+/// Of more crashes the oldest are removed. All that are kept go to a new candidate in one message.
 inline constexpr std::size_t kMaxCrashesKept = 4096;
 
 using CrashId = std::pair<Incarnation, std::uint64_t>; ///< Reporter and number of the report.
--- a/src/libdispatch/crashes_test.cpp
+++ b/src/libdispatch/crashes_test.cpp
@@ -57,7 +57,7 @@
 }
 
 /// Guards against a job whose deadly task is not found because its tasks share all upstreams.
-bool TasksOfOneJobAreNotTold()
+bool TasksOfOneJobFailTogether()
 {
   Log log;
   const std::vector<TaskId> both{ { "a", 0 }, { "a", 1 } };
@@ -125,7 +125,7 @@
 {
   bool ok = TheCommonTaskIsDeadly();
   ok &= TheThirdCrashDecides();
-  ok &= TasksOfOneJobAreNotTold();
+  ok &= TasksOfOneJobFailTogether();
   ok &= CopiesCountOnce();
   ok &= SilentUpstreamsAreNotBlamed();
   ok &= MemoryIsBounded();
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -277,9 +277,9 @@
 
   /// Reports a crash to the scheduling core and to the candidates: the job may be submitted to
   /// another holder when this entry dies.
-  void ReportCrash(std::uint64_t aNumber,
-                   CrashState aCrashState,
-                   const std::vector<holding::Run>& aRuns)
+  void PublishCrash(std::uint64_t aNumber,
+                    CrashState aCrashState,
+                    const std::vector<holding::Run>& aRuns)
   {
     if (aRuns.empty() && aCrashState != CrashState::Cleared) {
       return;
@@ -318,11 +318,11 @@
     if (leaving && state != CrashState::Cleared) {
       return; // Its end was announced; the tasks are not the cause.
     }
-    ReportCrash(2 * aAction.mNumber, state, aAction.mRuns);
+    PublishCrash(2 * aAction.mNumber, state, aAction.mRuns);
     // A run of which it is unknown whether it had begun is never proof against its task.
-    ReportCrash(2 * aAction.mNumber + 1,
-                state == CrashState::Cleared ? state : CrashState::Suspected,
-                aAction.mUnansweredRuns);
+    PublishCrash(2 * aAction.mNumber + 1,
+                 state == CrashState::Cleared ? state : CrashState::Suspected,
+                 aAction.mUnansweredRuns);
   }
 
   void operator()(holding::Note& aAction)
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -194,7 +194,7 @@
   }
   const auto it = aWorld.mWorkers.find(aWorker);
   const bool crashed = it != aWorld.mWorkers.end() && !it->second.mAlive && it->second.mRefuses;
-  return crashed ? std::optional(OrderStatus::Refused) : std::nullopt;
+  return crashed ? std::optional(OrderStatus::ServerGone) : std::nullopt;
 }
 
 bool Reaches(const World& aWorld, std::size_t aNode, const std::string& aWorker)
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -150,8 +150,7 @@
 /// may still use the former capacity.
 void SetCapacity(World& aWorld, const std::string& aId, std::uint32_t aMilliCores);
 
-/// Submits the job of an earlier call again, as a caller without an answer does. Call ids in the
-/// logs of the two submissions are the same.
+/// Submits the job of an earlier call again, as a caller without an answer does.
 RequestId ResubmitJob(World& aWorld, std::size_t aNode, RequestId aEarlier);
 
 /// Submits jobs with Poisson arrivals for aTime, each to a random entry if that is running.
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -257,7 +257,7 @@
     case OrderStatus::Rejected:
       return ErrorCode::BadRequest;
     case OrderStatus::NotSent:
-    case OrderStatus::Refused:
+    case OrderStatus::ServerGone:
       return ErrorCode::OwnerUnreachable;
     default:
       return ErrorCode::Expired;
@@ -351,9 +351,9 @@
 std::string_view ToString(OrderStatus aStatus)
 {
   static constexpr std::array<std::string_view, kOrderStatuses> kNames{
-    "done",     "fenced",   "superseded",  "late",
-    "no_room",  "rejected", "unavailable", "other_incarnation",
-    "not_sent", "refused",  "unknown"
+    "done",     "fenced",      "superseded",  "late",
+    "no_room",  "rejected",    "unavailable", "other_incarnation",
+    "not_sent", "server_gone", "unknown"
   };
   return kNames.at(static_cast<std::size_t>(aStatus));
 }
@@ -501,7 +501,7 @@
     case OrderStatus::Unavailable:
     case OrderStatus::Rejected:
     case OrderStatus::NotSent:
-    case OrderStatus::Refused:
+    case OrderStatus::ServerGone:
       if (own.mPhase == RunPhase::Running) {
         return; // Another copy has started it.
       }
@@ -559,7 +559,7 @@
         aState.mSessions.erase(aState.mSessions.find(aEvent.mUpstream));
         return;
       }
-      if (aEvent.mStatus == OrderStatus::Refused) {
+      if (aEvent.mStatus == OrderStatus::ServerGone) {
         ReportCrash(aState, aEvent.mUpstream, *session, CrashState::Refused, aActions);
       }
       ++session->mLostPolls;
--- a/src/libnet/net_test.cpp
+++ b/src/libnet/net_test.cpp
@@ -129,7 +129,7 @@
 /// Guards against a server behind a cut that refuses connections being taken for one whose process
 /// has ended, and the other way round. The server leaves a call unanswered or closes its
 /// connection, and then refuses connections.
-bool EndedServersAreToldFromCutOnes(boost::asio::io_context& aContext, bool aCloses)
+bool EndedServersDifferFromCutOnes(boost::asio::io_context& aContext, bool aCloses)
 {
   constexpr std::chrono::milliseconds kTimeout{ 50 };
   net::Tcp::acceptor acceptor(aContext, { boost::asio::ip::address_v4::loopback(), 0 });
@@ -171,8 +171,8 @@
   passed &= FibersWakeWithTheirOwnValue(context);
   passed &= HandlersRunWhileFibersAreReady(context);
   passed &= AnExceptionEndsOnlyItsFiber();
-  passed &= EndedServersAreToldFromCutOnes(context, true);
-  passed &= EndedServersAreToldFromCutOnes(context, false);
+  passed &= EndedServersDifferFromCutOnes(context, true);
+  passed &= EndedServersDifferFromCutOnes(context, false);
   passed &= test::HttpServerTests(context);
   passed &= test::TlsTests(context);
   std::fflush(nullptr);
