Log the evidence on which a run is ended

The line task_not_done now names the evidence that a run is over, whether the upstream had reported it as running, and the number of copies of its start. Counters run_ends_total by evidence and false_refusals_total, which counts runs that end as not run although they had begun. No decision changes.

--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -186,6 +186,20 @@
   std::chrono::milliseconds mWait{ 0 };    ///< Longest time to wait for the end of a run.
 };
 
+/// What shows that a run is over or will never begin.
+enum class EndEvidence
+{
+  NotOrdered,    ///< No order was sent, because the upstream was not usable.
+  Refused,       ///< The order was refused.
+  Listed,        ///< The upstream lists its end.
+  StopConfirmed, ///< The upstream rejects it after a confirmed stop.
+  Vanished,      ///< The upstream no longer lists it: its process has restarted.
+  Replaced,      ///< Another process has taken the upstream's place.
+  Lapsed,        ///< Its lease has lapsed.
+};
+inline constexpr std::size_t kEndEvidences = 7;
+std::string_view ToString(EndEvidence aEvidence);
+
 /// The end of a run that Start was called for.
 struct Ended
 {
@@ -193,6 +207,9 @@
   TaskId mTask;
   std::uint32_t mNumber = 0;
   TaskOutcome mOutcome;
+  EndEvidence mEvidence = EndEvidence::NotOrdered;
+  bool mBegan = false;       ///< The upstream has reported it as running.
+  std::uint32_t mCopies = 0; ///< Orders to start it that were sent.
 };
 
 /// Progress of a run of this entry.
--- a/src/libentry/entry.cpp
+++ b/src/libentry/entry.cpp
@@ -269,6 +269,11 @@
   counters.emplace_back("starts_repeated_total", counts.mStartsRepeated);
   counters.emplace_back("presences_total{direction=\"out\"}", counts.mPresencesSent);
   counters.emplace_back("presences_total{direction=\"in\"}", counts.mPresencesReceived);
+  counters.emplace_back("false_refusals_total", counts.mFalseRefusals);
+  for (std::size_t n = 0; n < counts.mRunEnds.size(); ++n) {
+    const auto evidence = std::string(ToString(static_cast<holding::EndEvidence>(n)));
+    counters.emplace_back("run_ends_total{evidence=\"" + evidence + "\"}", counts.mRunEnds[n]);
+  }
   AddOrders(counters, "start", counts.mStarts);
   AddOrders(counters, "stop", counts.mStops);
   AddOrders(counters, "look", counts.mPolls);
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -205,6 +205,9 @@
   void operator()(holding::Ended& aAction)
   {
     const auto& outcome = aAction.mOutcome;
+    const bool isContradicted = outcome.mVerdict == Verdict::NotRun && aAction.mBegan;
+    ++mState.mCounts.mRunEnds.at(static_cast<std::size_t>(aAction.mEvidence));
+    mState.mCounts.mFalseRefusals += isContradicted ? 1 : 0;
     if (outcome.mCode) {
       AddReport(mActions,
                 "task_not_done",
@@ -213,7 +216,10 @@
                   { "run", std::to_string(aAction.mNumber) },
                   { "upstream", aAction.mUpstream },
                   { "verdict", std::string(ToString(outcome.mVerdict)) },
-                  { "code", std::string(ToString(*outcome.mCode)) } },
+                  { "code", std::string(ToString(*outcome.mCode)) },
+                  { "evidence", std::string(ToString(aAction.mEvidence)) },
+                  { "began", aAction.mBegan ? "true" : "false" },
+                  { "copies", std::to_string(aAction.mCopies) } },
                 true);
     }
     const auto index = dispatch::FindUpstream(*mState.mDispatch, aAction.mUpstream);
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -99,6 +99,8 @@
   std::uint64_t mStartsRepeated = 0;
   std::uint64_t mPresencesSent = 0;
   std::uint64_t mPresencesReceived = 0;
+  std::uint64_t mFalseRefusals = 0; ///< Runs that ended as not run although they had begun.
+  std::array<std::uint64_t, holding::kEndEvidences> mRunEnds{}; ///< By holding::EndEvidence.
   std::array<std::uint64_t, holding::kOrderStatuses> mStarts{}; ///< By holding::OrderStatus.
   std::array<std::uint64_t, holding::kOrderStatuses> mStops{};
   std::array<std::uint64_t, holding::kOrderStatuses> mPolls{};
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -50,22 +50,28 @@
 
 void ReportEnd(std::string_view aUpstream,
                const Run& aRun,
-               Verdict aVerdict,
-               std::optional<ErrorCode> aCode,
-               Duration aRunTime,
+               const OwnRun& aOwn,
+               EndEvidence aEvidence,
+               TaskOutcome aOutcome,
                Actions& aActions)
 {
-  aActions.emplace_back(
-    Ended{ std::string(aUpstream), aRun.mTask, aRun.mNumber, { aVerdict, aCode, "", aRunTime } });
+  aActions.emplace_back(Ended{ std::string(aUpstream),
+                               aRun.mTask,
+                               aRun.mNumber,
+                               std::move(aOutcome),
+                               aEvidence,
+                               aOwn.mPhase == RunPhase::Running,
+                               aOwn.mCopiesSent });
 }
 
 void ReportAllRunsLost(std::string_view aUpstream,
                        Session& aSession,
+                       EndEvidence aEvidence,
                        ErrorCode aCode,
                        Actions& aActions)
 {
   for (const auto& [run, own] : aSession.mRuns) {
-    ReportEnd(aUpstream, run, Verdict::MayHaveRun, aCode, Duration{ 0 }, aActions);
+    ReportEnd(aUpstream, run, own, aEvidence, { Verdict::MayHaveRun, aCode }, aActions);
   }
   aSession.mRuns.clear();
 }
@@ -150,7 +156,7 @@
   auto session = std::move(it->second);
   aState.mSessions.erase(it);
   ReportCrash(aState, aUpstream, session, CrashState::Confirmed, aActions);
-  ReportAllRunsLost(aUpstream, session, ErrorCode::UpstreamLost, aActions);
+  ReportAllRunsLost(aUpstream, session, EndEvidence::Replaced, ErrorCode::UpstreamLost, aActions);
   if (session.mUsable) {
     aActions.emplace_back(UsableChanged{ std::string(aUpstream), false });
   }
@@ -208,22 +214,29 @@
   if (it == aSession.mRuns.end()) {
     return;
   }
-  const auto runTime = aNow.mTime - it->second.mOrderedAt;
+  const auto report = [&](Verdict aVerdict, std::optional<ErrorCode> aCode) {
+    const auto runTime = aNow.mTime - it->second.mOrderedAt;
+    ReportEnd(aUpstream,
+              aEnd.mRun,
+              it->second,
+              EndEvidence::Listed,
+              { aVerdict, aCode, "", runTime },
+              aActions);
+  };
   switch (aEnd.mEnd) {
     case RunEnd::Done:
-      ReportEnd(aUpstream, aEnd.mRun, Verdict::Ran, std::nullopt, runTime, aActions);
+      report(Verdict::Ran, std::nullopt);
       break;
     case RunEnd::Failed:
-      ReportEnd(aUpstream, aEnd.mRun, Verdict::Ran, ErrorCode::TaskFailed, runTime, aActions);
+      report(Verdict::Ran, ErrorCode::TaskFailed);
       break;
     case RunEnd::Stopped:
     case RunEnd::GroupBroken:
     case RunEnd::GroupIncomplete:
-      ReportEnd(aUpstream, aEnd.mRun, Verdict::MayHaveRun, ErrorCode::Cancelled, runTime, aActions);
+      report(Verdict::MayHaveRun, ErrorCode::Cancelled);
       break;
     case RunEnd::Lapsed:
-      ReportEnd(
-        aUpstream, aEnd.mRun, Verdict::MayHaveRun, ErrorCode::UpstreamLost, runTime, aActions);
+      report(Verdict::MayHaveRun, ErrorCode::UpstreamLost);
       break;
   }
   aSession.mRuns.erase(it);
@@ -335,12 +348,13 @@
   }
   for (const auto& run : gone) {
     const auto it = aSession.mRuns.find(run);
-    const bool began = it->second.mPhase == RunPhase::Running;
+    const auto& own = it->second;
+    const bool began = own.mPhase == RunPhase::Running;
     ReportEnd(aUpstream,
               run,
-              began ? Verdict::MayHaveRun : Verdict::NotRun,
-              ErrorCode::UpstreamLost,
-              Duration{ 0 },
+              own,
+              own.mStopConfirmed ? EndEvidence::StopConfirmed : EndEvidence::Vanished,
+              { began ? Verdict::MayHaveRun : Verdict::NotRun, ErrorCode::UpstreamLost },
               aActions);
     aSession.mRuns.erase(it);
   }
@@ -358,6 +372,14 @@
   return kNames.at(static_cast<std::size_t>(aStatus));
 }
 
+std::string_view ToString(EndEvidence aEvidence)
+{
+  static constexpr std::array<std::string_view, kEndEvidences> kNames{
+    "not_ordered", "refused", "listed", "stop_confirmed", "vanished", "replaced", "lapsed"
+  };
+  return kNames.at(static_cast<std::size_t>(aEvidence));
+}
+
 std::uint64_t MakeToken(std::uint16_t aSalt, UnixMs aUnixMs, std::uint64_t aLeast)
 {
   const auto clock = static_cast<std::uint64_t>(std::max<UnixMs>(0, aUnixMs) / kTokenUnit.count());
@@ -413,7 +435,10 @@
 {
   const auto it = aState.mSessions.find(aUpstream);
   if (it == aState.mSessions.end() || !it->second.mUsable) {
-    ReportEnd(aUpstream, aRun, Verdict::NotRun, ErrorCode::Overloaded, Duration{ 0 }, aActions);
+    aActions.emplace_back(Ended{ std::string(aUpstream),
+                                 aRun.mTask,
+                                 aRun.mNumber,
+                                 { Verdict::NotRun, ErrorCode::Overloaded } });
     return std::nullopt;
   }
   auto& session = it->second;
@@ -465,8 +490,13 @@
   // No other copy of the order can have been executed or be executed later.
   const bool isOnlyCopy = own.mCopiesPending == 0 && !own.mCopyUnknown;
   const auto endNotRun = [&](ErrorCode aCode) {
+    ReportEnd(aEvent.mUpstream,
+              aEvent.mRun,
+              own,
+              EndEvidence::Refused,
+              { Verdict::NotRun, aCode },
+              aActions);
     session->mRuns.erase(it);
-    ReportEnd(aEvent.mUpstream, aEvent.mRun, Verdict::NotRun, aCode, Duration{ 0 }, aActions);
   };
   switch (aEvent.mStatus) {
     case OrderStatus::Done:
@@ -626,8 +656,11 @@
       for (const auto& [run, own] : session.mRuns) {
         session.mLapsedRuns.push_back({ run, own.mPhase == RunPhase::Running });
       }
-      ReportAllRunsLost(
-        upstream, session, lost ? ErrorCode::OwnerUnsettled : ErrorCode::UpstreamLost, aActions);
+      ReportAllRunsLost(upstream,
+                        session,
+                        EndEvidence::Lapsed,
+                        lost ? ErrorCode::OwnerUnsettled : ErrorCode::UpstreamLost,
+                        aActions);
     }
     if (session.mRuns.empty() && (session.mPhase == SessionPhase::Lost ||
                                   (session.mReleasing && session.mForeignRuns.empty()))) {
