Check for an accepted submission before refusing it while draining

Callers saw a job run twice while an entry was shutting down: an owner sends its open submissions again over each new connection. A draining holder refused the second copy as not run although it had accepted the first one and ran the job, so the owner submitted it elsewhere 50 ms later.

A submission that was accepted or given up is now recognised before the drain is considered. SecondSubmissionIsNotRefusedWhileTheJobRuns failed before (tasks start twice) and passes now.

--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -375,15 +375,15 @@
     }
     return;
   }
-  if (aState.mDraining) {
-    return refuse(ErrorCode::Stopping, Verdict::NotRun, "The holder is stopping.");
-  }
   if (aState.mCancelled.contains({ aPeer, aSubmit.mNumber })) {
     return refuse(ErrorCode::OwnerUnreachable, Verdict::MayHaveRun, "The submission was given up.");
   }
   if (aState.mPeerRequests.contains({ aPeer, aSubmit.mNumber })) {
     return; // Sent again over a new connection; the job has been accepted already.
   }
+  if (aState.mDraining) {
+    return refuse(ErrorCode::Stopping, Verdict::NotRun, "The holder is stopping.");
+  }
   const auto nowMs =
     std::chrono::duration_cast<milliseconds>(aNow.mTime.time_since_epoch()).count();
   const bool otherIncarnation =
--- a/src/libentry/two_runs_test.cpp
+++ b/src/libentry/two_runs_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <iostream>
 
 #include "world_test.h"
@@ -34,11 +35,55 @@
   return NoViolations(w) && AllAnswered(w);
 }
 
+/// The entry that holds the most upstreams.
+std::size_t HolderOf(const World& aWorld)
+{
+  const auto held = [&aWorld](std::size_t aNode) {
+    const auto& node = aWorld.mNodes[aNode];
+    if (!node.mAlive) {
+      return 0.0;
+    }
+    const auto gauges = Gauges(*node.mState, aWorld.mNow);
+    const auto it = std::find_if(gauges.begin(), gauges.end(), [](const auto& aGauge) {
+      return aGauge.first == "upstreams{state=\"held\"}";
+    });
+    return it->second;
+  };
+  std::size_t best = 0;
+  for (std::size_t n = 1; n < aWorld.mNodes.size(); ++n) {
+    best = held(n) > held(best) ? n : best;
+  }
+  return best;
+}
+
+/// Guards against a job that runs again elsewhere while its draining holder still runs it: the
+/// owner sends the submission again over a new connection, and the second copy is refused as not
+/// run.
+bool SecondSubmissionIsNotRefusedWhileTheJobRuns()
+{
+  WorldOptions options;
+  options.mDataCentres = 1;
+  options.mNodesEach = 3;
+  auto world = MakeWorld(options);
+  auto& w = *world;
+  RunFor(w, seconds(2));
+  const auto holder = HolderOf(w);
+  const auto owner = (holder + 1) % w.mNodes.size();
+  const auto request = SubmitJob(w, owner, 4, milliseconds(1500));
+  RunFor(w, milliseconds(100));
+  BeginDrain(w, holder);
+  RunFor(w, milliseconds(300));
+  Reconnect(w, owner, holder);
+  RunFor(w, seconds(4));
+  return Expect(w.mStarts == 4, "each task starts once") &&
+         Expect(w.mCalls.at(request).mComplete, "the job completes") && NoViolations(w);
+}
+
 } // namespace
 
 int main()
 {
-  bool ok = true;
+  bool ok = SecondSubmissionIsNotRefusedWhileTheJobRuns();
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     ok = Expect(UpstreamsAreFencedWhileOrdersAreSlow(seed), "seed " + std::to_string(seed)) && ok;
   }
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -769,6 +769,11 @@
   Step(aWorld, aNode, Drain{});
 }
 
+void Reconnect(World& aWorld, std::size_t aFrom, std::size_t aTo)
+{
+  Step(aWorld, aFrom, PeerConnected{ aWorld.mNodes[aTo].mOptions.mPeerAddress });
+}
+
 void CutNode(World& aWorld, std::size_t aNode, bool aCut)
 {
   for (std::size_t n = 0; n < aWorld.mNodes.size(); ++n) {
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -170,6 +170,8 @@
 /// Ends a worker's process; it starts again under the same id after 3 s.
 void CrashWorkerProcess(World& aWorld, const std::string& aId);
 void BeginDrain(World& aWorld, std::size_t aNode);
+/// Replaces the connection of one entry to another; messages in flight still arrive.
+void Reconnect(World& aWorld, std::size_t aFrom, std::size_t aTo);
 
 /// Cuts an entry off from all other entries, or reconnects it.
 void CutNode(World& aWorld, std::size_t aNode, bool aCut);
