Do not renew a lease while a stop is unconfirmed

A job that is given up may start elsewhere 1.3 s later. If the order to stop its run was lost, polls and starts went on renewing the lease that covers all runs of the upstream, so over a lossy path the run could outlive that time and run beside its successor.

The lease is no longer extended until the stop is confirmed or the end of the run is listed, so such a run ends with its lease at the latest. LeaseIsNotRenewedWhileAStopIsUnconfirmed failed before and passes now.

--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -85,10 +85,22 @@
   }
 }
 
+/// Whether a run that was given up may still be at work.
+bool HasUnconfirmedStop(const Session& aSession)
+{
+  return std::any_of(aSession.mRuns.begin(), aSession.mRuns.end(), [](const auto& aRun) {
+    return aRun.second.mStopRequested && !aRun.second.mStopConfirmed;
+  });
+}
+
 /// The lease end for an order that is sent now. The upstream's clock may run slow but not fast, so
-/// this is at least mLease after its present reading.
+/// this is at least mLease after its present reading. The lease covers all runs of the upstream, so
+/// it is not renewed while one of them should have ended: its job may soon be submitted elsewhere.
 std::int64_t NextLeaseEnd(const State& aState, Session& aSession, const Now& aNow)
 {
+  if (HasUnconfirmedStop(aSession)) {
+    return aSession.mLeaseEndMs;
+  }
   const auto end = aSession.mClockMs.value_or(0) +
                    Milliseconds(aNow.mTime - aSession.mClockReadAfter) +
                    aState.mOptions.mLease.count();
--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -151,12 +151,46 @@
   return ok;
 }
 
+/// Guards against a run that outlives the time after which its job may start elsewhere: its job is
+/// given up, the order to stop it is lost, and polls go on renewing its lease.
+bool LeaseIsNotRenewedWhileAStopIsUnconfirmed()
+{
+  auto fixture = MakeFixture();
+  const Run run{ { "j", 0 }, 1 };
+  Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  AnswerStart(fixture, run, OrderStatus::Done);
+  Stop(fixture.mState, kUpstream, run.mTask, fixture.mNow, fixture.mActions);
+  const auto leaseEnd = fixture.mState.mSessions.at(kUpstream).mLeaseEndMs;
+  bool ok = true;
+  for (int n = 0; n < 10; ++n) {
+    AdvanceBy(fixture, milliseconds(50));
+    for (const auto& poll : All<SendPoll>(fixture)) {
+      ok &= Expect(poll.mLeaseEndMs.value_or(0) <= leaseEnd, "no poll renews the lease");
+    }
+    AnswerPoll(fixture, { { run, 0.1 } });
+  }
+  const Run other{ { "j", 1 }, 1 };
+  const auto order =
+    Start(fixture.mState, kUpstream, other, nullptr, fixture.mNow, fixture.mActions);
+  ok &= Expect(order && order->mLeaseEndMs <= leaseEnd, "no start renews the lease");
+  Handle(fixture.mState,
+         StopAnswered{ kUpstream, SessionOf(fixture), run, OrderStatus::Done, fixture.mNow.mTime },
+         fixture.mNow,
+         fixture.mActions);
+  AdvanceBy(fixture, milliseconds(50));
+  const auto polls = All<SendPoll>(fixture);
+  return Expect(polls.size() == 1 && polls[0].mLeaseEndMs.value_or(0) > leaseEnd,
+                "the lease is renewed once the stop is confirmed") &&
+         ok;
+}
+
 } // namespace
 
 int main()
 {
   bool ok = RefusedCopyDoesNotEndARunningTask();
   ok = RunEndsOnceAllCopiesAreRefused() && ok;
+  ok = LeaseIsNotRenewedWhileAStopIsUnconfirmed() && ok;
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
 }
