Ignore clock readings of an upstream's former process

The answer to a start does not name the process that sent it. An answer of the former process that arrives after the restart of an upstream set the clock far ahead: leases then ended far in the future, orders stayed valid for as long, and runs on a silent upstream never counted as lapsed.

Polls name the process. The reading of a start's answer is used only if the clock of the process that answered the latest poll can show it. ClockOfAFormerProcessIsIgnored failed before and passes now.

--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -76,6 +76,23 @@
   aSession.mRuns.clear();
 }
 
+/// Whether a reading of the clock can be of the process that answered the latest poll. The answer
+/// to a start does not name its process.
+bool IsOfSameProcess(const Session& aSession,
+                     double aMaxDrift,
+                     std::int64_t aClockMs,
+                     Time aSentAt,
+                     Time aNow)
+{
+  constexpr double kRoundingMs = 1;
+  const double known = static_cast<double>(aSession.mClockMs.value_or(0));
+  const double passed = static_cast<double>(Milliseconds(aSentAt - aSession.mClockReadBefore));
+  const double earliest = known + passed * (passed > 0 ? 1 - aMaxDrift : 1);
+  const double latest = known + static_cast<double>(Milliseconds(aNow - aSession.mClockReadAfter));
+  const double reading = static_cast<double>(aClockMs);
+  return reading >= earliest - kRoundingMs && reading <= latest + kRoundingMs;
+}
+
 void UpdateClock(Session& aSession, std::optional<std::int64_t> aClockMs, Time aSentAt, Time aNow)
 {
   if (aClockMs) {
@@ -503,7 +520,11 @@
   if (session == nullptr) {
     return;
   }
-  UpdateClock(*session, aEvent.mClockMs, aEvent.mSentAt, aNow.mTime);
+  if (aEvent.mClockMs &&
+      IsOfSameProcess(
+        *session, aState.mOptions.mMaxClockDrift, *aEvent.mClockMs, aEvent.mSentAt, aNow.mTime)) {
+    UpdateClock(*session, aEvent.mClockMs, aEvent.mSentAt, aNow.mTime);
+  }
   const auto it = session->mRuns.find(aEvent.mRun);
   if (it == session->mRuns.end()) {
     return; // A poll has already returned its end.
--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -184,6 +184,32 @@
          ok;
 }
 
+/// Guards against leases that never end: the answer to a start comes from the upstream's former
+/// process, whose clock is far ahead of that of the present one.
+bool ClockOfAFormerProcessIsIgnored()
+{
+  auto fixture = MakeFixture();
+  const auto run = StartTwice(fixture);
+  const auto formerClockMs = fixture.mClockMs;
+  fixture.mClockMs = 100;
+  fixture.mBornMs = 8;
+  AnswerPoll(fixture);
+  Handle(fixture.mState,
+         StartAnswered{ kUpstream,
+                        SessionOf(fixture),
+                        run,
+                        OrderStatus::Done,
+                        formerClockMs,
+                        fixture.mNow.mTime - milliseconds(50) },
+         fixture.mNow,
+         fixture.mActions);
+  const Run other{ { "j", 1 }, 1 };
+  const auto order =
+    Start(fixture.mState, kUpstream, other, nullptr, fixture.mNow, fixture.mActions);
+  return Expect(order && order->mLeaseEndMs < fixture.mClockMs + 1000,
+                "the lease ends within a second of the present process's clock");
+}
+
 } // namespace
 
 int main()
@@ -191,6 +217,7 @@
   bool ok = RefusedCopyDoesNotEndARunningTask();
   ok = RunEndsOnceAllCopiesAreRefused() && ok;
   ok = LeaseIsNotRenewedWhileAStopIsUnconfirmed() && ok;
+  ok = ClockOfAFormerProcessIsIgnored() && ok;
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
 }
