Report a run as one that may have run after its upstream has restarted

A start that was not answered is ended once a stop is confirmed and the upstream does not list the run. If the upstream's process had restarted in between, the former process may have executed the run, but it was reported as not run, and callers were told so. Such runs now end as ones that may have run. RunOfAFormerProcessMayHaveRun failed before and passes now.

--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -288,6 +288,7 @@
   std::uint32_t mCopiesPending = 1; ///< Of these, without an answer so far.
   bool mCopyUnknown = false;        ///< A copy was not answered; it may be executed at any time.
   Time mRunningSince{};             ///< When the upstream first reported it as running.
+  bool mProcessEnded = false;       ///< The process to which it was ordered has ended since.
   bool mStopRequested = false;
   std::optional<Time> mStopSentAt;
   bool mStopConfirmed = false;
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -389,12 +389,12 @@
   for (const auto& run : gone) {
     const auto it = aSession.mRuns.find(run);
     const auto& own = it->second;
-    const bool began = own.mPhase == RunPhase::Running;
+    const bool mayHaveRun = own.mPhase == RunPhase::Running || own.mProcessEnded;
     ReportEnd(aUpstream,
               run,
               own,
               own.mStopConfirmed ? EndEvidence::StopConfirmed : EndEvidence::Vanished,
-              { began ? Verdict::MayHaveRun : Verdict::NotRun, ErrorCode::UpstreamLost },
+              { mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun, ErrorCode::UpstreamLost },
               aActions);
     aSession.mRuns.erase(it);
   }
@@ -634,6 +634,9 @@
       AddNote(aActions, "upstream_restarted", aEvent.mUpstream, "");
       session->mAcknowledgedEnd = 0;
       session->mLeaseEndMs = 0;
+      for (auto& [run, own] : session->mRuns) {
+        own.mProcessEnded = true;
+      }
     }
     session->mBornMs = aEvent.mBornMs;
   }
--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -210,6 +210,30 @@
                 "the lease ends within a second of the present process's clock");
 }
 
+/// Guards against a run that is reported as not run although it may have run: its start was not
+/// answered, and the upstream's process, which may have executed it, has restarted since.
+bool RunOfAFormerProcessMayHaveRun()
+{
+  auto fixture = MakeFixture();
+  const auto run = StartTwice(fixture);
+  AnswerStart(fixture, run, OrderStatus::Unknown);
+  AnswerStart(fixture, run, OrderStatus::Unknown);
+  fixture.mClockMs = 100;
+  fixture.mBornMs = 8;
+  AnswerPoll(fixture);
+  bool ok = Expect(All<SendStop>(fixture).size() == 1, "a late copy of the start is prevented");
+  Handle(fixture.mState,
+         StopAnswered{ kUpstream, SessionOf(fixture), run, OrderStatus::Done, fixture.mNow.mTime },
+         fixture.mNow,
+         fixture.mActions);
+  Pass(fixture, milliseconds(1));
+  AnswerPoll(fixture);
+  const auto ends = All<Ended>(fixture);
+  return Expect(ends.size() == 1 && ends[0].mOutcome.mVerdict == Verdict::MayHaveRun,
+                "the run may have run in the former process") &&
+         ok;
+}
+
 } // namespace
 
 int main()
@@ -218,6 +242,7 @@
   ok = RunEndsOnceAllCopiesAreRefused() && ok;
   ok = LeaseIsNotRenewedWhileAStopIsUnconfirmed() && ok;
   ok = ClockOfAFormerProcessIsIgnored() && ok;
+  ok = RunOfAFormerProcessMayHaveRun() && ok;
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
 }
