Fence the orders sent before an upstream fell silent

An order without an answer may be executed seconds later. Once an upstream is silent and the leases of its runs have lapsed, their tasks start elsewhere; an order of that time that was executed by a restarted process, which knows no token and counts its clock from its start, ran beside them until a poll found it.

After a lapse the hold goes on with a higher token, so the first poll that the upstream answers fences all earlier orders, and their answers are ignored. OrdersBeforeALapseAreFenced failed before and passes now.

--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -191,6 +191,16 @@
   }
 }
 
+/// Makes the upstream refuse the orders sent so far once it answers again, and ignores their
+/// answers: an order without an answer may be executed seconds later, when its run has been given
+/// up.
+void FenceEarlierOrders(State& aState, Session& aSession, const Now& aNow)
+{
+  aSession.mNumber = ++aState.mLastSession;
+  aSession.mToken = MakeToken(aState.mOptions.mTokenSalt, aNow.mUnixMs, aSession.mToken);
+  aSession.mPollPending = false;
+}
+
 void SendStopOf(std::string_view aUpstream,
                 const Session& aSession,
                 const Run& aRun,
@@ -681,6 +691,9 @@
                         EndEvidence::Lapsed,
                         lost ? ErrorCode::OwnerUnsettled : ErrorCode::UpstreamLost,
                         aActions);
+      if (!lost) {
+        FenceEarlierOrders(aState, session, aNow);
+      }
     }
     if (session.mRuns.empty() && (session.mPhase == SessionPhase::Lost ||
                                   (session.mReleasing && session.mForeignRuns.empty()))) {
--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -234,6 +234,32 @@
          ok;
 }
 
+/// Guards against an order that is executed after its run has lapsed and its task has started
+/// elsewhere: every order that is sent once the upstream is silent has a higher token.
+bool OrdersBeforeALapseAreFenced()
+{
+  auto fixture = MakeFixture();
+  const Run run{ { "j", 0 }, 1 };
+  const auto order = Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  AnswerStart(fixture, run, OrderStatus::Unknown);
+  std::vector<Ended> ends;
+  std::uint64_t token = 0;
+  for (int n = 0; n < 20; ++n) {
+    AdvanceBy(fixture, milliseconds(100));
+    const auto ended = All<Ended>(fixture);
+    ends.insert(ends.end(), ended.begin(), ended.end());
+    for (const auto& poll : All<SendPoll>(fixture)) {
+      token = ends.empty() ? 0 : poll.mToken;
+      Handle(fixture.mState,
+             PollAnswered{ kUpstream, poll.mSession, OrderStatus::Unknown },
+             fixture.mNow,
+             fixture.mActions);
+    }
+  }
+  return Expect(ends.size() == 1 && ends[0].mEvidence == EndEvidence::Lapsed, "the run lapses") &&
+         Expect(order && token > order->mToken, "polls after the lapse fence the order");
+}
+
 } // namespace
 
 int main()
@@ -243,6 +269,7 @@
   ok = LeaseIsNotRenewedWhileAStopIsUnconfirmed() && ok;
   ok = ClockOfAFormerProcessIsIgnored() && ok;
   ok = RunOfAFormerProcessMayHaveRun() && ok;
+  ok = OrdersBeforeALapseAreFenced() && ok;
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
 }
