Resubmit late after a copy of a submission is refused

Cause: an owner whose connection to a holder opens again sends its submissions again. The new process at that address refuses the copy as one for another incarnation, "not run". Its incarnation is lower than that of its predecessor, so that the owner ignores its presences for a second and takes the refusal for one by the predecessor. The owner submitted the job elsewhere 50 ms later, while the leases of the first runs lasted. A draining holder that refuses the copy of a job that it runs has the same effect.

Change: after more than one copy was sent to a holder, a refusal counts as "may have run" for the delay of the next submission (mRunsOverAfter). Owners that sent one copy wait as before.

--- a/src/libentry/calls.cpp
+++ b/src/libentry/calls.cpp
@@ -150,6 +150,7 @@
 {
   auto& call = aState.mCalls.at(aNumber);
   call.mHolder.reset();
+  call.mSentAgain = false;
   if (const auto best = FindLeastLoadedHolder(aState, call, aNow)) {
     call.mHolder = best->first;
     const bool isSelf = *call.mHolder == aState.mOptions.mIncarnation;
@@ -359,13 +360,17 @@
     case ErrorCode::Stopping:
     case ErrorCode::NotReady:
     case ErrorCode::OwnerUnsettled:
-    case ErrorCode::OwnerUnreachable:
+    case ErrorCode::OwnerUnreachable: {
+      // The refusal of one copy shows nothing about the others. They may run, or have been accepted
+      // by a process that ran at the holder's address before.
+      const auto verdict = call.mSentAgain ? Verdict::MayHaveRun : aError->mVerdict;
       Resubmit(aState,
                aNumber,
                ToString(aError->mCode),
-               aNow.mTime + ResubmitDelay(aState, aError->mVerdict),
+               aNow.mTime + ResubmitDelay(aState, verdict),
                aActions);
       return;
+    }
     default:
       break;
   }
@@ -378,6 +383,7 @@
   for (auto& [number, call] : aState.mCalls) {
     if (call.mHolder == aPeer.mIncarnation && aNow.mTime < call.mDeadline) {
       call.mVerdict = Verdict::MayHaveRun; // An answer to the first copy may have been lost.
+      call.mSentAgain = true;
       Forward(aState, number, call, aNow, aActions);
     }
   }
@@ -395,6 +401,7 @@
     }
     AddReport(aActions, "call_sent_again", { { "job", call.mJob.mId } }, true);
     call.mVerdict = Verdict::MayHaveRun;
+    call.mSentAgain = true;
     Forward(aState, number, call, aNow, aActions);
   }
 }
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -28,6 +28,7 @@
   std::optional<Error> mRefusal;       ///< The latest refusal.
   Time mForwardAt{};                   ///< Without a holder: earliest time of the next attempt.
   Time mForwardedAt{};                 ///< When it was last sent to mHolder.
+  bool mSentAgain = false;             ///< More than one copy was sent to mHolder.
   Verdict mVerdict = Verdict::NotRun;  ///< Combined verdict of earlier submissions.
 };
 
--- a/src/libentry/two_runs_test.cpp
+++ b/src/libentry/two_runs_test.cpp
@@ -123,6 +123,27 @@
          Expect(w.mCalls.at(request).mComplete, "the job completes") && NoViolations(w);
 }
 
+/// Guards against a job that is submitted elsewhere while its holder's runs go on. The holder is
+/// killed and restarts at once with its clock set back, so that the owner still takes it for the
+/// former process. Its refusal of the second copy of the submission shows nothing about the first.
+bool RestartedHolderRefusesACopy(std::uint64_t aSeed)
+{
+  WorldOptions options;
+  options.mSeed = aSeed;
+  options.mLargeNodesEach = 1; // Node 0 holds the upstreams of its data centre.
+  auto world = MakeWorld(options);
+  auto& w = *world;
+  RunFor(w, seconds(3));
+  SubmitJob(w, 1, 6, milliseconds(900));
+  RunFor(w, milliseconds(300));
+  Kill(w, 0);
+  w.mNodes[0].mClockOffsetMs = -8000;
+  RunFor(w, milliseconds(100));
+  Restart(w, 0);
+  RunFor(w, seconds(5));
+  return NoViolations(w) && AllAnswered(w);
+}
+
 } // namespace
 
 int main()
@@ -132,6 +153,11 @@
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     ok = Expect(UpstreamsAreFencedWhileOrdersAreSlow(seed), "seed " + std::to_string(seed)) && ok;
   }
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    ok = Expect(RestartedHolderRefusesACopy(seed),
+                "a copy is refused after a restart, seed " + std::to_string(seed)) &&
+         ok;
+  }
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
 }
