Wait for the longest lease after an upstream's restart

What callers saw: nothing so far; found by reading. A run counts as lapsed up to 0.3 s before its lease ends, so that its task can run twice at the same time.

Cause: the session forgets the latest lease end when a new process answers under the upstream's id. An order with a lease end on the former clock that the new process has executed gave its run the longest lease that the platform allows, 1 s, and not the 0.7 s of the next poll. When the network to the upstream is cut with refused connections right after, both next polls fail at once and the run counts as lapsed too early.

Change: the session assumes the longest lease for the runs that it has at that moment.

Measured: LeaseOfARestartedUpstreamLasts of holding_test fails without the change and passes with it. entry_test and deadly_task_test pass.

--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -37,9 +37,11 @@
 struct Options
 {
   std::uint16_t mTokenSalt = 0; ///< The low bits of this entry's tokens.
-  /// How long one renewal keeps the runs on an upstream alive. The platform allows at most 1 s. A
-  /// shorter lease shortens the wait before lost tasks may start elsewhere.
+  /// How long one renewal keeps the runs on an upstream alive. A shorter lease shortens the wait
+  /// before lost tasks may start elsewhere.
   std::chrono::milliseconds mLease{ 700 };
+  /// The platform allows no longer lease; an upstream shortens those of orders to this.
+  std::chrono::milliseconds mMaxLease{ 1000 };
   /// Longest time for which a poll waits at the upstream for the end of a run. A poll renews the
   /// lease and returns the progress of each run, so this bounds the time to detect a stalled run.
   std::chrono::milliseconds mPollWait{ 120 };
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -643,10 +643,13 @@
       ReportCrash(aState, aEvent.mUpstream, *session, CrashState::Confirmed, aActions);
       AddNote(aActions, "upstream_restarted", aEvent.mUpstream, "");
       session->mAcknowledgedEnd = 0;
-      session->mLeaseEndMs = 0;
       for (auto& [run, own] : session->mRuns) {
         own.mProcessEnded = true;
       }
+      // Orders with a lease end on the former clock have given its runs the longest lease.
+      session->mLeaseEndMs = session->mRuns.empty()
+                               ? 0
+                               : session->mClockMs.value_or(0) + aState.mOptions.mMaxLease.count();
     }
     session->mBornMs = aEvent.mBornMs;
   }
--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -132,6 +132,42 @@
   return ok;
 }
 
+/// Sends the next poll over a connection that is refused.
+void RefusePoll(Fixture& aFixture)
+{
+  AdvanceBy(aFixture, milliseconds(25));
+  PollAnswered lost;
+  lost.mUpstream = kUpstream;
+  lost.mSession = SessionOf(aFixture);
+  lost.mStatus = OrderStatus::NotSent;
+  Handle(aFixture.mState, lost, aFixture.mNow, aFixture.mActions);
+}
+
+/// Guards against a run that counts as lapsed while its lease lasts. Its order carries a lease end
+/// on the clock of the upstream's former process, so a new process under the same id gives it the
+/// longest lease that there is. Then the network to it is cut.
+bool LeaseOfARestartedUpstreamLasts()
+{
+  auto fixture = MakeFixture();
+  const Run run{ { "j", 0 }, 1 };
+  Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  fixture.mClockMs = 10;
+  fixture.mBornMs = 8;
+  AnswerStart(fixture, run, OrderStatus::Done);
+  AnswerPoll(fixture, { { run, 0 } });
+  RefusePoll(fixture);
+  RefusePoll(fixture);
+  const auto longest = fixture.mState.mOptions.mMaxLease.count();
+  bool ok = true;
+  while (fixture.mClockMs < longest) {
+    AdvanceBy(fixture, milliseconds(10));
+    ok = ok && All<Ended>(fixture).empty();
+  }
+  AdvanceBy(fixture, milliseconds(200));
+  return Expect(ok, "the run does not end before its lease") &&
+         Expect(All<Ended>(fixture).size() == 1, "the run ends after its lease");
+}
+
 /// Guards against runs that stay open, or are reported as lost, although every copy of their start
 /// was refused.
 bool RunEndsOnceAllCopiesAreRefused()
@@ -270,6 +306,7 @@
   ok = ClockOfAFormerProcessIsIgnored() && ok;
   ok = RunOfAFormerProcessMayHaveRun() && ok;
   ok = OrdersBeforeALapseAreFenced() && ok;
+  ok = LeaseOfARestartedUpstreamLasts() && ok;
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
 }
