Start no task just after a long pause of the process

Cause: an entry that goes on after a pause handles what has arrived meanwhile in order. The end of an earlier run makes room for a queued job before the end of that job's connection is read, so that the entry starts the job although it already runs elsewhere. Jobs of peers are cancelled when the pause is noticed, those of the entry's own callers were not checked.

Change: after a pause that a caller may have used to come back (1.2 s or more), the entry starts no task for 100 ms. Running tasks and queued jobs stay as they are.

--- a/src/include/pollenwall/dispatch.h
+++ b/src/include/pollenwall/dispatch.h
@@ -160,6 +160,12 @@
   std::shared_ptr<const configuration::Configuration> mConfiguration;
 };
 
+/// Starts no task until a time.
+struct HoldStarts
+{
+  Time mUntil{};
+};
+
 /// Refuses new jobs from now on; known jobs continue.
 struct StopAccepting
 {};
@@ -179,6 +185,7 @@
                            UpstreamSign,
                            ConfigurationApplied,
                            StopAccepting,
+                           HoldStarts,
                            Tick,
                            UnhealthyReport,
                            SetQuotaShare>;
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -415,6 +415,9 @@
 /// added, or the limit of the long class raised.
 void FillChangedServices(State& aState, const Now& aNow, Actions& aActions)
 {
+  if (aNow.mTime < aState.mNoStartsBefore) {
+    return; // They remain marked as changed.
+  }
   auto& changed = aState.mPlacement.mChanged;
   while (!changed.empty()) {
     const auto service = changed.back();
@@ -1120,6 +1123,11 @@
   aState.mAccepting = false;
 }
 
+void Apply(State& aState, const HoldStarts& aEvent, const Now&, Actions&)
+{
+  aState.mNoStartsBefore = std::max(aState.mNoStartsBefore, aEvent.mUntil);
+}
+
 void Apply(State& aState, const Tick&, const Now& aNow, Actions& aActions)
 {
   placement::Advance(aState.mPlacement, aNow);
--- a/src/libdispatch/state.h
+++ b/src/libdispatch/state.h
@@ -249,6 +249,7 @@
   admission::RetryBudget mRetryBudget;
   crashes::State mCrashes;
   Time mLastTick{};
+  Time mNoStartsBefore{}; ///< See HoldStarts.
   Counts mCounts;
 };
 
--- a/src/libentry/entry.cpp
+++ b/src/libentry/entry.cpp
@@ -14,6 +14,8 @@
 /// A longer gap between events means that the process was not running, so that what it knows
 /// about its peers is outdated.
 constexpr milliseconds kPauseThreshold{ 300 };
+/// After a pause, the ends of callers' connections during the pause are handled within this time.
+constexpr milliseconds kStartHoldTime{ 100 };
 /// A drain lasts at least this long, also when no job is left, so that the balancer has detected
 /// that this entry is not ready and sends new calls elsewhere.
 constexpr milliseconds kMinDrainTime{ 2200 };
@@ -171,7 +173,9 @@
 }
 
 /// Detects a pause of the process. Jobs of owners that were lost meanwhile are cancelled before any
-/// other event is handled, since the owners may have submitted them elsewhere by now.
+/// other event is handled, since the owners may have submitted them elsewhere by now. A caller of
+/// this entry that has left may have submitted its job elsewhere after mRunsOverAfter, so no task
+/// is started until it is known which callers have left.
 void DetectPause(State& aState, const Now& aNow, Actions& aActions)
 {
   const auto gap = aNow.mTime - aState.mLastEvent;
@@ -184,6 +188,12 @@
             { { "ms", std::to_string(gap / Duration(milliseconds{ 1 })) } },
             true);
   aState.mClaimsNotBefore = aNow.mTime + Duration(aState.mOptions.mSilentAfter);
+  if (gap + Duration(kStartHoldTime) >= Duration(aState.mOptions.mRunsOverAfter)) {
+    dispatch::Handle(*aState.mDispatch,
+                     dispatch::HoldStarts{ aNow.mTime + Duration(kStartHoldTime) },
+                     aNow,
+                     aState.mDispatchActions);
+  }
   CancelJobsOfLostOwners(aState, aNow, aActions);
 }
 
--- a/src/libentry/two_runs_test.cpp
+++ b/src/libentry/two_runs_test.cpp
@@ -144,6 +144,35 @@
   return NoViolations(w) && AllAnswered(w);
 }
 
+/// Guards against a queued job that an entry starts after it did not run for a while, although the
+/// caller has left meanwhile and its job runs elsewhere. The end of an earlier run arrives before
+/// the end of the caller's connection and makes room for the job.
+bool PausedEntryStartsAJobWhoseCallerHasLeft(std::uint64_t aSeed)
+{
+  WorldOptions options;
+  options.mSeed = aSeed;
+  options.mDataCentres = 2;
+  options.mNodesEach = 1;
+  auto world = MakeWorld(options);
+  auto& w = *world;
+  RunFor(w, seconds(4));
+  for (const std::size_t node : { 0, 1, 0, 1 }) {
+    SubmitJob(w, node, 8, milliseconds(200));
+  }
+  RunFor(w, milliseconds(120));
+  const auto job = SubmitJob(w, 0, 2, milliseconds(1500), seconds(10));
+  RunFor(w, milliseconds(50));
+  Pause(w, 0);
+  RunFor(w, milliseconds(200));
+  Disconnect(w, job);
+  RunFor(w, milliseconds(1300));
+  ResubmitJob(w, 1, job);
+  RunFor(w, milliseconds(300));
+  Resume(w, 0);
+  RunFor(w, seconds(5));
+  return NoViolations(w) && AllAnswered(w);
+}
+
 } // namespace
 
 int main()
@@ -158,6 +187,11 @@
                 "a copy is refused after a restart, seed " + std::to_string(seed)) &&
          ok;
   }
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    ok = Expect(PausedEntryStartsAJobWhoseCallerHasLeft(seed),
+                "the caller of a paused entry leaves, seed " + std::to_string(seed)) &&
+         ok;
+  }
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
 }
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -668,6 +668,13 @@
   (*next)();
 }
 
+void Disconnect(World& aWorld, RequestId aRequest)
+{
+  auto& call = aWorld.mCalls.at(aRequest);
+  call.mGone = true;
+  Step(aWorld, call.mNode, CallerDisconnected{ aRequest });
+}
+
 void Kill(World& aWorld, std::size_t aNode)
 {
   auto& node = aWorld.mNodes[aNode];
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -160,6 +160,9 @@
                   Duration aTime,
                   std::chrono::milliseconds aRun);
 
+/// Ends the connection of a caller whose call is open.
+void Disconnect(World& aWorld, RequestId aRequest);
+
 void Kill(World& aWorld, std::size_t aNode);
 /// Starts an entry. With seeds it knows only these entries and cannot read the platform's list.
 void Restart(World& aWorld, std::size_t aNode, const std::vector<std::string>& aSeeds = {});
