Test: a deadly task is given up while workers shrink

Guards against a deadly task that is not given up, and against starts beyond the capacity, when all workers shrink to one task between its runs. It passes without any change: no fault was found here.

--- a/src/libentry/deadly_task_test.cpp
+++ b/src/libentry/deadly_task_test.cpp
@@ -106,6 +106,27 @@
   return NoViolations(w) && Expect(lost == 0, "jobs without a deadly task complete");
 }
 
+/// Guards against a deadly task that is not given up, and against starts beyond the capacity, when
+/// workers shrink to one task between its first and its second run.
+bool DeadlyTaskIsGivenUpWhenWorkersShrink()
+{
+  WorldOptions options;
+  options.mDataCentres = 1;
+  auto world = MakeStartedWorld(options);
+  auto& w = *world;
+  GenerateLoad(w, 10, seconds(6), milliseconds(100));
+  const auto request = SubmitDeadlyJob(w, 0, 4);
+  RunFor(w, milliseconds(300));
+  for (const auto& [id, worker] : w.mWorkers) {
+    SetCapacity(w, id, worker.mRecord.mCapacity.mMilliCores / 2);
+  }
+  RunFor(w, seconds(8));
+  return NoViolations(w) && Expect(HasFailed(w, request), "the job is answered as failed") &&
+         Expect(std::ranges::count_if(
+                  w.mCalls, [](const auto& aCall) { return !aCall.second.mComplete; }) == 1,
+                "all other jobs complete");
+}
+
 /// Guards against crashes that are not counted because the upstream was silent before it came back
 /// as a new process. The job expires before enough is known; its caller submits it twice more.
 bool SilentCrashesAreCounted()
@@ -236,6 +257,7 @@
     return OtherTasksAreServed(std::stoull(aArguments[1])) ? 0 : 1;
   }
   bool ok = DeadlyTaskIsGivenUp();
+  ok = DeadlyTaskIsGivenUpWhenWorkersShrink() && ok;
   ok = SilentCrashesAreCounted() && ok;
   ok = IdOfAGivenUpJobIsUsedAgain() && ok;
   ok = CutUpstreamsAreNotBlamed(3, false) && ok;
