Log an exception of an event loop handler instead of ending the process

An exception that left a handler of the event loop, such as std::bad_alloc while a connection pool passes an answer on, or in a timer, ended the process: the scheduler runs handlers from pick_next and suspend_until, which are noexcept. Only fibers were guarded.

Such an exception now ends that handler and is logged as handler_failed. Logging in the guards of handlers and fibers may itself fail for lack of memory, so it no longer lets an exception out.

Test: without the change net_test ends with 'terminate called after throwing an instance of std::runtime_error'; with it, it passes.

--- a/src/libnet/fiber.cpp
+++ b/src/libnet/fiber.cpp
@@ -23,6 +23,15 @@
 namespace asio = boost::asio;
 namespace fibers = boost::fibers;
 
+/// Logs an exception that is not to end the process. Logging allocates, so it may fail as well.
+void LogException(std::string_view aEvent, const std::exception& aError) noexcept
+{
+  try {
+    log::LogError(aEvent, { { "message", std::string(aError.what()) } });
+  } catch (const std::exception&) { // NOLINT(bugprone-empty-catch)
+  }
+}
+
 /// Runs fibers in the order in which they became ready. Handlers of the io_context run only on the
 /// dispatcher's stack, never on the small stack of a fiber that suspends.
 struct AsioAlgorithm : fibers::algo::algorithm
@@ -71,11 +80,10 @@
   void suspend_until(const std::chrono::steady_clock::time_point& aTime) noexcept override
   {
     mSwitches = 0;
-    if (aTime == std::chrono::steady_clock::time_point::max()) {
-      mContext.run_one();
-    } else {
-      mContext.run_one_until(aTime);
-    }
+    RunLogged([this, &aTime] {
+      return aTime == std::chrono::steady_clock::time_point::max() ? mContext.run_one()
+                                                                   : mContext.run_one_until(aTime);
+    });
     RunHandlers();
   }
 
@@ -84,9 +92,25 @@
     asio::post(mContext, [] {});
   }
 
-  void RunHandlers()
+  void RunHandlers() noexcept
+  {
+    for (int n = 0; n < kHandlersPerRound; ++n) {
+      if (RunLogged([this] { return mContext.poll_one(); }) == 0) {
+        return;
+      }
+    }
+  }
+
+  /// Runs at most one handler and returns how many ran. An exception ends only the handler: the
+  /// scheduler calls from functions that are noexcept, so it would end the process.
+  template<typename Run>
+  static std::size_t RunLogged(const Run& aRun) noexcept
   {
-    for (int n = 0; n < kHandlersPerRound && mContext.poll_one() > 0; ++n) {
+    try {
+      return aRun();
+    } catch (const std::exception& error) {
+      LogException("handler_failed", error);
+      return 1;
     }
   }
 
@@ -184,7 +208,7 @@
                   try {
                     function();
                   } catch (const std::exception& error) {
-                    log::LogError("fiber_failed", { { "message", std::string(error.what()) } });
+                    LogException("fiber_failed", error);
                   }
                   --RunningFiberCount();
                 })
--- a/src/libnet/net_test.cpp
+++ b/src/libnet/net_test.cpp
@@ -126,6 +126,17 @@
   return true;
 }
 
+/// Guards against an exception in a handler of the event loop that ends the whole process.
+bool AnExceptionEndsOnlyItsHandler(boost::asio::io_context& aContext)
+{
+  bool next = false;
+  boost::asio::post(aContext, [] { throw std::runtime_error("expected by the test"); });
+  boost::asio::post(aContext, [] { throw std::bad_alloc(); });
+  boost::asio::post(aContext, [&next] { next = true; });
+  net::SleepFor(aContext, std::chrono::milliseconds(5));
+  return test::Expect(next, "later handlers run");
+}
+
 /// Guards against a server behind a cut that refuses connections being taken for one whose process
 /// has ended, and the other way round. The server leaves a call unanswered or closes its
 /// connection, and then refuses connections.
@@ -171,6 +182,7 @@
   passed &= FibersWakeWithTheirOwnValue(context);
   passed &= HandlersRunWhileFibersAreReady(context);
   passed &= AnExceptionEndsOnlyItsFiber();
+  passed &= AnExceptionEndsOnlyItsHandler(context);
   passed &= EndedServersDifferFromCutOnes(context, true);
   passed &= EndedServersDifferFromCutOnes(context, false);
   passed &= test::HttpServerTests(context);
