Remove a connection whose fiber fails from the HTTP server's list

An exception that left a connection's fiber outside the request handler, for lack of memory or because a response could not be written, skipped the removal of the connection from the list that the check of timeouts walks every 250 ms. The next check used freed memory and ended the process. An exception while a connection was started, for example without memory for its stack, ended the fiber that accepts, so that the listener accepted nothing further.

The connection is now removed however its fiber ends, and the exception is logged as connection_failed. A connection that cannot be started is dropped, and the listener goes on after 100 ms. A fiber that could not be created is no longer counted as running.

Test: without the change net_test ends with a segmentation fault in ConnectionsThatFailAreRemoved; with it, it passes. The failure to start a connection has no test.

--- a/src/libnet/fiber.cpp
+++ b/src/libnet/fiber.cpp
@@ -200,7 +200,6 @@
 
 void Spawn(std::function<void()> aFunction, std::size_t aStackBytes)
 {
-  ++RunningFiberCount();
   fibers::fiber(fibers::launch::post,
                 std::allocator_arg,
                 StackAllocator{ aStackBytes },
@@ -213,6 +212,7 @@
                   --RunningFiberCount();
                 })
     .detach();
+  ++RunningFiberCount(); // The fiber runs only after this, because it is posted.
 }
 
 std::size_t RunningFibers()
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -255,6 +255,31 @@
   aSocket.shutdown(Socket::shutdown_send, ec);
 }
 
+/// Serves the connection in a fiber of its own. It is in mConnections until the fiber ends, also by
+/// an exception.
+void StartConnection(const std::shared_ptr<HttpServer>& aServer, Socket aSocket)
+{
+  auto connection = std::make_shared<HttpConnection>(std::move(aSocket));
+  aServer->mConnections.push_front(connection.get());
+  const auto position = aServer->mConnections.begin();
+  try {
+    Spawn([aServer, connection, position] {
+      try {
+        Serve(*aServer, *connection);
+      } catch (const std::exception& error) {
+        log::LogError("connection_failed", { { "message", std::string(error.what()) } });
+      }
+      aServer->mConnections.erase(position);
+    });
+  } catch (const std::exception&) {
+    aServer->mConnections.erase(position);
+    throw;
+  }
+  if (!aServer->mSweeping) {
+    Sweep(aServer);
+  }
+}
+
 void Accept(const std::shared_ptr<HttpServer>& aServer)
 {
   for (;;) {
@@ -279,16 +304,17 @@
       }
       continue;
     }
-    auto connection = std::make_shared<HttpConnection>(std::move(socket));
-    aServer->mConnections.push_front(connection.get());
-    const auto position = aServer->mConnections.begin();
-    if (!aServer->mSweeping) {
-      Sweep(aServer);
+    bool failed = false; // A fiber must not suspend inside a catch block.
+    try {
+      StartConnection(aServer, std::move(socket));
+    } catch (const std::exception& error) {
+      // No memory for the connection or its stack; later connections are still accepted.
+      log::Warning("accept_failed", { { "message", std::string(error.what()) } });
+      failed = true;
+    }
+    if (failed) {
+      SleepFor(aServer->mContext, std::chrono::milliseconds(100));
     }
-    Spawn([aServer, connection, position] {
-      Serve(*aServer, *connection);
-      aServer->mConnections.erase(position);
-    });
   }
 }
 
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -43,6 +43,9 @@
           if (aRequest.target() == "/throw") {
             throw std::runtime_error("expected by the test");
           }
+          if (aRequest.target() == "/invalid") {
+            return net::JsonResponse(http::status::no_content, "Writing this body throws.");
+          }
           return net::JsonResponse(http::status::ok, aRequest.body());
         },
         mMetrics);
@@ -210,6 +213,23 @@
   return passed;
 }
 
+/// Guards against a connection that ends with an exception outside its handler and stays in the
+/// server's list: the next check of timeouts would use freed memory.
+bool ConnectionsThatFailAreRemoved(boost::asio::io_context& aContext)
+{
+  Fixture fixture(aContext);
+  if (!Expect(fixture.Start(), "the server starts")) {
+    return false;
+  }
+  auto client = fixture.Connect();
+  client.Write("GET /invalid HTTP/1.1\r\n\r\n");
+  bool passed = Expect(client.ReadAll().empty(), "the connection is closed");
+  passed &= Expect(fixture.ServesRequests(), "others are served");
+  return Expect(net::StopHttpServer(*fixture.mServer, std::chrono::milliseconds(100)) == 0,
+                "no connection is left") &&
+         passed;
+}
+
 /// Guards against a response that is dropped because the caller has half-closed the connection, and
 /// against a handler that keeps waiting for a caller whose connection was reset.
 bool HalfClosedAndDisconnectedCallers(boost::asio::io_context& aContext)
@@ -344,6 +364,7 @@
   bool passed = BadRequestsAreAnsweredWithAnError(aContext);
   passed &= SlowSendersTimeOut(aContext);
   passed &= SeveralRequestsOnOneConnection(aContext);
+  passed &= ConnectionsThatFailAreRemoved(aContext);
   passed &= HalfClosedAndDisconnectedCallers(aContext);
   passed &= ConnectionsAreLimited(aContext);
   passed &= StopCompletesRequestsInProgress(aContext);
