Choose holders at random in proportion to their free capacity

Cause, measured with the log of the test's world: each late job went to a holder that had all 16 tasks running and 4 to 17 more waiting or on the way, while other holders ran 0 to 7. In the owner's view, 5 to 91 ms old (median 49, at most 100), the chosen holder ran 0 to 3 tasks. All owners chose this least loaded holder, so the jobs of one interval met there.

Change: a holder is chosen at random in proportion to the capacity that the job would leave free. Without free capacity the least utilised one is chosen as before. entry_test load takes a seed.

--- a/src/libentry/calls.cpp
+++ b/src/libentry/calls.cpp
@@ -58,24 +58,31 @@
          aCall.mRefusedBy.end();
 }
 
-/// The holder with the lowest utilisation, and the utilisation. Returns nothing if every known
-/// holder has refused the job.
-std::optional<std::pair<Incarnation, double>> FindLeastLoadedHolder(const State& aState,
-                                                                    const Call& aCall,
-                                                                    const Now& aNow)
+struct HolderOption
 {
-  std::optional<Incarnation> best;
-  double least = 0;
-  const auto consider = [&](Incarnation aHolder, double aUtilisation) {
-    if (!HasRefused(aCall, aHolder) && (!best || aUtilisation < least)) {
-      best = aHolder;
-      least = aUtilisation;
-    }
-  };
+  Incarnation mHolder;
+  double mUtilisation = 0;    ///< Including the job; above 1 the job has to wait.
+  double mFreeMilliCores = 0; ///< Beside the job; 0 if the job has to wait.
+};
+
+/// The known holders that have not refused the job.
+std::vector<HolderOption> FindHolders(const State& aState, const Call& aCall, const Now& aNow)
+{
+  std::vector<HolderOption> holders;
+  const auto consider =
+    [&](Incarnation aHolder, const message::ServiceLoad& aLoad, std::uint64_t aSent, bool aLocal) {
+      if (HasRefused(aCall, aHolder)) {
+        return;
+      }
+      const auto utilisation =
+        Utilisation(aLoad, aSent, aCall.mMilliCores) + (aLocal ? 0 : kRemotePenalty);
+      const auto free = std::max(1 - utilisation, 0.0) * static_cast<double>(aLoad.mMilliCores);
+      holders.push_back({ aHolder, utilisation, free });
+    };
   if (!aState.mDraining) {
     const auto loads = LoadsOf(aState);
     if (const auto* load = FindLoad(loads, aCall.mJob.mService)) {
-      consider(aState.mOptions.mIncarnation, Utilisation(*load, 0, aCall.mMilliCores));
+      consider(aState.mOptions.mIncarnation, *load, 0, true);
     }
   }
   for (const auto& [address, peer] : aState.mPeers) {
@@ -84,13 +91,44 @@
       continue;
     }
     const auto sent = peer.mSentMilliCores.find(aCall.mJob.mService);
-    const bool isLocal = peer.mRecord.mDataCentre == aState.mOptions.mDataCentre;
-    consider(
-      peer.mIncarnation,
-      Utilisation(*load, sent == peer.mSentMilliCores.end() ? 0 : sent->second, aCall.mMilliCores) +
-        (isLocal ? 0 : kRemotePenalty));
+    consider(peer.mIncarnation,
+             *load,
+             sent == peer.mSentMilliCores.end() ? 0 : sent->second,
+             peer.mRecord.mDataCentre == aState.mOptions.mDataCentre);
+  }
+  return holders;
+}
+
+/// Chooses among the holders with free capacity at random, in proportion to it. Loads are up to
+/// Options::mPresenceInterval old: if all owners chose the least loaded holder, the jobs of one
+/// interval would queue there while other holders have room. Without free capacity the holder with
+/// the lowest utilisation is chosen. Returns nothing without holders.
+std::optional<Incarnation> ChooseHolder(const std::vector<HolderOption>& aHolders,
+                                        std::mt19937_64& aRandom)
+{
+  if (aHolders.empty()) {
+    return std::nullopt;
   }
-  return best ? std::optional(std::pair(*best, least)) : std::nullopt;
+  double sum = 0;
+  for (const auto& holder : aHolders) {
+    sum += holder.mFreeMilliCores;
+  }
+  if (sum > 0) {
+    auto left = admission::UnitRandom(aRandom) * sum;
+    for (const auto& holder : aHolders) {
+      if (holder.mFreeMilliCores > left) {
+        return holder.mHolder;
+      }
+      left -= holder.mFreeMilliCores;
+    }
+  }
+  // Also reached if rounding errors have left a rest of the random value.
+  return std::min_element(aHolders.begin(),
+                          aHolders.end(),
+                          [](const auto& aOne, const auto& aOther) {
+                            return aOne.mUtilisation < aOther.mUtilisation;
+                          })
+    ->mHolder;
 }
 
 void Answer(State& aState,
@@ -144,15 +182,14 @@
     SendPeer{ peer->mAddress, message::Submit{ aNumber, true, std::move(job), 1, valid, holder } });
 }
 
-/// Forwards a call to the best holder. Without one the call waits up to kMaxHolderWait, after which
-/// it is refused.
+/// Forwards a call to a holder. Without one the call waits up to kMaxHolderWait, after which it is
+/// refused.
 void Offer(State& aState, CallNumber aNumber, const Now& aNow, Actions& aActions)
 {
   auto& call = aState.mCalls.at(aNumber);
-  call.mHolder.reset();
+  call.mHolder = ChooseHolder(FindHolders(aState, call, aNow), aState.mRandom);
   call.mSentAgain = false;
-  if (const auto best = FindLeastLoadedHolder(aState, call, aNow)) {
-    call.mHolder = best->first;
+  if (call.mHolder) {
     const bool isSelf = *call.mHolder == aState.mOptions.mIncarnation;
     if (!isSelf) {
       auto* peer = FindPeer(aState, *call.mHolder);
@@ -338,8 +375,10 @@
     if (aAnswer->mState == JobState::Failed && aAnswer->mVerdict == Verdict::NotRun &&
         code == ErrorCode::DeadlineUnreachable) {
       call.mRefusedBy.push_back(aHolder);
-      const auto best = FindLeastLoadedHolder(aState, call, aNow);
-      if (best && best->second <= 1) { // Another holder has free capacity for it.
+      const auto holders = FindHolders(aState, call, aNow);
+      if (std::any_of(holders.begin(), holders.end(), [](const auto& aOption) {
+            return aOption.mUtilisation <= 1;
+          })) { // Another holder has free capacity for it.
         OfferAfterRefusal(aState, aNumber, std::move(*aAnswer->mError), aNow, aActions);
         return;
       }
--- a/src/libentry/entry_test.cpp
+++ b/src/libentry/entry_test.cpp
@@ -657,9 +657,10 @@
 
 /// Guards against jobs that are lost or delayed in a fleet where most entries are no candidates.
 /// Pattern: 4 data centres of 12 entries, callers at all of them, half of the capacity in use.
-bool LargeFleetServes()
+bool LargeFleetServes(std::uint64_t aSeed)
 {
   WorldOptions options;
+  options.mSeed = aSeed;
   options.mDataCentres = 4;
   options.mNodesEach = 12;
   options.mLargeNodesEach = 1;
@@ -1064,7 +1065,7 @@
 int main(int aCount, char** aArguments)
 {
   if (aCount > 1 && std::string_view(aArguments[1]) == "load") {
-    return LargeFleetServes() ? 0 : 1;
+    return LargeFleetServes(aCount > 2 ? std::stoull(aArguments[2]) : 1) ? 0 : 1;
   }
   if (aCount > 1) {
     return RandomFaults(std::stoull(aArguments[1])) ? 0 : 1;
