Forget confirmed stops when an upstream restarts

A stop that the former process had confirmed ended an unanswered run after a restart, although the present process knows no stop and would execute a late copy of the start. The present process is now told to stop the run first. StopOfAFormerProcessProvesNothing failed before and passes now.

--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -645,6 +645,8 @@
       session->mAcknowledgedEnd = 0;
       for (auto& [run, own] : session->mRuns) {
         own.mProcessEnded = true;
+        own.mStopSentAt.reset(); // The present process knows no stop.
+        own.mStopConfirmed = false;
       }
       // Orders with a lease end on the former clock have given its runs the longest lease.
       session->mLeaseEndMs = session->mRuns.empty()
--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -270,6 +270,27 @@
          ok;
 }
 
+/// Guards against a run that ends on a stop that the upstream's former process confirmed: a late
+/// copy of its start may still be executed by the present one.
+bool StopOfAFormerProcessProvesNothing()
+{
+  auto fixture = MakeFixture();
+  const auto run = StartTwice(fixture);
+  AnswerStart(fixture, run, OrderStatus::Unknown);
+  AnswerStart(fixture, run, OrderStatus::Unknown);
+  Stop(fixture.mState, kUpstream, run.mTask, fixture.mNow, fixture.mActions);
+  Handle(fixture.mState,
+         StopAnswered{ kUpstream, SessionOf(fixture), run, OrderStatus::Done, fixture.mNow.mTime },
+         fixture.mNow,
+         fixture.mActions);
+  Pass(fixture, milliseconds(1));
+  fixture.mClockMs = 100;
+  fixture.mBornMs = 8;
+  AnswerPoll(fixture);
+  return Expect(All<Ended>(fixture).empty() && All<SendStop>(fixture).size() == 1,
+                "the present process is told to stop the run before it counts as ended");
+}
+
 /// Guards against an order that is executed after its run has lapsed and its task has started
 /// elsewhere: every order that is sent once the upstream is silent has a higher token.
 bool OrdersBeforeALapseAreFenced()
@@ -305,6 +326,7 @@
   ok = LeaseIsNotRenewedWhileAStopIsUnconfirmed() && ok;
   ok = ClockOfAFormerProcessIsIgnored() && ok;
   ok = RunOfAFormerProcessMayHaveRun() && ok;
+  ok = StopOfAFormerProcessProvesNothing() && ok;
   ok = OrdersBeforeALapseAreFenced() && ok;
   ok = LeaseOfARestartedUpstreamLasts() && ok;
   std::cout << (ok ? "passed" : "failed") << "\n";
