--- a/src/include/pollenwall/entry.h
+++ b/src/include/pollenwall/entry.h
@@ -25,7 +25,7 @@
 /// data centre and with the candidates of the others. Any other entry exchanges presences with the
 /// candidates of its data centre and with one holder in each other data centre, so the number of
 /// its neighbours does not grow with the number of entries. The entry that a caller is connected to
-/// is the job's *owner*: it forwards the job to the holder with the lowest utilisation, with a
+/// is the job's *owner*: it forwards the job to a holder with free capacity, with a
 /// preference for its own data centre, keeps the caller's connection open and sends the answer. A
 /// holder that no longer receives messages from an owner stops that owner's jobs. An owner that no
 /// longer receives messages from a holder submits the job to another holder once the leases of the
