Stop a run again after its upstream has restarted

The commit before it forgot when a stop was sent, so a run that the present process had started from a late copy was listed but not stopped again; only its lease ended it. The stop is now sent again at once. StopOfAFormerProcessProvesNothing with a listed run failed before and passes now.

--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -197,6 +197,7 @@
 
   void operator()(holding::SendPoll& aAction)
   {
+    // A hold takes a higher token when its upstream falls silent.
     mState.mHighestToken = std::max(mState.mHighestToken, aAction.mToken);
     if (auto to = DestinationOf(mState, aAction.mUpstream)) {
       mActions.emplace_back(PollUpstream{ std::move(*to), std::move(aAction) });
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -645,8 +645,10 @@
       session->mAcknowledgedEnd = 0;
       for (auto& [run, own] : session->mRuns) {
         own.mProcessEnded = true;
-        own.mStopSentAt.reset(); // The present process knows no stop.
-        own.mStopConfirmed = false;
+        own.mStopConfirmed = false; // The present process knows no stop.
+        if (own.mStopSentAt) {
+          SendOwnStop(aEvent.mUpstream, *session, run, own, aNow, aActions);
+        }
       }
       // Orders with a lease end on the former clock have given its runs the longest lease.
       session->mLeaseEndMs = session->mRuns.empty()
--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -270,9 +270,9 @@
          ok;
 }
 
-/// Guards against a run that ends on a stop that the upstream's former process confirmed: a late
-/// copy of its start may still be executed by the present one.
-bool StopOfAFormerProcessProvesNothing()
+/// Guards against a run that ends, or goes on, because of a stop that the upstream's former process
+/// confirmed: a late copy of its start may still be executed, or has been, by the present one.
+bool StopOfAFormerProcessProvesNothing(bool aListed)
 {
   auto fixture = MakeFixture();
   const auto run = StartTwice(fixture);
@@ -286,7 +286,7 @@
   Pass(fixture, milliseconds(1));
   fixture.mClockMs = 100;
   fixture.mBornMs = 8;
-  AnswerPoll(fixture);
+  AnswerPoll(fixture, aListed ? std::vector<ListedRun>{ { run, 0.1 } } : std::vector<ListedRun>{});
   return Expect(All<Ended>(fixture).empty() && All<SendStop>(fixture).size() == 1,
                 "the present process is told to stop the run before it counts as ended");
 }
@@ -326,7 +326,8 @@
   ok = LeaseIsNotRenewedWhileAStopIsUnconfirmed() && ok;
   ok = ClockOfAFormerProcessIsIgnored() && ok;
   ok = RunOfAFormerProcessMayHaveRun() && ok;
-  ok = StopOfAFormerProcessProvesNothing() && ok;
+  ok = StopOfAFormerProcessProvesNothing(false) && ok;
+  ok = StopOfAFormerProcessProvesNothing(true) && ok;
   ok = OrdersBeforeALapseAreFenced() && ok;
   ok = LeaseOfARestartedUpstreamLasts() && ok;
   std::cout << (ok ? "passed" : "failed") << "\n";
