--- a/src/libentry/two_runs_test.cpp
+++ b/src/libentry/two_runs_test.cpp
@@ -73,9 +73,9 @@
   return best;
 }
 
-/// Guards against an entry that was frozen and then claims what others have taken over, before it
-/// has heard them: the upstreams change hands twice, and the runs there are lost. Pattern: the
-/// holder of a data centre freezes for 1.5 s under load.
+/// Guards against an entry that was frozen and then claims the upstreams of live entries before it
+/// has heard these again, so that their runs are lost. Pattern: one of two holders of a data centre
+/// freezes for 1.5 s under load.
 bool ResumedEntryTakesNothingFromLiveHolders()
 {
   WorldOptions options;
