--- a/src/libentry/two_runs_test.cpp
+++ b/src/libentry/two_runs_test.cpp
@@ -173,6 +173,43 @@
   return NoViolations(w) && AllAnswered(w);
 }
 
+/// Guards against a run that outlives the entry to which its caller was connected by more than the
+/// time after which the caller comes back, so that its job runs twice at once: its holder renews
+/// the lease although the owner is silent, or for too long, and the stop is lost. Pattern: an entry
+/// dies under a long task, the holder does not run for 0.28 s, and most orders are late.
+bool RunEndsBeforeItsCallerComesBack(std::uint64_t aSeed)
+{
+  WorldOptions options;
+  options.mSeed = aSeed;
+  options.mDataCentres = 2;
+  options.mLargeNodesEach = 1; // Nodes 0 and 2 hold the upstreams of their data centres.
+  options.mRetryDelay = milliseconds(1300);
+  options.mClockDrift = 0.02;
+  auto world = MakeWorld(options);
+  auto& w = *world;
+  RunFor(w, seconds(2));
+  const std::size_t owner = 1;
+  const auto job = SubmitJob(w, owner, 1, milliseconds(2500), seconds(4));
+  RunFor(w, milliseconds(100 + w.mRandom() % 120));
+  if (!Expect(w.mStarts == 1, "the task runs")) {
+    return false;
+  }
+  const auto& worker = *w.mRunningAt.at({ JobName(job), 0 }).begin();
+  const std::size_t holder = worker.starts_with("dc0") ? 0 : 2;
+  w.mOptions.mLateOrders = 0.7;
+  Kill(w, owner);
+  const auto killed = w.mNow.mTime;
+  RunFor(w, milliseconds(100 + w.mRandom() % 300));
+  Pause(w, holder);
+  RunFor(w, milliseconds(280));
+  Resume(w, holder);
+  RunFor(w, killed + Duration(options.mRetryDelay) - w.mNow.mTime);
+  const bool over = w.mRunningAt.at({ JobName(job), 0 }).empty();
+  w.mOptions.mLateOrders = 0;
+  RunFor(w, seconds(6));
+  return NoViolations(w) && Expect(over, "the run is over when the caller comes back");
+}
+
 } // namespace
 
 int main()
@@ -192,6 +229,11 @@
                 "the caller of a paused entry leaves, seed " + std::to_string(seed)) &&
          ok;
   }
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    ok = Expect(RunEndsBeforeItsCallerComesBack(seed),
+                "the caller of a killed entry comes back, seed " + std::to_string(seed)) &&
+         ok;
+  }
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
 }
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -42,7 +42,8 @@
 
 std::int64_t ClockOf(const World& aWorld, const Worker& aWorker)
 {
-  return aWorld.mNow.mUnixMs - aWorker.mBornMs;
+  const auto age = static_cast<double>(aWorld.mNow.mUnixMs - aWorker.mBornMs);
+  return static_cast<std::int64_t>(age * (1 - aWorld.mOptions.mClockDrift));
 }
 
 Duration Delay(World& aWorld)
@@ -143,6 +144,7 @@
     AddViolation(aWorld, "two runs of " + ToString(aOrder.mRun.mTask) + " at one time");
   }
   runningAt.insert(aWorker.mRecord.mId);
+  aWorld.mLastStart[aOrder.mRun.mTask] = aWorld.mNow.mTime;
   ++aWorld.mStarts;
   if (aWorld.mDeadlyTasks.contains(aOrder.mRun.mTask)) {
     if (++aWorld.mCrashes[aOrder.mRun.mTask] > kMaxCrashes) {
@@ -304,6 +306,25 @@
   Reply(aWorld, aNode, aGeneration, Delay(aWorld), answer);
 }
 
+/// Lets a caller without an answer submit its job again to a random entry that runs.
+void RetryLater(World& aWorld, RequestId aRequest)
+{
+  if (aWorld.mOptions.mRetryDelay.count() == 0) {
+    return;
+  }
+  After(aWorld, aWorld.mOptions.mRetryDelay, [&aWorld, aRequest] {
+    std::vector<std::size_t> running;
+    for (std::size_t n = 0; n < aWorld.mNodes.size(); ++n) {
+      if (aWorld.mNodes[n].mAlive && !aWorld.mNodes[n].mPaused) {
+        running.push_back(n);
+      }
+    }
+    if (!running.empty()) {
+      ResubmitJob(aWorld, running[aWorld.mRandom() % running.size()], aRequest);
+    }
+  });
+}
+
 // Actions of entries.
 
 struct ActionHandler
@@ -329,9 +350,14 @@
         }
       }
     }
+    if (aAction.mError && aAction.mError->mVerdict == Verdict::MayHaveRun) {
+      RetryLater(mWorld, aAction.mRequest);
+    }
     const auto verdict = aAction.mError ? aAction.mError->mVerdict : Verdict::MayHaveRun;
     for (std::uint32_t n = 0; verdict == Verdict::NotRun && n < call.mJob.mTasks.size(); ++n) {
-      if (mWorld.mRunningAt.contains({ call.mJob.mId, n })) {
+      // An earlier submission of the job may have run before this one.
+      const auto start = mWorld.mLastStart.find({ call.mJob.mId, n });
+      if (start != mWorld.mLastStart.end() && start->second >= call.mSubmitted) {
         AddViolation(mWorld, "job " + call.mJob.mId + " is reported as not run, though it has run");
         return;
       }
@@ -685,7 +711,10 @@
   ++node.mGeneration;
   node.mState.reset();
   for (auto& [request, call] : aWorld.mCalls) {
-    call.mGone = call.mGone || (call.mNode == aNode && !call.mAnswered);
+    if (call.mNode == aNode && !call.mAnswered && !call.mGone) {
+      call.mGone = true;
+      RetryLater(aWorld, request);
+    }
   }
 }
 
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -86,7 +86,11 @@
   std::size_t mLargeNodesEach = 0;
   std::size_t mUpstreamsPerHolder = 64;
   std::chrono::milliseconds mListDelay{ 50 }; ///< Time to read the list of workers.
-  double mLinkMbps = 0;                       ///< See entry::Options.
+  /// After this, callers whose entry died or who were answered that their job may have run submit
+  /// it again to another entry, as the platform's callers do. 0: they don't.
+  std::chrono::milliseconds mRetryDelay{ 0 };
+  double mClockDrift = 0; ///< Fraction by which the workers' clocks run slow.
+  double mLinkMbps = 0;   ///< See entry::Options.
   std::uint64_t mSeed = 1;
 };
 
@@ -101,6 +105,7 @@
   std::map<RequestId, CallRecord> mCalls;
   RequestId mLastRequestId = 0;
   std::map<TaskId, std::set<std::string>> mRunningAt; ///< Workers that run a task.
+  std::map<TaskId, Time> mLastStart;
   std::map<TaskId, std::uint32_t> mDone;
   /// Tasks that crash each worker that starts them.
   std::set<TaskId> mDeadlyTasks;
