Count a lease from the arrival of the clock's reading

Callers saw two runs of one task at one time (TWICE). A job whose entry or holder is dead or silent is submitted elsewhere after 1.3 s, which relies on 0.5 s of silence and a lease of 0.7 s. The lease end was computed as if the upstream had read its clock when the poll was sent, but it reads it when it answers: 120 ms later when the poll waits, and later by each delay of the network and of a slow process. So a lease lasted up to the platform's 1 s. With a stop that is lost or late, the run was still alive when the job ran elsewhere.

A lease end now counts from the arrival of the reading, so no lease is longer than mLease on the upstream's clock, whatever the delays.

LeaseDoesNotCountTheWaitOfAPoll failed before.

--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -110,16 +110,19 @@
   });
 }
 
-/// The lease end for an order that is sent now. The upstream's clock may run slow but not fast, so
-/// this is at least mLease after its present reading. The lease covers all runs of the upstream, so
-/// it is not renewed while one of them should have ended: its job may soon be submitted elsewhere.
+/// The lease end for an order that is sent now: at most mLease after the present reading of the
+/// upstream's clock, which runs slow but not fast. Others rely on the runs of a dead or silent
+/// entry being over in time, so the clock counts from the arrival of its reading; from the sending
+/// of the poll, its wait at the upstream would lengthen the lease. The lease covers all runs of the
+/// upstream, so it is not renewed while one of them should have ended: its job may soon be
+/// submitted elsewhere.
 std::int64_t NextLeaseEnd(const State& aState, Session& aSession, const Now& aNow)
 {
   if (HasUnconfirmedStop(aSession)) {
     return aSession.mLeaseEndMs;
   }
   const auto end = aSession.mClockMs.value_or(0) +
-                   Milliseconds(aNow.mTime - aSession.mClockReadAfter) +
+                   Milliseconds(aNow.mTime - aSession.mClockReadBefore) +
                    aState.mOptions.mLease.count();
   aSession.mLeaseEndMs = std::max(aSession.mLeaseEndMs, end);
   return aSession.mLeaseEndMs;
--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -317,6 +317,32 @@
          Expect(order && token > order->mToken, "polls after the lapse fence the order");
 }
 
+/// Guards against runs that outlive a dead entry for longer than the lease, so that their job runs
+/// elsewhere beside them. Pattern: the upstream reads its clock as it answers a poll, long after
+/// the poll was sent.
+bool LeaseDoesNotCountTheWaitOfAPoll()
+{
+  auto fixture = MakeFixture();
+  AdvanceBy(fixture, seconds(1));
+  const auto sentAt = fixture.mNow.mTime;
+  Pass(fixture, milliseconds(120));
+  Handle(fixture.mState,
+         PollAnswered{ kUpstream,
+                       SessionOf(fixture),
+                       OrderStatus::Done,
+                       fixture.mClockMs,
+                       fixture.mBornMs,
+                       sentAt,
+                       {},
+                       {} },
+         fixture.mNow,
+         fixture.mActions);
+  const Run run{ { "j", 0 }, 1 };
+  const auto order = Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  const auto longest = fixture.mClockMs + fixture.mState.mOptions.mLease.count();
+  return Expect(order && order->mLeaseEndMs <= longest, "the lease is no longer than mLease");
+}
+
 } // namespace
 
 int main()
@@ -330,6 +356,7 @@
   ok = StopOfAFormerProcessProvesNothing(true) && ok;
   ok = OrdersBeforeALapseAreFenced() && ok;
   ok = LeaseOfARestartedUpstreamLasts() && ok;
+  ok = LeaseDoesNotCountTheWaitOfAPoll() && ok;
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
 }
