Refuse settings under which runs outlive the time of resubmission

runs_over_after_ms relies on silent_after_ms, on the interval at which silent owners are looked for and on lease_ms.

Three cases of PlatformSettings in settings_test cover it.

--- a/src/include/pollenwall/entry.h
+++ b/src/include/pollenwall/entry.h
@@ -97,6 +97,22 @@
   std::chrono::milliseconds mDrainLimit{ 5000 };
 };
 
+/// The jobs of silent owners are stopped before an event is handled if this time has passed since
+/// they were last looked for, so that no lease is renewed for them much later than mSilentAfter.
+inline constexpr std::chrono::milliseconds kOwnerCheckInterval{ 50 };
+
+/// Longest time from the loss of an entry until all runs of its jobs are over, also if their stops
+/// are lost: its holders detect the silence, and the last lease ends on a clock that runs slow.
+/// Options::mRunsOverAfter must be at least this.
+inline std::chrono::milliseconds LongestRunOverTime(const Options& aOptions)
+{
+  using Milliseconds = std::chrono::duration<double, std::milli>;
+  const auto lease =
+    Milliseconds(aOptions.mHolding.mLease) / (1 - aOptions.mHolding.mMaxClockDrift);
+  return aOptions.mSilentAfter + kOwnerCheckInterval +
+         std::chrono::ceil<std::chrono::milliseconds>(lease);
+}
+
 using message::EntryRecord;
 
 /// An upstream in the platform's list.
--- a/src/libentry/entry.cpp
+++ b/src/libentry/entry.cpp
@@ -20,10 +20,6 @@
 /// that this entry is not ready and sends new calls elsewhere.
 constexpr milliseconds kMinDrainTime{ 2200 };
 
-/// The jobs of silent owners are stopped before an event is handled if this time has passed since
-/// they were last looked for, so that no lease is renewed for them much later than mSilentAfter.
-constexpr milliseconds kOwnerCheckInterval{ 50 };
-
 constexpr double kMilliCoresPerCore = 1000;
 
 /// Appends the counters of one kind of order by outcome. Outcomes that never occurred are left out.
--- a/src/libsettings/settings.cpp
+++ b/src/libsettings/settings.cpp
@@ -187,6 +187,15 @@
                      std::to_string(entry.mSilentAfter.count()),
                      "at least twice presence_ms");
   }
+  const auto longest = entry::LongestRunOverTime(entry);
+  if (entry.mRunsOverAfter < longest) {
+    yaml::AddProblem(section,
+                     "runs_over_after_ms",
+                     std::to_string(entry.mRunsOverAfter.count()),
+                     "at least the time in which runs end after the loss of an entry, from "
+                     "silent_after_ms and lease_ms: " +
+                       std::to_string(longest.count()));
+  }
   yaml::CheckKeys(section);
   entry.mName = aSettings.mNode.mName;
   entry.mDataCentre = aSettings.mNode.mDataCentre;
--- a/src/libsettings/settings_test.cpp
+++ b/src/libsettings/settings_test.cpp
@@ -67,6 +67,13 @@
                    "a lease shorter than one poll of an upstream");
   passed &= Expect(refused("silent_after_ms: 500", "silent_after_ms: 150"),
                    "silent_after_ms below twice presence_ms");
+  for (const auto* timing : { "silent_after_ms: 600", "runs_over_after_ms: 1200" }) {
+    const std::string key(timing, std::string_view(timing).find(':'));
+    const auto old = key == "silent_after_ms" ? key + ": 500" : key + ": 1300";
+    passed &= Expect(refused(old, timing), "runs outlive runs_over_after_ms: " + key);
+  }
+  passed &=
+    Expect(refused("lease_ms: 700", "lease_ms: 800"), "a lease outlives runs_over_after_ms");
   passed &= Expect(refused("peers: 127.0.0.1:8082", "peers: 10.0.0.1:8082"),
                    "TLS off on an address that is not loopback");
   passed &= Expect(refused("  store: 127.0.0.1:7001\n", ""), "no store");
