Drop a request whose caller has left before it was read

A request waits in the socket of an entry that is slow or overloaded, its caller gives up and comes back 1.3 s later at another entry. Both submissions ran.

The HTTP server now looks for the end of the connection after it has read a request, and does not pass on a request whose caller has left (http_requests_abandoned_total).

AbandonedRequestsAreNotHandled failed before in three of its four cases.

--- a/src/include/pollenwall/net/http_server.h
+++ b/src/include/pollenwall/net/http_server.h
@@ -20,6 +20,13 @@
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
+/// The condition under which a caller counts as disconnected.
+enum class DisconnectCondition
+{
+  Reset,  ///< The connection was reset. A caller that only half-closed it may still wait.
+  Closed, ///< The connection was closed, half-closed or reset: for callers that never half-close.
+};
+
 struct HttpServerOptions
 {
   std::string mName; ///< Label of the server's metrics, for example "callers".
@@ -35,18 +42,13 @@
   /// balancers have noticed that the process is not ready.
   std::chrono::milliseconds mStopQuietPeriod{ 0 };
   std::shared_ptr<TlsKeys> mTls; ///< Null: no TLS.
+  /// A request whose caller has disconnected before it is read is not passed to the handler.
+  DisconnectCondition mDisconnect = DisconnectCondition::Reset;
 };
 
 /// An accepted connection, opaque to request handlers.
 struct HttpConnection;
 
-/// The condition under which a caller counts as disconnected.
-enum class DisconnectCondition
-{
-  Reset,  ///< The connection was reset. A caller that only half-closed it may still wait.
-  Closed, ///< The connection was closed, half-closed or reset: for callers that never half-close.
-};
-
 /// Calls the function once if the caller disconnects during the lifetime of this object.
 struct DisconnectWatch
 {
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -10,6 +10,7 @@
 #include <boost/leaf/error.hpp>
 
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 
 #include <pollenwall/log.h>
 #include <pollenwall/net/fiber.h>
@@ -204,6 +205,16 @@
   return false;
 }
 
+/// Whether the caller of a request that has been read has disconnected meanwhile. A close behind
+/// further input is not detected.
+bool HasDisconnected(Socket& aSocket, DisconnectCondition aCondition)
+{
+  char byte = 0;
+  const auto n = ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 ? aCondition == DisconnectCondition::Closed
+                : n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+}
+
 void Serve(HttpServer& aServer, HttpConnection& aConnection)
 {
   if (aServer.mOptions.mTls) {
@@ -221,6 +232,12 @@
       return;
     }
     metrics::Add(aServer.mMetrics, "http_requests_total" + aServer.mLabel);
+    // A request may have waited in the socket while the process was slow or paused. Its caller may
+    // have left long ago and sent it elsewhere.
+    if (HasDisconnected(aConnection.mStream.mSocket, aServer.mOptions.mDisconnect)) {
+      metrics::Add(aServer.mMetrics, "http_requests_abandoned_total" + aServer.mLabel);
+      return;
+    }
     const bool keep = parser.keep_alive();
     HttpResponse response;
     try {
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -1,6 +1,8 @@
 #include "net_test.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 
@@ -262,6 +264,33 @@
   return passed;
 }
 
+/// Guards against a request that is handled although its caller has left, and may have sent it
+/// elsewhere since. Pattern: the process does not run while the caller connects, sends the request
+/// and closes the connection.
+bool AbandonedRequestsAreNotHandled(boost::asio::io_context& aContext,
+                                    net::DisconnectCondition aCondition,
+                                    bool aReset)
+{
+  Fixture fixture(aContext);
+  fixture.mOptions.mDisconnect = aCondition;
+  if (!Expect(fixture.Start(), "the server starts")) {
+    return false;
+  }
+  // Blocking calls: the server's fibers don't run in between.
+  boost::asio::ip::tcp::socket caller(aContext);
+  caller.connect(net::LocalEndpoint(*fixture.mServer));
+  boost::asio::write(
+    caller, boost::asio::buffer(std::string("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nok")));
+  caller.set_option(boost::asio::socket_base::linger(aReset, 0));
+  caller.close();
+  net::SleepFor(aContext, std::chrono::milliseconds(20));
+  const bool isHalfClose = aCondition == net::DisconnectCondition::Reset && !aReset;
+  return Expect(fixture.mRequests == (isHalfClose ? 1 : 0),
+                "only a request whose caller may still wait is handled") &&
+         Expect(fixture.ServesRequests() == (aCondition == net::DisconnectCondition::Reset),
+                "callers that half-close are served");
+}
+
 /// Guards against a flood of connections that exhausts the file descriptors and stops the service
 /// for existing connections.
 bool ConnectionsAreLimited(boost::asio::io_context& aContext)
@@ -366,6 +395,11 @@
   passed &= SeveralRequestsOnOneConnection(aContext);
   passed &= ConnectionsThatFailAreRemoved(aContext);
   passed &= HalfClosedAndDisconnectedCallers(aContext);
+  for (const auto condition :
+       { net::DisconnectCondition::Reset, net::DisconnectCondition::Closed }) {
+    passed &= AbandonedRequestsAreNotHandled(aContext, condition, false);
+    passed &= AbandonedRequestsAreNotHandled(aContext, condition, true);
+  }
   passed &= ConnectionsAreLimited(aContext);
   passed &= StopCompletesRequestsInProgress(aContext);
   passed &= StopWaitsForQuietPeriod(aContext);
