End calls that have expired before they are sent

Callers would see a task that is started long after its start was decided, in the worst case by a worker that has restarted under the same id and whose clock no longer makes the order late, beside another run of the task.

The steady clock also left out the time for which the machine was suspended, although leases expire meanwhile. Class of fault: a permission that has run out is acted on.

Evidence: ExpiredCallIsNotSentOverANewConnection and WaitingCallExpires fail before this change. That an order was sent after its run had been reported as not sent is refuted by reading: a call that has ended has closed its connection, which then sends nothing.

Calls now have a deadline on the clock of the core while they wait and while their connection is opened, checked before the first byte is written. They end as not sent.

--- a/src/include/pollenwall/net/http_pool.h
+++ b/src/include/pollenwall/net/http_pool.h
@@ -15,6 +15,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <pollenwall/net/stream.h>
+#include <pollenwall/time.h>
 
 /// A pool of persistent HTTP/1.1 connections to one server, for calls at a high rate. Uses plain
 /// Asio callbacks: a fiber per connection would cost two context switches per call.
@@ -40,10 +41,19 @@
 struct HttpCall
 {
   std::string mRequest; ///< Header and body as sent on the wire.
+  /// Longest wait for a connection of the pool, and then longest time to connect if necessary and
+  /// to receive the response. Nothing is sent later than that.
   std::chrono::milliseconds mTimeout{ 1000 };
   std::function<void(HttpCallResult)> mDone;
 };
 
+/// A call for which no connection is available yet.
+struct WaitingCall
+{
+  HttpCall mCall;
+  Time mDeadline{};
+};
+
 struct HttpPoolLimits
 {
   std::size_t mMaxConnections = 8; ///< Further calls wait for a connection.
@@ -66,7 +76,7 @@
   HttpPoolLimits mLimits;
   std::list<std::shared_ptr<HttpPoolConnection>> mConnections;
   std::vector<HttpPoolConnection*> mIdle; ///< The most recently used is at the back.
-  std::deque<HttpCall> mWaiting;
+  std::deque<WaitingCall> mWaiting;
   std::uint64_t mOpenedConnections = 0;
   /// The server has closed a connection since the last answer or timeout of a call.
   bool mClosedByServer = false;
@@ -75,8 +85,9 @@
 /// Makes a call over an idle connection, a new one, or the first one that becomes idle.
 void Call(const std::shared_ptr<HttpPool>& aPool, HttpCall aCall);
 
-/// Ends calls that have exceeded their timeout and closes their connections, on which a late
-/// response would be taken for that of the next call. To be called several times per timeout.
+/// Ends calls that have exceeded their timeout, without sending those that wait for a connection,
+/// and closes their connections, on which a late response would be taken for that of the next call.
+/// To be called several times per timeout.
 void Sweep(HttpPool& aPool);
 
 /// Closes all connections; calls in progress end without a response.
--- a/src/libnet/http_pool.cpp
+++ b/src/libnet/http_pool.cpp
@@ -5,13 +5,13 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include <pollenwall/net/boot_clock.h>
 #include <pollenwall/net/http_client.h>
 
 namespace pollenwall::net {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
-using Clock = std::chrono::steady_clock;
 
 struct HttpPoolConnection : std::enable_shared_from_this<HttpPoolConnection>
 {
@@ -28,7 +28,7 @@
   bool mServerGone = false;
   std::optional<HttpCall> mCall;
   std::string mWriteBuffer; ///< Kept when an early response ends the call before all is written.
-  Clock::time_point mCallDeadline = Clock::time_point::max();
+  Time mCallDeadline = Time::max();
   boost::beast::flat_buffer mBuffer;
   std::optional<ResponseParser> mParser;
 };
@@ -41,6 +41,11 @@
 
 void SendWaitingCalls(const std::shared_ptr<HttpPool>& aPool);
 
+Time DeadlineOf(const HttpCall& aCall)
+{
+  return ReadBootClock() + Duration(aCall.mTimeout);
+}
+
 void FinishLater(HttpPool& aPool, HttpCall aCall, HttpCallResult aResult)
 {
   asio::post(aPool.mContext, [call = std::move(aCall), result = std::move(aResult)]() mutable {
@@ -92,7 +97,7 @@
   aConnection->mParser.reset();
   auto call = std::move(*aConnection->mCall);
   aConnection->mCall.reset();
-  aConnection->mCallDeadline = Clock::time_point::max();
+  aConnection->mCallDeadline = Time::max();
   if (keep && pool) {
     pool->mIdle.push_back(aConnection.get());
   } else {
@@ -157,7 +162,7 @@
 
 void StartCall(const ConnectionPtr& aConnection, HttpCall aCall, const HttpPoolLimits& aLimits)
 {
-  aConnection->mCallDeadline = Clock::now() + aCall.mTimeout;
+  aConnection->mCallDeadline = DeadlineOf(aCall);
   aConnection->mCall = std::move(aCall);
   Write(aConnection, aLimits);
 }
@@ -165,7 +170,7 @@
 void OpenConnection(const std::shared_ptr<HttpPool>& aPool, HttpCall aCall)
 {
   auto connection = std::make_shared<HttpPoolConnection>(aPool);
-  connection->mCallDeadline = Clock::now() + aCall.mTimeout;
+  connection->mCallDeadline = DeadlineOf(aCall);
   connection->mCall = std::move(aCall);
   aPool->mConnections.push_back(connection);
   ++aPool->mOpenedConnections;
@@ -178,6 +183,11 @@
         Close(connection);
         return;
       }
+      // The process may not have run for a while: the caller may have given up the request.
+      if (ReadBootClock() >= connection->mCallDeadline) {
+        Close(connection);
+        return;
+      }
       ConfigureSocket(connection->mSocket);
       Write(connection, pool->mLimits);
       Read(connection);
@@ -203,9 +213,13 @@
 {
   while (!aPool->mWaiting.empty() &&
          (!aPool->mIdle.empty() || aPool->mConnections.size() < aPool->mLimits.mMaxConnections)) {
-    auto call = std::move(aPool->mWaiting.front());
+    auto waiting = std::move(aPool->mWaiting.front());
     aPool->mWaiting.pop_front();
-    Call(aPool, std::move(call));
+    if (ReadBootClock() < waiting.mDeadline) {
+      Call(aPool, std::move(waiting.mCall));
+    } else {
+      FinishLater(*aPool, std::move(waiting.mCall), {});
+    }
   }
 }
 
@@ -233,13 +247,20 @@
   } else if (aPool->mConnections.size() < aPool->mLimits.mMaxConnections) {
     OpenConnection(aPool, std::move(aCall));
   } else {
-    aPool->mWaiting.push_back(std::move(aCall));
+    const auto deadline = DeadlineOf(aCall);
+    aPool->mWaiting.push_back({ std::move(aCall), deadline });
   }
 }
 
 void Sweep(HttpPool& aPool)
 {
-  const auto now = Clock::now();
+  const auto now = ReadBootClock();
+  for (auto& waiting : aPool.mWaiting) {
+    if (waiting.mDeadline <= now) {
+      FinishLater(aPool, std::move(waiting.mCall), {});
+    }
+  }
+  std::erase_if(aPool.mWaiting, [now](const auto& aWaiting) { return aWaiting.mDeadline <= now; });
   std::vector<ConnectionPtr> due;
   for (const auto& connection : aPool.mConnections) {
     if (connection->mCallDeadline <= now) {
@@ -255,7 +276,7 @@
 void CloseAll(HttpPool& aPool)
 {
   while (!aPool.mWaiting.empty()) {
-    FinishLater(aPool, std::move(aPool.mWaiting.front()), {});
+    FinishLater(aPool, std::move(aPool.mWaiting.front().mCall), {});
     aPool.mWaiting.pop_front();
   }
   const auto connections = aPool.mConnections;
--- a/src/libnet/net_test.cpp
+++ b/src/libnet/net_test.cpp
@@ -1,6 +1,8 @@
 #include "net_test.h"
 
+#include <array>
 #include <cstdlib>
+#include <thread>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -169,6 +171,65 @@
                       "a server is gone if it has closed its connections and refuses new ones");
 }
 
+/// Guards against an order that is sent after its sender has given it up. The process does not run
+/// while the connection is being opened, and goes on after the call's timeout.
+bool ExpiredCallIsNotSentOverANewConnection(boost::asio::io_context& aContext)
+{
+  constexpr std::chrono::milliseconds kTimeout{ 50 };
+  net::Tcp::acceptor acceptor(aContext, { boost::asio::ip::address_v4::loopback(), 0 });
+  const auto pool =
+    std::make_shared<net::HttpPool>(aContext, acceptor.local_endpoint(), net::HttpPoolLimits{});
+  net::OneShot<net::HttpCallResult> answer;
+  net::Call(pool, { "GET / HTTP/1.1\r\n\r\n", kTimeout, [&answer](net::HttpCallResult aResult) {
+                     answer.Set(std::move(aResult));
+                   } });
+  std::this_thread::sleep_for(2 * kTimeout);
+  boost::system::error_code ec;
+  net::Socket accepted(aContext);
+  acceptor.async_accept(accepted, net::Await(ec));
+  std::string received(1, '\0');
+  const auto n = ec ? 1 : accepted.async_read_some(boost::asio::buffer(received), net::Await(ec));
+  net::CloseAll(*pool);
+  const auto result = answer.Wait();
+  return test::Expect(n == 0, "the server receives nothing") &&
+         test::Expect(result.mStatus == 0 && !result.mSent, "the call is reported as not sent");
+}
+
+/// Guards against orders that wait for a connection without a limit, so that they are sent, or
+/// reported to their sender, long after they were decided.
+bool WaitingCallExpires(boost::asio::io_context& aContext, bool aSwept)
+{
+  constexpr std::chrono::milliseconds kTimeout{ 50 };
+  net::Tcp::acceptor acceptor(aContext, { boost::asio::ip::address_v4::loopback(), 0 });
+  net::Tcp::socket accepted(aContext);
+  acceptor.async_accept(accepted, [](const boost::system::error_code&) {});
+  const auto pool = std::make_shared<net::HttpPool>(
+    aContext, acceptor.local_endpoint(), net::HttpPoolLimits{ .mMaxConnections = 1 });
+  std::array<net::OneShot<net::HttpCallResult>, 2> answers;
+  for (std::size_t n = 0; n < answers.size(); ++n) {
+    net::Call(
+      pool,
+      { "GET / HTTP/1.1\r\n\r\n",
+        n == 0 ? 20 * kTimeout : kTimeout,
+        [&answer = answers[n]](net::HttpCallResult aResult) { answer.Set(std::move(aResult)); } });
+  }
+  net::SleepFor(aContext, 2 * kTimeout);
+  if (aSwept) {
+    net::Sweep(*pool);
+    net::SleepFor(aContext, std::chrono::milliseconds(5));
+  }
+  const bool endedBySweep = answers[1].mValue.has_value();
+  accepted.close(); // The connection is free for the waiting call.
+  answers[0].Wait();
+  net::SleepFor(aContext, std::chrono::milliseconds(5));
+  net::CloseAll(*pool);
+  const auto& result = answers[1].Wait();
+  return test::Expect(endedBySweep == aSwept, "a sweep ends the waiting call") &&
+         test::Expect(result.mStatus == 0 && !result.mSent,
+                      "the waiting call is reported as not sent") &&
+         test::Expect(pool->mOpenedConnections == 1, "no connection is opened for it");
+}
+
 } // namespace
 
 int main()
@@ -185,6 +246,9 @@
   passed &= AnExceptionEndsOnlyItsHandler(context);
   passed &= EndedServersDifferFromCutOnes(context, true);
   passed &= EndedServersDifferFromCutOnes(context, false);
+  passed &= ExpiredCallIsNotSentOverANewConnection(context);
+  passed &= WaitingCallExpires(context, true);
+  passed &= WaitingCallExpires(context, false);
   passed &= test::HttpServerTests(context);
   passed &= test::TlsTests(context);
   std::fflush(nullptr);
--- a/src/pollenwalld/node_loop.cpp
+++ b/src/pollenwalld/node_loop.cpp
@@ -1,6 +1,6 @@
 #include "node_loop.h"
 
-#include <ctime>
+#include <pollenwall/net/boot_clock.h>
 
 #include "core_loop.h"
 
@@ -63,13 +63,8 @@
 Now ReadClocks()
 {
   using std::chrono::duration_cast;
-  // Unlike the steady clock, this clock includes time during which the machine is suspended, as the
-  // expiry of leases does.
-  timespec boot{};
-  (void)::clock_gettime(CLOCK_BOOTTIME, &boot);
-  const auto time = std::chrono::seconds(boot.tv_sec) + std::chrono::nanoseconds(boot.tv_nsec);
   const auto wall = std::chrono::system_clock::now().time_since_epoch();
-  return { Time(duration_cast<Duration>(time)),
+  return { net::ReadBootClock(),
            duration_cast<std::chrono::milliseconds>(wall + ClockOffset()).count() };
 }
 
