--- a/src/include/pollenwall/dispatch.h
+++ b/src/include/pollenwall/dispatch.h
@@ -37,7 +37,7 @@
     1000
   }; ///< Workers refuse start requests that arrive later than this.
   std::size_t mMaxQueuedTasks = 200000;
-  std::size_t mMaxTasksPerJob = 190;
+  std::size_t mMaxTasksPerJob = kMaxTasksPerJob;
   double mRetryRatio = 0.1; ///< Retries allowed per first start.
   double mRetryBurst = 50;
   std::chrono::milliseconds mSignExpiry{ 10000 }; ///< Lifetime of an unconfirmed sign of leaving.
--- a/src/include/pollenwall/job.h
+++ b/src/include/pollenwall/job.h
@@ -23,6 +23,9 @@
   friend bool operator==(const TaskSpec&, const TaskSpec&) = default;
 };
 
+/// Tasks per job that an entry accepts at most; dispatch::Options can set a lower limit.
+inline constexpr std::size_t kMaxTasksPerJob = 190;
+
 struct JobSpec
 {
   std::string mId; ///< Minted by an entry, or chosen by the caller; empty until minted.
--- a/src/libsettings/settings.cpp
+++ b/src/libsettings/settings.cpp
@@ -15,7 +15,6 @@
 constexpr std::int64_t kMebibyte = 1024 * kKibibyte;
 constexpr std::int64_t kHourMs = 3'600'000;
 constexpr std::size_t kMaxNameLength = 64;
-constexpr std::int64_t kMaxTasksPerJob = 190; ///< Limit of the caller API.
 
 constexpr std::string_view kEndpointAllowed =
   "IP:PORT with an IP number and a port from 1 to 65535";
@@ -316,7 +315,8 @@
   ReadMilliseconds(dispatch, "answer_retention_ms", 100, kHourMs, limits.mAnswerRetention);
   ReadMilliseconds(dispatch, "start_window_ms", 10, 60000, limits.mStartWindow);
   ReadSize(dispatch, "max_queued_tasks", 1, 100'000'000, limits.mMaxQueuedTasks);
-  ReadSize(dispatch, "max_tasks_per_job", 1, kMaxTasksPerJob, limits.mMaxTasksPerJob);
+  ReadSize(
+    dispatch, "max_tasks_per_job", 1, std::int64_t{ kMaxTasksPerJob }, limits.mMaxTasksPerJob);
   limits.mRetryRatio = yaml::GetNumber(dispatch, "retry_ratio", 0, 1, limits.mRetryRatio);
   limits.mRetryBurst = yaml::GetNumber(dispatch, "retry_burst", 0, 1e6, limits.mRetryBurst);
   ReadMilliseconds(dispatch, "sign_expiry_ms", 100, kHourMs, limits.mSignExpiry);
--- a/src/pollenwall-bench/node_policy.cpp
+++ b/src/pollenwall-bench/node_policy.cpp
@@ -19,7 +19,6 @@
 constexpr Micros kLogAppendLatency = 5 * kMillisecond;
 constexpr UnixMs kUnixStart = 1'800'000'000'000;
 constexpr std::string_view kService = "bench";
-constexpr double kMaxTasksPerJob = 190;
 
 struct LogReader
 {
@@ -142,7 +141,8 @@
     addedTeam.mName = "team" + std::to_string(team);
     addedTeam.mStartsPerSecond = aExperiment.mQuotaPerTeam;
     // Allows an idle team to submit two jobs of the maximum size at once.
-    addedTeam.mBurstStarts = std::max(aExperiment.mQuotaPerTeam, 2.0 * kMaxTasksPerJob);
+    addedTeam.mBurstStarts =
+      std::max(aExperiment.mQuotaPerTeam, 2.0 * static_cast<double>(kMaxTasksPerJob));
     result.mTeams[addedTeam.mName] = addedTeam;
   }
   return result;
--- a/src/pollenwalld/caller_json.h
+++ b/src/pollenwalld/caller_json.h
@@ -11,7 +11,7 @@
 
 struct CallerLimits
 {
-  std::size_t mMaxTasks = 190;
+  std::size_t mMaxTasks = kMaxTasksPerJob;
   std::size_t mMaxNesting = 8;
   std::size_t mMaxNameBytes = 128; ///< Of service, team, kind and each part of an id.
 };
