Bound the memory of repeated tasks in a message between entries

Cause: a task that repeats the one before it takes one byte in a message, and a list of up to 10000 of them was decoded, each with a copy of the payload.

Change: a job of a message has at most kMaxTasksPerJob tasks, and the payloads that a message repeats take at most 16 MiB together, the default limit of a frame.

--- a/src/libmessages/messages.cpp
+++ b/src/libmessages/messages.cpp
@@ -168,6 +168,7 @@
 {
   const char* mPosition;
   const char* mEnd;
+  std::size_t mRepeatedBytes = 0; ///< Payloads of repeated tasks that have been read so far.
 
   /// Returns MP_EXT, which no field has, at the end of the buffer.
   [[nodiscard]] mp_type PeekType() const
@@ -296,21 +297,27 @@
     }
     return true;
   }
-  /// Nil stands for a task equal to the one before it. A repeated task takes one byte, so the
-  /// number of tasks is limited to bound the memory that a short message can use.
+  /// Nil stands for a task equal to the one before it. A repeated task takes one byte, so the tasks
+  /// of a job and the payloads that a message repeats are limited: the memory that a message takes
+  /// would otherwise be its size times the number of repetitions. The limit of the payloads is the
+  /// default limit of a frame, which such a message would exceed with its tasks written out.
   bool Read(std::vector<TaskSpec>& aTasks)
   {
-    constexpr std::uint32_t kMaxTasks = 10000;
+    constexpr std::size_t kMaxRepeatedBytes = std::size_t{ 16 } << 20;
     if (PeekType() != MP_ARRAY) {
       return false;
     }
     const auto n = mp_decode_array(&mPosition);
-    if (n > kMaxTasks) {
+    if (n > kMaxTasksPerJob) {
       return false;
     }
     for (std::uint32_t i = 0; i < n; ++i) {
       if (i > 0 && PeekType() == MP_NIL) {
         mp_decode_nil(&mPosition);
+        mRepeatedBytes += aTasks.back().mPayload.size();
+        if (mRepeatedBytes > kMaxRepeatedBytes) {
+          return false;
+        }
         aTasks.push_back(aTasks.back());
       } else if (!Read(aTasks.emplace_back())) {
         return false;
