End the process when the core or an action's handler throws

Cause: an exception in an event's handling ended the fiber of the core's loop. The process went on without a core: ready, with callers that waited until their time was up. An exception in the tick's handler ended the ticks.

Change: the loop stops, the process closes its services and ends with exit code 1. It does not go on, since the core may have counted a start whose order was never sent, or the reverse, and a task could start twice; a process that ends keeps nothing, and its leases lapse. The actions of earlier events are carried out. The next tick is scheduled before the present one is handled. Exceptions are logged and counted in failures_total.

--- a/src/pollenwalld/core_loop.h
+++ b/src/pollenwalld/core_loop.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <exception>
 #include <functional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -31,6 +33,29 @@
   log::Write(aReport.mWarning ? log::Level::Warning : log::Level::Info, aReport.mEvent, fields);
 }
 
+/// Calls the function and returns true. If it throws, logs the exception, counts it as
+/// `failures_total{event="..."}` and returns false. aSubject says what the function was working on,
+/// for example a topic or an address; it is read after the function has ended.
+template<typename Function>
+bool RunLogged(DaemonContext& aDaemon,
+               std::string_view aEvent,
+               const std::string& aSubject,
+               const Function& aFunction)
+{
+  try {
+    aFunction();
+    return true;
+  } catch (const std::exception& error) {
+    // Nothing here may suspend the fiber: an exception that is being handled belongs to the thread.
+    try {
+      metrics::Add(aDaemon.mMetrics, "failures_total{event=\"" + std::string(aEvent) + "\"}");
+      log::LogError(aEvent, { { "subject", aSubject }, { "message", std::string(error.what()) } });
+    } catch (const std::exception&) { // NOLINT(bugprone-empty-catch): without memory for the line.
+    }
+    return false;
+  }
+}
+
 /// Queues an event, which is handled once the calling fiber has suspended.
 template<typename Loop, typename Event>
 void QueueEvent(Loop& aLoop, Event aEvent)
@@ -39,24 +64,42 @@
   aLoop.mWakeup.Set();
 }
 
-/// Passes events to the core one at a time and the resulting actions to the visitor. Never returns.
+/// Passes events to the core one at a time and the resulting actions to the visitor.
+///
+/// Returns when the core or a handler of an action has thrown; mStopped is then false, and the
+/// process has to end. The core may have counted a start whose order was never sent, or the
+/// reverse, and going on in that state could start a task twice. A process that ends keeps nothing:
+/// its leases lapse, its callers submit again, and it starts again empty. The actions of earlier
+/// events are carried out, those of the event that failed are not.
 template<typename Actions, typename ActionVisitor, typename Loop>
 void RunCore(Loop& aLoop)
 {
   decltype(aLoop.mEvents) events;
   Actions actions;
-  for (;;) {
+  while (!aLoop.mFailed) {
     aLoop.mWakeup.Wait();
     events.swap(aLoop.mEvents);
     for (const auto& event : events) {
-      Handle(*aLoop.mState, event, ReadClocks(), actions);
+      const auto decided = static_cast<std::ptrdiff_t>(actions.size());
+      const auto name = "event " + std::to_string(event.index());
+      if (!RunLogged(aLoop.mDaemon, "core_failed", name, [&] {
+            Handle(*aLoop.mState, event, ReadClocks(), actions);
+          })) {
+        aLoop.mFailed = true;
+        actions.erase(actions.begin() + decided, actions.end());
+        break;
+      }
     }
     events.clear();
     for (auto& action : actions) {
-      std::visit(ActionVisitor{ aLoop }, action);
+      const auto name = "action " + std::to_string(action.index());
+      aLoop.mFailed |= !RunLogged(
+        aLoop.mDaemon, "action_failed", name, [&] { std::visit(ActionVisitor{ aLoop }, action); });
     }
     actions.clear();
   }
+  aLoop.mStopping = true;
+  aLoop.mStopped.Set(false);
 }
 
 /// Passes an answer to the fiber that waits for it. Does nothing if the caller has disconnected.
--- a/src/pollenwalld/entry_loop.cpp
+++ b/src/pollenwalld/entry_loop.cpp
@@ -52,13 +52,14 @@
   aLoop.mTickTimer.async_wait([&aLoop](const boost::system::error_code& aEc) {
     if (!aEc) {
       const auto lag = std::chrono::steady_clock::now() - aLoop.mTickTimer.expiry();
+      // First, so that an exception below does not end the ticks, without which no timeout expires.
+      ScheduleTick(aLoop);
       metrics::Observe(
         aLoop.mDaemon.mMetrics, "loop_lag_seconds", std::chrono::duration<double>(lag).count());
       Post(aLoop, entry::Tick{});
       if (aLoop.mHandlers.mAfterTick) {
         aLoop.mHandlers.mAfterTick();
       }
-      ScheduleTick(aLoop);
     }
   });
 }
--- a/src/pollenwalld/entry_loop.h
+++ b/src/pollenwalld/entry_loop.h
@@ -40,8 +40,10 @@
   std::vector<entry::Event> mEvents; ///< Pending, in order.
   net::Wakeup mWakeup;
   boost::asio::steady_timer mTickTimer;
-  bool mStopping = false;      ///< A drain has begun.
-  net::OneShot<bool> mStopped; ///< Set when the core has reported Stopped.
+  bool mStopping = false;      ///< A drain has begun, or the core has failed.
+  bool mFailed = false;        ///< The core or a handler of an action has thrown; see RunCore.
+  net::OneShot<bool> mStopped; ///< True when the core has reported Stopped, false when it
+                               ///< has failed.
   dispatch::RequestId mLastRequestId = 0;
 };
 
--- a/src/pollenwalld/main.cpp
+++ b/src/pollenwalld/main.cpp
@@ -54,7 +54,8 @@
 Signals: SIGTERM and SIGINT begin a graceful stop, a second one logs what is still running;
 SIGUSR1 logs a dump of the state; SIGHUP reloads the TLS files.
 
-Exit codes: 0 after a graceful stop, 1 when a service cannot start, 2 for invalid settings.)";
+Exit codes: 0 after a graceful stop, 1 when a service cannot start or the
+core has failed, 2 for invalid settings.)";
 
 constexpr int kExitFailure = 1;
 constexpr int kExitInvalidSettings = 2;
@@ -146,8 +147,8 @@
   return options;
 }
 
-/// Runs an entry whose settings have a section `platform` until a graceful stop is complete.
-/// Returns the exit code.
+/// Runs an entry whose settings have a section `platform` until a graceful stop is complete or the
+/// core has failed. Returns the exit code.
 int RunOnPlatform(DaemonContext& aDaemon)
 {
   const auto options = MakeEntryOptions(aDaemon.mSettings);
@@ -166,11 +167,11 @@
               { "data_centre", options.mDataCentre },
               { "incarnation", ToString(options.mIncarnation) },
               { "version", std::string(POLLENWALL_VERSION) } });
-  loop.mStopped.Wait();
+  const bool complete = loop.mStopped.Wait();
   log::Info("stopping_services");
   kernel::Stop(aDaemon.mKernel);
   log::Info("stopped");
-  return 0;
+  return complete ? 0 : kExitFailure;
 }
 
 /// Runs the entry until a graceful stop is complete. Returns the exit code.
@@ -206,7 +207,7 @@
               { "incarnation", ToString(options.mIncarnation) },
               { "version", std::string(POLLENWALL_VERSION) } });
   const bool inTime = loop.mStopped.Wait();
-  if (!inTime) {
+  if (!inTime && !loop.mFailed) {
     log::LogError("drain_limit_exceeded");
   }
   log::Info("stopping_services");
--- a/src/pollenwalld/node_loop.cpp
+++ b/src/pollenwalld/node_loop.cpp
@@ -41,8 +41,9 @@
   aLoop.mTickTimer.expires_after(kTickInterval);
   aLoop.mTickTimer.async_wait([&aLoop](const boost::system::error_code& aEc) {
     if (!aEc) {
-      Post(aLoop, node::Tick{});
+      // First, so that an exception in Post does not end the ticks.
       ScheduleTick(aLoop);
+      Post(aLoop, node::Tick{});
     }
   });
 }
--- a/src/pollenwalld/node_loop.h
+++ b/src/pollenwalld/node_loop.h
@@ -39,8 +39,10 @@
   std::vector<node::Event> mEvents; ///< Pending, in order.
   net::Wakeup mWakeup;
   boost::asio::steady_timer mTickTimer;
-  bool mStopping = false;      ///< A drain has begun.
-  net::OneShot<bool> mStopped; ///< True when the core has reported Stopped, false past the limit.
+  bool mStopping = false;      ///< A drain has begun, or the core has failed.
+  bool mFailed = false;        ///< The core or a handler of an action has thrown; see RunCore.
+  net::OneShot<bool> mStopped; ///< True when the core has reported Stopped, false past the limit
+                               ///< or when the core has failed.
   std::chrono::milliseconds mDrainLimit;
   boost::asio::steady_timer mDrainTimer;
   dispatch::RequestId mLastRequestId = 0;
