Close and reopen a connection between entries whose reader throws

Cause: an exception in the reader of an accepted connection ended its fiber without closing the connection, so that the peer sent to nobody. One in the fiber that keeps a connection open ended it for good, and one while a connection was accepted ended the accepting.

Change: the exception is logged and counted, and the connection is closed; the side that opens it connects again after the usual delay. A message that cannot be sent closes the connection, as a loss in the network does.

--- a/src/pollenwalld/entry_links.cpp
+++ b/src/pollenwalld/entry_links.cpp
@@ -2,6 +2,8 @@
 
 #include <pollenwall/log.h>
 
+#include "core_loop.h"
+
 namespace pollenwall::daemon {
 namespace {
 
@@ -53,9 +55,6 @@
     Post(aLinks.mLoop, entry::PeerConnected{ aAddress });
     ReadMessages(*link, aLinks.mLimits, [](const message::Message&) {});
   }
-  CloseLink(*link);
-  aOut.mLink = nullptr;
-  aOut.mConnected = false;
 }
 
 /// Reconnects to an address until it is removed or the service stops.
@@ -66,7 +65,14 @@
   const auto endpoint =
     net::ParseEndpoint(settings::ConnectAddress(aLinks.mDaemon.mSettings, aAddress));
   while (endpoint && !aLinks.mStopped && !aOut->mRemoved) {
-    ConnectAndRead(aLinks, *aOut, aAddress, *endpoint);
+    RunLogged(aLinks.mDaemon, "peer_connection_failed", aAddress, [&] {
+      ConnectAndRead(aLinks, *aOut, aAddress, *endpoint);
+    });
+    if (aOut->mLink) {
+      CloseLink(*aOut->mLink);
+    }
+    aOut->mLink = nullptr;
+    aOut->mConnected = false;
     const auto pause =
       std::make_shared<boost::asio::steady_timer>(aLinks.mDaemon.mContext, kReconnectDelay);
     aOut->mReconnectTimer = pause;
@@ -120,9 +126,17 @@
 void Send(EntryLinks& aLinks, const entry::SendPeer& aAction)
 {
   const auto* out = FindOutbound(aLinks, aAction.mAddress);
-  if (out != nullptr && out->mConnected &&
-      !QueueMessage(*out->mLink, aAction.mMessage, aLinks.mLimits)) {
-    log::Warning("peer_too_slow", { { "address", aAction.mAddress } });
+  if (out == nullptr || !out->mConnected) {
+    return;
+  }
+  const auto link = out->mLink;
+  const bool sent = RunLogged(aLinks.mDaemon, "peer_send_failed", aAction.mAddress, [&] {
+    if (!QueueMessage(*link, aAction.mMessage, aLinks.mLimits)) {
+      log::Warning("peer_too_slow", { { "address", aAction.mAddress } });
+    }
+  });
+  if (!sent) {
+    CloseLink(*link); // As for a message that the network has lost.
   }
 }
 
@@ -130,14 +144,17 @@
 void ReadInbound(EntryLinks& aLinks, const std::shared_ptr<PeerLink>& aLink)
 {
   std::string from;
-  const auto end = ReadMessages(*aLink, aLinks.mLimits, [&](message::Message aMessage) {
-    const auto* presence = std::get_if<message::Presence>(&aMessage);
-    if (presence != nullptr && presence->mEntry) {
-      from = presence->mEntry->mPeerAddress;
-    }
-    if (!from.empty()) {
-      Post(aLinks.mLoop, entry::PeerMessage{ from, std::move(aMessage) });
-    }
+  auto end = LinkCloseReason::Closed;
+  RunLogged(aLinks.mDaemon, "peer_read_failed", from, [&] {
+    end = ReadMessages(*aLink, aLinks.mLimits, [&](message::Message aMessage) {
+      const auto* presence = std::get_if<message::Presence>(&aMessage);
+      if (presence != nullptr && presence->mEntry) {
+        from = presence->mEntry->mPeerAddress;
+      }
+      if (!from.empty()) {
+        Post(aLinks.mLoop, entry::PeerMessage{ from, std::move(aMessage) });
+      }
+    });
   });
   if (end == LinkCloseReason::BadFrame) {
     log::Warning("peer_bad_frame", { { "address", from } });
@@ -159,9 +176,16 @@
       continue;
     }
     net::ConfigureSocket(socket);
-    auto link = std::make_shared<PeerLink>(std::move(socket));
-    aLinks.mInbound.insert(link);
-    net::Spawn([&aLinks, link] { ReadInbound(aLinks, link); });
+    std::shared_ptr<PeerLink> link;
+    const bool reading = RunLogged(aLinks.mDaemon, "peer_accept_failed", "", [&] {
+      link = std::make_shared<PeerLink>(std::move(socket));
+      aLinks.mInbound.insert(link);
+      net::Spawn([&aLinks, link] { ReadInbound(aLinks, link); });
+    });
+    if (!reading && link) {
+      CloseLink(*link);
+      aLinks.mInbound.erase(link);
+    }
   }
 }
 
--- a/src/pollenwalld/entry_links_test.cpp
+++ b/src/pollenwalld/entry_links_test.cpp
@@ -1,5 +1,9 @@
 #include "entry_links.h"
 
+#include <limits>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
 #include "daemon_test.h"
@@ -50,11 +54,98 @@
   return passed;
 }
 
+/// The start of a frame that needs a larger buffer than the test lets the reader allocate.
+std::string LargeFrame()
+{
+  constexpr std::size_t kPayloadBytes = std::size_t{ 1 } << 20;
+  std::string frame{ 0, 0x10, 0, 0 };
+  return frame.append(kPayloadBytes, 'x');
+}
+
+/// Writes the frame while large allocations fail, and returns whether the other side then closed
+/// the connection within 2 s.
+bool IsClosedAfterAFailure(boost::asio::io_context& aContext, net::Socket& aSocket)
+{
+  const auto frame = LargeFrame();
+  LimitAllocations(256 * 1024);
+  boost::asio::steady_timer timer(aContext, milliseconds(2000));
+  bool late = false;
+  timer.async_wait([&](const boost::system::error_code& aEc) {
+    if (!aEc) {
+      late = true;
+      aSocket.close();
+    }
+  });
+  boost::system::error_code ec;
+  boost::asio::async_write(aSocket, boost::asio::buffer(frame), net::Await(ec));
+  char byte = 0;
+  ec = {};
+  boost::asio::async_read(aSocket, boost::asio::buffer(&byte, 1), net::Await(ec));
+  timer.cancel();
+  LimitAllocations(std::numeric_limits<std::size_t>::max());
+  net::SleepFor(aContext, milliseconds(5)); // The timer's handler refers to this frame.
+  return ec && !late;
+}
+
+/// Guards against a reader that ends without closing its connection, so that the peer goes on
+/// sending to nobody, and against a connection that is never opened again after its reader has
+/// failed.
+bool FailedReadersAreReplaced(boost::asio::io_context& aContext)
+{
+  static auto& daemonContext = *new DaemonContext(aContext);
+  daemonContext.mSettings.mPeers = { "127.0.0.1", 0 };
+  RegisterEntryLoop(daemonContext, entry::Options{});
+  RegisterEntryLinks(daemonContext);
+  auto& loop = *kernel::Find<EntryLoop>(daemonContext.mKernel, "entry");
+  const bool started = boost::leaf::try_handle_all(
+    []() -> Result<bool> {
+      BOOST_LEAF_CHECK(kernel::Start(daemonContext.mKernel));
+      return true;
+    },
+    [] { return false; });
+  auto& links = *kernel::Find<EntryLinks>(daemonContext.mKernel, "entry_links");
+  const auto failures = [](const std::string& aEvent) {
+    return metrics::CounterValue(daemonContext.mMetrics,
+                                 "failures_total{event=\"" + aEvent + "\"}");
+  };
+  boost::system::error_code ec;
+  net::Socket inbound(aContext);
+  inbound.async_connect(links.mAcceptor.local_endpoint(), net::Await(ec));
+  bool passed = Expect(started && !ec, "connected to the entry");
+  passed &= Expect(IsClosedAfterAFailure(aContext, inbound), "an accepted connection is closed");
+  passed &= Expect(links.mInbound.empty() && failures("peer_read_failed") == 1,
+                   "it is forgotten, and the failure counted");
+
+  boost::asio::basic_socket_acceptor<net::Tcp, net::Executor> acceptor(
+    aContext, { boost::asio::ip::address_v4::loopback(), 0 });
+  entry::ConnectPeer action{ net::ToString(acceptor.local_endpoint()), false };
+  loop.mHandlers.mConnectPeer(action);
+  net::Socket first(aContext);
+  acceptor.async_accept(first, net::Await(ec));
+  passed &= Expect(IsClosedAfterAFailure(aContext, first), "an opened connection is closed");
+  boost::asio::steady_timer timer(aContext, milliseconds(3000));
+  timer.async_wait([&acceptor](const boost::system::error_code& aEc) {
+    if (!aEc) {
+      acceptor.cancel();
+    }
+  });
+  net::Socket second(aContext);
+  acceptor.async_accept(second, net::Await(ec));
+  timer.cancel();
+  passed &= Expect(!ec, "and opened again");
+  passed &= Expect(failures("peer_connection_failed") == 1, "the failure is counted");
+  kernel::Stop(daemonContext.mKernel);
+  net::SleepFor(aContext, milliseconds(5));
+  return passed;
+}
+
 } // namespace
 
 bool EntryLinksTests(boost::asio::io_context& aContext)
 {
-  return ReconnectsAtOnceOnRequest(aContext);
+  bool passed = ReconnectsAtOnceOnRequest(aContext);
+  passed &= FailedReadersAreReplaced(aContext);
+  return passed;
 }
 
 } // namespace pollenwall::test
--- a/src/pollenwalld/peers.cpp
+++ b/src/pollenwalld/peers.cpp
@@ -9,6 +9,8 @@
 #include <pollenwall/log.h>
 #include <pollenwall/net/fiber.h>
 
+#include "core_loop.h"
+
 namespace pollenwall::daemon {
 namespace {
 
@@ -110,12 +112,14 @@
   }
   bool bad = false;
   if (!ec) {
-    QueueMessage(*aLink, aPeers.mOwnHello, aPeers.mLimits);
-    const auto end =
-      ReadMessages(*aLink, aPeers.mLimits, [&aPeers, &aLink, &bad](message::Message aMessage) {
-        HandleMessage(aPeers, aLink, std::move(aMessage), bad);
-      });
-    bad = bad || end == LinkCloseReason::BadFrame;
+    RunLogged(aPeers.mDaemon, "peer_read_failed", "", [&] {
+      QueueMessage(*aLink, aPeers.mOwnHello, aPeers.mLimits);
+      const auto end =
+        ReadMessages(*aLink, aPeers.mLimits, [&aPeers, &aLink, &bad](message::Message aMessage) {
+          HandleMessage(aPeers, aLink, std::move(aMessage), bad);
+        });
+      bad = bad || end == LinkCloseReason::BadFrame;
+    });
   }
   if (bad) {
     Count(aPeers, "peer_bad_frames_total");
@@ -203,8 +207,10 @@
       continue;
     }
     net::ConfigureSocket(socket);
-    auto link = std::make_shared<PeerLink>(std::move(socket));
-    net::Spawn([&aPeers, link] { RunLink(aPeers, link); });
+    RunLogged(aPeers.mDaemon, "peer_accept_failed", "", [&] {
+      auto link = std::make_shared<PeerLink>(std::move(socket));
+      net::Spawn([&aPeers, link] { RunLink(aPeers, link); });
+    });
   }
 }
 
