--- a/src/libentry/entry_test.cpp
+++ b/src/libentry/entry_test.cpp
@@ -327,20 +327,6 @@
   return Expect(refused > 0, "some jobs are refused") && ok;
 }
 
-std::uint64_t HoldsLost(const World& aWorld)
-{
-  std::uint64_t lost = 0;
-  for (const auto& node : aWorld.mNodes) {
-    if (!node.mAlive) {
-      continue;
-    }
-    for (const auto& [name, value] : Counters(*node.mState)) {
-      lost += name == "upstream_holds_lost_total" ? value : 0;
-    }
-  }
-  return lost;
-}
-
 /// Guards against entries that claim each other's upstreams when all start at once, because no
 /// presence of the others has arrived yet.
 bool AllEntriesRestart()
@@ -596,16 +582,6 @@
   return ok;
 }
 
-double GaugeOf(const World& aWorld, std::size_t aNode, std::string_view aName)
-{
-  for (const auto& [name, value] : Gauges(*aWorld.mNodes[aNode].mState, aWorld.mNow)) {
-    if (name == aName) {
-      return value;
-    }
-  }
-  return -1;
-}
-
 /// Nodes of a data centre that are candidates.
 std::vector<std::size_t> CandidatesIn(const World& aWorld, std::string_view aDataCentre)
 {
--- a/src/libentry/two_runs_test.cpp
+++ b/src/libentry/two_runs_test.cpp
@@ -35,26 +35,6 @@
   return NoViolations(w) && AllAnswered(w);
 }
 
-double GaugeOf(const World& aWorld, std::size_t aNode, std::string_view aName)
-{
-  for (const auto& [name, value] : Gauges(*aWorld.mNodes[aNode].mState, aWorld.mNow)) {
-    if (name == aName) {
-      return value;
-    }
-  }
-  return 0;
-}
-
-std::uint64_t HoldsLost(const World& aWorld, std::size_t aNode)
-{
-  for (const auto& [name, value] : Counters(*aWorld.mNodes[aNode].mState)) {
-    if (name == "upstream_holds_lost_total") {
-      return value;
-    }
-  }
-  return 0;
-}
-
 /// The running entry that holds the most upstreams.
 std::size_t HolderOf(const World& aWorld)
 {
@@ -127,7 +107,7 @@
 /// Guards against a job that is submitted elsewhere while its holder's runs go on. The holder is
 /// killed and restarts at once with its clock set back, so that the owner still takes it for the
 /// former process. Its refusal of the second copy of the submission shows nothing about the first.
-bool RestartedHolderRefusesACopy(std::uint64_t aSeed)
+bool RefusalAfterARestartIsNotFinal(std::uint64_t aSeed)
 {
   WorldOptions options;
   options.mSeed = aSeed;
@@ -148,7 +128,7 @@
 /// Guards against a queued job that an entry starts after it did not run for a while, although the
 /// caller has left meanwhile and its job runs elsewhere. The end of an earlier run arrives before
 /// the end of the caller's connection and makes room for the job.
-bool PausedEntryStartsAJobWhoseCallerHasLeft(std::uint64_t aSeed)
+bool ResumedEntryDropsJobsOfCallersThatLeft(std::uint64_t aSeed)
 {
   WorldOptions options;
   options.mSeed = aSeed;
@@ -221,12 +201,12 @@
     ok = Expect(UpstreamsAreFencedWhileOrdersAreSlow(seed), "seed " + std::to_string(seed)) && ok;
   }
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-    ok = Expect(RestartedHolderRefusesACopy(seed),
+    ok = Expect(RefusalAfterARestartIsNotFinal(seed),
                 "a copy is refused after a restart, seed " + std::to_string(seed)) &&
          ok;
   }
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-    ok = Expect(PausedEntryStartsAJobWhoseCallerHasLeft(seed),
+    ok = Expect(ResumedEntryDropsJobsOfCallersThatLeft(seed),
                 "the caller of a paused entry leaves, seed " + std::to_string(seed)) &&
          ok;
   }
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -857,6 +857,35 @@
   return aCondition;
 }
 
+double GaugeOf(const World& aWorld, std::size_t aNode, std::string_view aName)
+{
+  for (const auto& [name, value] : Gauges(*aWorld.mNodes[aNode].mState, aWorld.mNow)) {
+    if (name == aName) {
+      return value;
+    }
+  }
+  return -1;
+}
+
+std::uint64_t HoldsLost(const World& aWorld, std::size_t aNode)
+{
+  for (const auto& [name, value] : Counters(*aWorld.mNodes[aNode].mState)) {
+    if (name == "upstream_holds_lost_total") {
+      return value;
+    }
+  }
+  return 0;
+}
+
+std::uint64_t HoldsLost(const World& aWorld)
+{
+  std::uint64_t lost = 0;
+  for (std::size_t n = 0; n < aWorld.mNodes.size(); ++n) {
+    lost += aWorld.mNodes[n].mAlive ? HoldsLost(aWorld, n) : 0;
+  }
+  return lost;
+}
+
 bool NoViolations(const World& aWorld)
 {
   for (const auto& text : aWorld.mViolations) {
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -190,6 +190,13 @@
 std::size_t Answered(const World& aWorld);
 std::size_t Complete(const World& aWorld);
 
+/// The value of a gauge of an entry, -1 if it has none of this name.
+double GaugeOf(const World& aWorld, std::size_t aNode, std::string_view aName);
+
+/// Upstreams that an entry has lost to another holder, and the sum over all live entries.
+std::uint64_t HoldsLost(const World& aWorld, std::size_t aNode);
+std::uint64_t HoldsLost(const World& aWorld);
+
 double UniformRandom(World& aWorld);
 
 /// Prints aWhat if the condition does not hold. Returns the condition.
