Ignore stop confirmations of an upstream's former process

Callers would see a task that runs twice at once: a run counts as over because the upstream's former process, before a restart under the same id, confirmed its stop, and a late copy of its start is executed by the present process.

Cause: the answer to a stop does not name its process and its clock was not read, so an answer that arrived after the first poll of the present process counted as a confirmation by that one. Class of fault: an answer about one copy of a message is taken for the fate of the run.

Evidence: LateStopAnswerOfAFormerProcessProvesNothing fails without the check.

The clock in the answer is compared with the readings of the process that answered the latest poll, as for answers to starts. Without a match the stop is sent again.

--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -140,6 +140,7 @@
   std::uint64_t mSession = 0;
   Run mRun;
   OrderStatus mStatus = OrderStatus::Unknown;
+  std::optional<std::int64_t> mClockMs;
   Time mSentAt{};
 };
 
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -391,10 +391,9 @@
       mNode,
       aAction.mTo.mId,
       [&world = mWorld, order](Worker& aWorker) { return ExecuteStop(world, aWorker, order); },
-      [order, sentAt](OrderStatus aStatus, std::optional<std::int64_t>) -> Event {
-        return holding::StopAnswered{
-          order.mUpstream, order.mSession, order.mRun, aStatus, sentAt
-        };
+      [order, sentAt](OrderStatus aStatus, std::optional<std::int64_t> aClock) -> Event {
+        return holding::StopAnswered{ order.mUpstream, order.mSession, order.mRun,
+                                      aStatus,         aClock,         sentAt };
       });
   }
 
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -76,8 +76,8 @@
   aSession.mRuns.clear();
 }
 
-/// Whether a reading of the clock can be of the process that answered the latest poll. The answer
-/// to a start does not name its process.
+/// Whether a reading of the clock can be of the process that answered the latest poll. The answers
+/// to starts and stops do not name their process.
 bool IsOfSameProcess(const Session& aSession,
                      double aMaxDrift,
                      std::int64_t aClockMs,
@@ -588,9 +588,14 @@
     DropSession(aState, aEvent.mUpstream, aActions);
     return;
   }
+  // A stop that a former process has confirmed shows nothing about the present one. An unconfirmed
+  // stop is sent again.
+  const bool isConfirmed =
+    aEvent.mStatus == OrderStatus::Done && aEvent.mClockMs &&
+    IsOfSameProcess(
+      *session, aState.mOptions.mMaxClockDrift, *aEvent.mClockMs, aEvent.mSentAt, aNow.mTime);
   const auto it = session->mRuns.find(aEvent.mRun);
-  if (it != session->mRuns.end() && aEvent.mStatus == OrderStatus::Done &&
-      !it->second.mStopConfirmed) {
+  if (isConfirmed && it != session->mRuns.end() && !it->second.mStopConfirmed) {
     it->second.mStopConfirmed = true;
     it->second.mStopConfirmedAt = aNow.mTime;
   }
--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -73,6 +73,16 @@
   Handle(aFixture.mState, answer, aFixture.mNow, aFixture.mActions);
 }
 
+/// Answers a stop that is sent now, by the process whose clock shows aClockMs.
+void ConfirmStop(Fixture& aFixture, const Run& aRun, std::int64_t aClockMs)
+{
+  Handle(aFixture.mState,
+         StopAnswered{
+           kUpstream, SessionOf(aFixture), aRun, OrderStatus::Done, aClockMs, aFixture.mNow.mTime },
+         aFixture.mNow,
+         aFixture.mActions);
+}
+
 void AdvanceBy(Fixture& aFixture, milliseconds aTime)
 {
   Pass(aFixture, aTime);
@@ -209,10 +219,7 @@
   const auto order =
     Start(fixture.mState, kUpstream, other, nullptr, fixture.mNow, fixture.mActions);
   ok &= Expect(order && order->mLeaseEndMs <= leaseEnd, "no start renews the lease");
-  Handle(fixture.mState,
-         StopAnswered{ kUpstream, SessionOf(fixture), run, OrderStatus::Done, fixture.mNow.mTime },
-         fixture.mNow,
-         fixture.mActions);
+  ConfirmStop(fixture, run, fixture.mClockMs);
   AdvanceBy(fixture, milliseconds(50));
   const auto polls = All<SendPoll>(fixture);
   return Expect(polls.size() == 1 && polls[0].mLeaseEndMs.value_or(0) > leaseEnd,
@@ -258,10 +265,7 @@
   fixture.mBornMs = 8;
   AnswerPoll(fixture);
   bool ok = Expect(All<SendStop>(fixture).size() == 1, "a late copy of the start is prevented");
-  Handle(fixture.mState,
-         StopAnswered{ kUpstream, SessionOf(fixture), run, OrderStatus::Done, fixture.mNow.mTime },
-         fixture.mNow,
-         fixture.mActions);
+  ConfirmStop(fixture, run, fixture.mClockMs);
   Pass(fixture, milliseconds(1));
   AnswerPoll(fixture);
   const auto ends = All<Ended>(fixture);
@@ -279,10 +283,7 @@
   AnswerStart(fixture, run, OrderStatus::Unknown);
   AnswerStart(fixture, run, OrderStatus::Unknown);
   Stop(fixture.mState, kUpstream, run.mTask, fixture.mNow, fixture.mActions);
-  Handle(fixture.mState,
-         StopAnswered{ kUpstream, SessionOf(fixture), run, OrderStatus::Done, fixture.mNow.mTime },
-         fixture.mNow,
-         fixture.mActions);
+  ConfirmStop(fixture, run, fixture.mClockMs);
   Pass(fixture, milliseconds(1));
   fixture.mClockMs = 100;
   fixture.mBornMs = 8;
@@ -291,6 +292,32 @@
                 "the present process is told to stop the run before it counts as ended");
 }
 
+/// Guards against a run that ends because of a stop that the upstream's former process confirmed,
+/// whose answer arrives after the first one of the present process: a late copy of the run's start
+/// may still be executed by the present one.
+bool LateStopAnswerOfAFormerProcessProvesNothing()
+{
+  auto fixture = MakeFixture();
+  const auto run = StartTwice(fixture);
+  AnswerStart(fixture, run, OrderStatus::Unknown);
+  AnswerStart(fixture, run, OrderStatus::Unknown);
+  Stop(fixture.mState, kUpstream, run.mTask, fixture.mNow, fixture.mActions);
+  const auto formerClockMs = fixture.mClockMs;
+  fixture.mClockMs = 100;
+  fixture.mBornMs = 8;
+  AnswerPoll(fixture);
+  ConfirmStop(fixture, run, formerClockMs);
+  Pass(fixture, milliseconds(1));
+  AnswerPoll(fixture);
+  const bool ok = Expect(All<Ended>(fixture).empty(), "the run may still begin");
+  ConfirmStop(fixture, run, fixture.mClockMs);
+  Pass(fixture, milliseconds(1));
+  AnswerPoll(fixture);
+  return Expect(All<Ended>(fixture).size() == 1,
+                "the run ends once the present process confirms") &&
+         ok;
+}
+
 /// Guards against an order that is executed after its run has lapsed and its task has started
 /// elsewhere: every order that is sent once the upstream is silent has a higher token.
 bool OrdersBeforeALapseAreFenced()
@@ -354,6 +381,7 @@
   ok = RunOfAFormerProcessMayHaveRun() && ok;
   ok = StopOfAFormerProcessProvesNothing(false) && ok;
   ok = StopOfAFormerProcessProvesNothing(true) && ok;
+  ok = LateStopAnswerOfAFormerProcessProvesNothing() && ok;
   ok = OrdersBeforeALapseAreFenced() && ok;
   ok = LeaseOfARestartedUpstreamLasts() && ok;
   ok = LeaseDoesNotCountTheWaitOfAPoll() && ok;
