Wait before claiming a record that another process has answered

A worker that crashes and comes back under another id leaves its former record in the platform's list for some seconds. A claim of that record is answered 421 by the new process.

A 421 now delays the next claim of the record by 1 s, and by twice as much after each further one, up to 8 s. The delay ends when the record names another process: its address or `born` has changed. It never grows beyond 8 s, so that a worker is used again even if its record shows nothing. The record's `born` is read for this.

WorkersReturnUnderTheirId guards against the opposite fault; without the delay it passes as well.

--- a/src/include/pollenwall/entry.h
+++ b/src/include/pollenwall/entry.h
@@ -81,6 +81,12 @@
   /// reaches their upstreams.
   std::chrono::milliseconds mUnansweredClaimRetryDelay{ 1000 };
   std::chrono::milliseconds mRemoteUnansweredClaimRetryDelay{ 3000 };
+  /// Delay before an upstream is claimed again at whose address another process has answered. It
+  /// doubles with each further such answer up to the second value, so that a worker is used again
+  /// even if nothing in its record shows that it has returned. Records of crashed workers stay in
+  /// the platform's list for three heartbeats, and longer while its store is unavailable.
+  std::chrono::milliseconds mMisdirectedClaimRetryDelay{ 1000 };
+  std::chrono::milliseconds mMaxMisdirectedClaimRetryDelay{ 8000 };
   /// Entries of other data centres claim the upstreams of a data centre that has had no live entry
   /// for this long. A killed entry is restarted sooner.
   std::chrono::milliseconds mAbandonedAfter{ 2000 };
@@ -127,6 +133,7 @@
   std::uint32_t mSlots = 0; ///< Tasks that it runs concurrently.
   Needs mCapacity;
   bool mLeaving = false;
+  UnixMs mBornMs = 0; ///< Start time of the process; differs after a restart under the same id.
 
   friend bool operator==(const UpstreamRecord&, const UpstreamRecord&) = default;
 };
--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -243,6 +243,12 @@
   std::string mUpstream;
 };
 
+/// A process with another id answered at the upstream's address; the session has ended.
+struct OtherIncarnationFound
+{
+  std::string mUpstream;
+};
+
 /// The upstream may have crashed, has crashed, or has not after all. Sent only if it may have had
 /// runs, with rising certainty and at most once in each state for one crash.
 struct Crashed
@@ -270,6 +276,7 @@
                             UsableChanged,
                             HoldLost,
                             ClaimUnanswered,
+                            OtherIncarnationFound,
                             Crashed,
                             Note>;
 using Actions = std::vector<Action>;
--- a/src/libentry/claims.cpp
+++ b/src/libentry/claims.cpp
@@ -257,11 +257,13 @@
       continue;
     }
     if (!isHolder || upstream.mRecord.mLeaving || upstream.mMissingSince ||
-        aNow.mTime < upstream.mClaimNotBefore || aHeldByPeers.contains(upstream.mHash)) {
+        aNow.mTime < upstream.mClaimNotBefore || aNow.mTime < upstream.mMisdirectedUntil ||
+        aHeldByPeers.contains(upstream.mHash)) {
       continue;
     }
     ++aState.mCounts.mClaims;
     AddReport(aActions, "upstream_claimed", { { "upstream", key } });
+    upstream.mClaimedRecord = upstream.mRecord;
     const auto least = std::max(upstream.mLeastToken, aLeastToken);
     holding::Claim(aState.mHolding, key, least, aNow, aState.mHoldingActions);
     upstream.mLeastToken = holding::TokenOf(aState.mHolding, key);
--- a/src/libentry/entry_test.cpp
+++ b/src/libentry/entry_test.cpp
@@ -1036,6 +1036,66 @@
                 "all room is used again after the capacity has grown");
 }
 
+/// Orders to workers that were answered by a process with another id, over all entries.
+std::uint64_t MisdirectedPolls(const World& aWorld)
+{
+  std::uint64_t sum = 0;
+  for (const auto& node : aWorld.mNodes) {
+    for (const auto& [name, value] : Counters(*node.mState)) {
+      sum += name == R"(orders_total{order="look",outcome="other_incarnation"})" ? value : 0;
+    }
+  }
+  return sum;
+}
+
+/// Guards against claims without a pause of a record whose process has gone: each is answered by
+/// the process that has its address now.
+bool FormerRecordsAreNotClaimedAgain()
+{
+  constexpr std::uint64_t kMaxPolls = 6; // The poll that ends the hold, and claims after 0 to 15 s.
+  auto world = MakeWorld({});
+  auto& w = *world;
+  RunFor(w, seconds(2));
+  ReplaceWorker(w, "dc1-w3", "dc1-new");
+  RunFor(w, milliseconds(200));
+  const bool used = Expect(w.mWorkers.at("dc1-new").mToken != 0, "the new process is held");
+  RunFor(w, seconds(20));
+  const auto polls = MisdirectedPolls(w);
+  return NoViolations(w) &&
+         Expect(polls > 0 && polls <= kMaxPolls,
+                std::to_string(polls) + " polls of a process that has gone") &&
+         used;
+}
+
+/// Guards against a worker that is never used again because another process has answered at its
+/// address once.
+bool WorkersReturnUnderTheirId()
+{
+  constexpr auto kId = "dc1-w3";
+  bool ok = true;
+  for (const std::string_view change : { "born", "address", "none" }) {
+    auto world = MakeWorld({});
+    auto& w = *world;
+    RunFor(w, seconds(2));
+    ReplaceWorker(w, kId, "dc1-new");
+    RunFor(w, seconds(9));
+    auto& record = w.mWorkers.at(kId).mRecord;
+    record.mBornMs = change == "born" ? w.mNow.mUnixMs : record.mBornMs;
+    record.mPort += change == "address" ? 1000 : 0;
+    if (change != "address") {
+      CrashWorker(w, "dc1-new");
+    }
+    RestartWorker(w, kId);
+    ListWorkers(w);
+    // Without a change in its record, the worker waits for the next claim.
+    RunFor(w, change == "none" ? seconds(9) : milliseconds(200));
+    ok &= Expect(w.mWorkers.at(kId).mToken != 0,
+                 "a worker that returns is held; changed in its record: " + std::string(change));
+    ok &= NoViolations(w);
+  }
+  return ok;
+}
+
 } // namespace
 
 int main(int aCount, char** aArguments)
@@ -1079,6 +1139,8 @@
   ok = RefusedSubmissionStaysRefused() && ok;
   ok = EchoesOfTheFutureAreIgnored() && ok;
   ok = CapacityShrinksAndGrows() && ok;
+  ok = FormerRecordsAreNotClaimedAgain() && ok;
+  ok = WorkersReturnUnderTheirId() && ok;
   constexpr std::uint64_t kSeeds = 60;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     ok = RandomFaults(seed) && ok;
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -29,6 +29,13 @@
   return configuration::UpstreamKey(aRecord.mService, aRecord.mId);
 }
 
+/// Whether two records with the same id are of one process, as far as they show it.
+bool NamesSameProcess(const UpstreamRecord& aOne, const UpstreamRecord& aOther)
+{
+  return aOne.mAddress == aOther.mAddress && aOne.mPort == aOther.mPort &&
+         aOne.mBornMs == aOther.mBornMs;
+}
+
 /// Returns nothing for an upstream that is no longer known; orders for it are dropped.
 std::optional<Destination> DestinationOf(const State& aState, std::string_view aUpstream)
 {
@@ -248,6 +255,9 @@
   {
     const auto it = mState.mUpstreams.find(aAction.mUpstream);
     const auto slots = it == mState.mUpstreams.end() ? 0 : it->second.mRecord.mSlots;
+    if (aAction.mUsable && it != mState.mUpstreams.end()) {
+      it->second.mMisdirected = 0;
+    }
     Dispatch(
       mState, dispatch::SetCredits{ aAction.mUpstream, aAction.mUsable ? slots : 0, 0 }, mNow);
     mState.mClaimsDue = true;
@@ -283,6 +293,24 @@
     mState.mPresenceDue = true;
   }
 
+  void operator()(holding::OtherIncarnationFound& aAction)
+  {
+    const auto it = mState.mUpstreams.find(aAction.mUpstream);
+    if (it == mState.mUpstreams.end()) {
+      return;
+    }
+    auto& upstream = it->second;
+    if (!NamesSameProcess(upstream.mRecord, upstream.mClaimedRecord)) {
+      return; // The answer may be of a process at the former address.
+    }
+    constexpr std::uint32_t kMaxDoublings = 16;
+    const auto delay = mState.mOptions.mMisdirectedClaimRetryDelay *
+                       (1U << std::min(upstream.mMisdirected, kMaxDoublings));
+    ++upstream.mMisdirected;
+    upstream.mMisdirectedUntil =
+      mNow.mTime + Duration(std::min(delay, mState.mOptions.mMaxMisdirectedClaimRetryDelay));
+  }
+
   /// Reports a crash to the scheduling core and to the candidates: the job may be submitted to
   /// another holder when this entry dies.
   void PublishCrash(std::uint64_t aNumber,
@@ -549,6 +577,10 @@
     listed.insert(key);
     auto& upstream = aState.mUpstreams[key];
     changed = changed || upstream.mRecord != record;
+    if (!NamesSameProcess(upstream.mRecord, record)) {
+      upstream.mMisdirected = 0;
+      upstream.mMisdirectedUntil = {};
+    }
     upstream.mRecord = record;
     upstream.mHash = Hash64(key);
     upstream.mMissingSince.reset();
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -73,6 +73,11 @@
   std::optional<Time> mMissingSince;
   Time mClaimNotBefore{};
   std::uint64_t mLeastToken = 0; ///< The next claim's token exceeds this.
+  UpstreamRecord mClaimedRecord; ///< The record at the latest claim.
+  /// Answers of another process at its address since it was last usable or its record last named
+  /// another process, and the time of the next claim after them.
+  std::uint32_t mMisdirected = 0;
+  Time mMisdirectedUntil{};
 };
 
 /// A subset of a data centre's upstreams that one entry should hold.
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -195,8 +195,9 @@
   return OrderStatus::Done;
 }
 
-/// The status of an order that ends at once because the connection is refused; nothing if it is
-/// not. Only a crashed worker has closed the connections that there were.
+/// The status of an order that ends at once because the connection is refused or because another
+/// process answers; nothing if neither is so. Only a crashed worker has closed the connections that
+/// there were.
 std::optional<OrderStatus> RefusedStatus(const World& aWorld,
                                          std::size_t aNode,
                                          const std::string& aWorker)
@@ -205,6 +206,9 @@
     return aWorld.mOptions.mCutsRefuse ? std::optional(OrderStatus::NotSent) : std::nullopt;
   }
   const auto it = aWorld.mWorkers.find(aWorker);
+  if (it != aWorld.mWorkers.end() && it->second.mReplaced) {
+    return OrderStatus::OtherIncarnation;
+  }
   const bool crashed = it != aWorld.mWorkers.end() && !it->second.mAlive && it->second.mRefuses;
   return crashed ? std::optional(OrderStatus::ServerGone) : std::nullopt;
 }
@@ -790,13 +794,29 @@
   }
   CrashWorker(aWorld, aId);
   aWorld.mWorkers.at(aId).mRefuses = !aWorld.mOptions.mSilentCrashes;
-  After(aWorld, kWorkerRestartTime, [&aWorld, aId] {
-    auto& worker = aWorld.mWorkers.at(aId);
-    Worker restarted;
-    restarted.mRecord = worker.mRecord;
-    restarted.mBornMs = aWorld.mNow.mUnixMs;
-    worker = std::move(restarted);
-  });
+  After(aWorld, kWorkerRestartTime, [&aWorld, aId] { RestartWorker(aWorld, aId); });
+}
+
+void ReplaceWorker(World& aWorld, const std::string& aId, const std::string& aNewId)
+{
+  CrashWorker(aWorld, aId);
+  auto& former = aWorld.mWorkers.at(aId);
+  former.mReplaced = true;
+  Worker worker;
+  worker.mRecord = former.mRecord;
+  worker.mRecord.mId = aNewId;
+  aWorld.mWorkers.emplace(aNewId, std::move(worker));
+  RestartWorker(aWorld, aNewId);
+  ListWorkers(aWorld);
+}
+
+void RestartWorker(World& aWorld, const std::string& aId)
+{
+  auto& worker = aWorld.mWorkers.at(aId);
+  Worker restarted;
+  restarted.mRecord = worker.mRecord;
+  restarted.mBornMs = aWorld.mNow.mUnixMs;
+  worker = std::move(restarted);
 }
 
 void BeginDrain(World& aWorld, std::size_t aNode)
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -26,9 +26,10 @@
   std::uint32_t mFormerMilliCores = 0; ///< Before the last SetCapacity.
   Time mCapacitySince{};
   bool mAlive = true;
-  bool mRefuses = false; ///< While not alive: its machine refuses connections, so it has crashed.
-  bool mHangs = false;   ///< Its tasks make no progress.
-  double mSlowness = 1;  ///< Run times are multiplied by this.
+  bool mRefuses = false;  ///< While not alive: its machine refuses connections, so it has crashed.
+  bool mReplaced = false; ///< While not alive: a process with another id answers at its address.
+  bool mHangs = false;    ///< Its tasks make no progress.
+  double mSlowness = 1;   ///< Run times are multiplied by this.
   bool mFailsAll = false;
   UnixMs mBornMs = 0;
   std::uint64_t mToken = 0;
@@ -177,6 +178,11 @@
 void CrashWorker(World& aWorld, const std::string& aId);
 /// Ends a worker's process; it starts again under the same id after 3 s.
 void CrashWorkerProcess(World& aWorld, const std::string& aId);
+/// Ends a worker's process. A new one with another id starts at its address at once; both are
+/// listed until the test changes that.
+void ReplaceWorker(World& aWorld, const std::string& aId, const std::string& aNewId);
+/// Starts a new process of a worker under its id, at the address in its record.
+void RestartWorker(World& aWorld, const std::string& aId);
 void BeginDrain(World& aWorld, std::size_t aNode);
 /// Replaces the connection of one entry to another; messages in flight still arrive.
 void Reconnect(World& aWorld, std::size_t aFrom, std::size_t aTo);
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -192,6 +192,7 @@
   if (session.mUsable) {
     aActions.emplace_back(UsableChanged{ std::string(aUpstream), false });
   }
+  aActions.emplace_back(OtherIncarnationFound{ std::string(aUpstream) });
 }
 
 /// Makes the upstream refuse the orders sent so far once it answers again, and ignores their
