Claim nothing from live holders while events are handled late

Cause: an entry decided that a peer is silent by the age of the peer's latest echo. An entry with too little processor time handles echoes late, so all peers appeared silent to it at once, and as the only live candidate it claimed all upstreams of its data centre with a higher token. The live holders were fenced and claimed again a second later. DetectPause rarely sees this: the gaps between events are below 300 ms, those between ticks are not 25 ms.

Whether jobs are forwarded to a peer still depends on its echoes only.

Test: SlowEntryTakesNothingFromLiveHolders fails without the change.

--- a/src/libentry/entry.cpp
+++ b/src/libentry/entry.cpp
@@ -14,6 +14,10 @@
 /// A longer gap between events means that the process was not running, so that what it knows
 /// about its peers is outdated.
 constexpr milliseconds kPauseThreshold{ 300 };
+/// A longer gap between ticks, which are due every 25 ms, means that the process has too little
+/// processor time. Sending a presence and handling its echo each wait for up to two rounds of the
+/// event loop, so with 100 ms a round the echo is about as old as mSilentAfter.
+constexpr milliseconds kLateTick{ 100 };
 /// After a pause, the ends of callers' connections during the pause are handled within this time.
 constexpr milliseconds kStartHoldTime{ 100 };
 /// A drain lasts at least this long, also when no job is left, so that the balancer has detected
@@ -165,9 +169,20 @@
   ProcessPendingActions(aState, aNow, aActions);
 }
 
+/// Detects that events are handled late. The silence of peers is then no reason to claim what they
+/// hold: a claim would fence live holders.
+void DetectLateTick(State& aState, const Now& aNow)
+{
+  if (aState.mLastTick && aNow.mTime - *aState.mLastTick > kLateTick) {
+    aState.mLateUntil = aNow.mTime + Duration(aState.mOptions.mSilentAfter);
+  }
+  aState.mLastTick = aNow.mTime;
+}
+
 void Apply(State& aState, const Tick&, const Now& aNow, Actions& aActions)
 {
   StopJobsOfLostOwners(aState, aNow, aActions);
+  DetectLateTick(aState, aNow);
   dispatch::Handle(*aState.mDispatch, dispatch::Tick{}, aNow, aState.mDispatchActions);
   holding::Advance(aState.mHolding, aNow, aState.mHoldingActions);
   DropMissingUpstreams(aState, aNow);
--- a/src/libentry/entry_test.cpp
+++ b/src/libentry/entry_test.cpp
@@ -949,6 +949,37 @@
   return Expect(HoldsLost(w) == 0, "no live holder is fenced") && ok && NoViolations(w);
 }
 
+/// Guards against an entry with too little processor time that takes the silence of all others,
+/// whose echoes it handles late, for their death, and fences live holders again and again. Pattern:
+/// a standby candidate or a holder handles events 400 ms late for 5 s. Of the holder's upstreams
+/// each may change hands once.
+bool SlowEntryTakesNothingFromLiveHolders(std::size_t aSlow, std::uint64_t aMostLost)
+{
+  WorldOptions options;
+  options.mDataCentres = 2;
+  options.mNodesEach = 4;
+  options.mLargeNodesEach = 2;
+  options.mWorkersEach = 16;
+  options.mUpstreamsPerHolder = 8;
+  auto world = MakeWorld(options);
+  auto& w = *world;
+  RunFor(w, seconds(2));
+  w.mNodes[aSlow].mHandlingDelay = milliseconds(400);
+  w.mNodes[aSlow].mTickInterval = milliseconds(200);
+  for (int n = 0; n < 100; ++n) {
+    const std::size_t healthy = aSlow == 1 ? 0 : 1;
+    After(w, n * milliseconds(50), [&w, healthy] { SubmitJob(w, healthy, 2, milliseconds(100)); });
+  }
+  RunFor(w, seconds(5));
+  bool ok = Expect(HoldsLost(w) <= aMostLost, "no live holder is fenced by the slow entry");
+  w.mNodes[aSlow].mHandlingDelay = Duration{ 0 };
+  w.mNodes[aSlow].mTickInterval = Duration{ 0 };
+  RunFor(w, seconds(5));
+  ok &= Expect(HoldsLost(w) <= aMostLost, "nor after it has recovered");
+  ok &= Expect(Complete(w) == w.mCalls.size(), "all jobs of another entry complete");
+  return ok && NoViolations(w);
+}
+
 /// Guards against a run that exists twice because a copy of its order arrives after the upstream
 /// has restarted and forgotten the run. The holder stops it there before the task starts elsewhere.
 bool CopyOfAnOrderIsStoppedAfterARestart()
@@ -1162,6 +1193,8 @@
   ok = FormerCandidateForgetsUpstreams() && ok;
   ok = CopyOfAnOrderIsStoppedAfterARestart() && ok;
   ok = RestartedEntryTakesNothingFromLiveHolders() && ok;
+  ok = SlowEntryTakesNothingFromLiveHolders(3, 0) && ok;
+  ok = SlowEntryTakesNothingFromLiveHolders(0, 16) && ok;
   ok = ClaimsSucceedWhenClocksDiffer() && ok;
   ok = RestartAfterClockJumpedBack() && ok;
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -45,7 +45,9 @@
     aPeer.mRegularSince && aNow.mTime - *aPeer.mRegularSince >= options.mSilentAfter;
   const auto allowed =
     regular ? options.mSilentAfter : 2 * options.mIdlePresenceInterval + options.mSilentAfter;
-  return aPeer.mEchoedAt && *aPeer.mEchoedAt >= aNow.mTime - allowed;
+  const auto since = aNow.mTime - allowed;
+  return (aPeer.mEchoedAt && *aPeer.mEchoedAt >= since) ||
+         (aNow.mTime < aState.mLateUntil && aPeer.mHeardAt && *aPeer.mHeardAt >= since);
 }
 
 milliseconds PresenceIntervalTo(const State& aState, const Peer& aPeer, const Now& aNow)
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -145,6 +145,9 @@
   Time mStarted{};
   Time mLastEvent{};
   Time mOwnersCheckedAt{}; ///< When jobs of silent owners were last looked for.
+  std::optional<Time> mLastTick;
+  /// Until then the echoes of peers may be old because this entry handles its events late.
+  Time mLateUntil{};
   Time mNextNeighbours{};
   Time mNextClaims{};
   /// After its start or a pause the entry claims nothing until the presences of live holders have
@@ -294,7 +297,9 @@
 /// shows that messages arrive in both directions. Jobs are only forwarded to such peers.
 bool IsAlive(const State& aState, const Peer& aPeer, const Now& aNow);
 
-/// The same, but allows for peers that send presences at mIdlePresenceInterval.
+/// The same, but allows for peers that send presences at mIdlePresenceInterval. While this entry
+/// handles its events late, an old echo shows nothing about the peer, and presences that arrive
+/// suffice.
 bool IsPresent(const State& aState, const Peer& aPeer, const Now& aNow);
 
 /// Interval at which presences are sent to the peer; 0: none are sent.
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -559,7 +559,10 @@
   if (!aWorld.mNodes[aNode].mPaused) {
     Step(aWorld, aNode, Tick{});
   }
-  After(aWorld, kTick, [&aWorld, aNode, aGeneration] { TickNode(aWorld, aNode, aGeneration); });
+  const auto interval = aWorld.mNodes[aNode].mTickInterval;
+  After(aWorld, interval.count() != 0 ? interval : Duration(kTick), [&aWorld, aNode, aGeneration] {
+    TickNode(aWorld, aNode, aGeneration);
+  });
 }
 
 void TickWorkers(World& aWorld)
@@ -732,6 +735,7 @@
   node.mAlive = false;
   node.mPaused = false;
   node.mHandlingDelay = Duration{ 0 };
+  node.mTickInterval = Duration{ 0 };
   node.mDeferredEvents.clear();
   ++node.mGeneration;
   node.mState.reset();
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -52,6 +52,7 @@
   std::uint64_t mMessages = 0;        ///< Sent to other entries.
   std::int64_t mClockOffsetMs = 0;    ///< Of its time of day.
   Duration mHandlingDelay{ 0 };       ///< Added before each event is handled.
+  Duration mTickInterval{ 0 };        ///< If not 0: instead of the usual interval.
   std::vector<Event> mDeferredEvents; ///< Arrived while paused.
 };
 
