Answer a call at once whose holder was lost and whose time is too short

Cause: after a holder has become silent, a job may be submitted elsewhere only 1.3 s later, when its runs there are over. A call whose deadline came before that was kept until the deadline, although no answer could complete it: the former holder's answer is ignored from then on. With deadlines of 1.5 s that is nearly every call of a lost holder.

A caller that sends the job again after 1.3 s comes no earlier than the submission elsewhere would have.

Test: HopelessCallsAreAnsweredAtOnce fails without the change.

--- a/src/libentry/calls.cpp
+++ b/src/libentry/calls.cpp
@@ -283,7 +283,8 @@
 
 /// Schedules the submission of a call to another holder once the runs of its former holder are
 /// over. The call gets a new number, so that messages still in flight cannot be taken for answers
-/// to the new submission.
+/// to the new submission. A call whose deadline is earlier is answered at once: the former holder's
+/// answer would be ignored, and the caller should not wait for nothing.
 void Resubmit(State& aState,
               CallNumber aNumber,
               std::string_view aReason,
@@ -299,6 +300,18 @@
     aActions.emplace_back(
       SendPeer{ peer->mAddress, message::Cancel{ aNumber, call.mJob.mId, call.mJob.mTeam } });
   }
+  if (aNotBefore >= call.mDeadline) {
+    Answer(aState,
+           aState.mLastCall,
+           std::nullopt,
+           Error{ ErrorCode::Expired,
+                  call.mVerdict,
+                  "The holder was lost, and the job's deadline is too near for another (" +
+                    std::string(aReason) + ").",
+                  {} },
+           aActions);
+    return;
+  }
   ++aState.mCounts.mResubmitted;
   call.mHolder.reset();
   call.mRefusedBy.clear();
--- a/src/libentry/entry_test.cpp
+++ b/src/libentry/entry_test.cpp
@@ -452,13 +452,13 @@
   }
 
   /// Submits one call.
-  void Submit()
+  void Submit(milliseconds aDeadline = milliseconds(3000))
   {
     JobSpec job;
     job.mId = "j";
     job.mService = "s";
     job.mTeam = "t";
-    job.mDeadline = milliseconds(3000);
+    job.mDeadline = aDeadline;
     job.mRestartable = true;
     job.mTasks.resize(1);
     job.mTasks[0].mNeeds.mMilliCores = 16000;
@@ -949,6 +949,40 @@
   return Expect(HoldsLost(w) == 0, "no live holder is fenced") && ok && NoViolations(w);
 }
 
+/// Guards against a caller that waits until its deadline for a job that is given up: the holder has
+/// become silent, and the deadline comes before the job may be submitted elsewhere. With a later
+/// deadline the job is submitted again.
+bool HopelessCallsAreAnsweredAtOnce()
+{
+  OwnerAndHolder world;
+  world.Submit(milliseconds(1500));
+  const auto advance = [&world](milliseconds aTime) {
+    for (auto left = aTime; left.count() > 0; left -= milliseconds(25)) {
+      world.mNow.mTime += milliseconds(25);
+      world.mNow.mUnixMs += 25;
+      world.Step(Tick{});
+    }
+  };
+  advance(milliseconds(600));
+  const auto answer =
+    std::find_if(world.mActions.begin(), world.mActions.end(), [](const Action& aAction) {
+      return std::holds_alternative<AnswerCaller>(aAction);
+    });
+  bool ok =
+    Expect(answer != world.mActions.end(), "it is answered when its holder is found silent");
+  if (ok) {
+    const auto& error = std::get<AnswerCaller>(*answer).mError;
+    ok =
+      Expect(error && error->mCode == ErrorCode::Expired && error->mVerdict == Verdict::MayHaveRun,
+             "the answer says that it may have run");
+  }
+  OwnerAndHolder patient;
+  patient.Submit(milliseconds(3000));
+  patient.mNow.mTime += milliseconds(600);
+  patient.Step(Tick{});
+  return Expect(!patient.Answered(), "a job with time left is submitted again") && ok;
+}
+
 /// Guards against an entry with too little processor time that takes the silence of all others,
 /// whose echoes it handles late, for their death, and fences live holders again and again. Pattern:
 /// a standby candidate or a holder handles events 400 ms late for 5 s. Of the holder's upstreams
@@ -1193,6 +1227,7 @@
   ok = FormerCandidateForgetsUpstreams() && ok;
   ok = CopyOfAnOrderIsStoppedAfterARestart() && ok;
   ok = RestartedEntryTakesNothingFromLiveHolders() && ok;
+  ok = HopelessCallsAreAnsweredAtOnce() && ok;
   ok = SlowEntryTakesNothingFromLiveHolders(3, 0) && ok;
   ok = SlowEntryTakesNothingFromLiveHolders(0, 16) && ok;
   ok = ClaimsSucceedWhenClocksDiffer() && ok;
