Replace the connection to a slow peer less and less often

Cause: a connection is replaced when the peer's presences arrive but echo no timestamp younger than 350 ms. The echoes of a peer with too little processor time are always older, so each neighbour replaced its connection every 370 ms, and the slow entry replaced its own connections to all others. What was in the old connection is lost, and the peer has to accept the new one.

Change: each replacement without a younger echo doubles the time to the next, up to 1.4 s; a young echo or a new incarnation sets it back. An entry that handles its own events late replaces nothing. A broken connection is still replaced after 350 ms.

Test: ConnectionsToSlowPeersAreKept fails without the change.

--- a/src/libentry/entry_test.cpp
+++ b/src/libentry/entry_test.cpp
@@ -437,14 +437,24 @@
 
   void ReceivePresenceFrom(Incarnation aHolder, const char* aAddress, std::uint64_t aFreeMilliCores)
   {
-    const auto nowMs =
-      std::chrono::duration_cast<milliseconds>(mNow.mTime.time_since_epoch()).count();
+    ReceivePresenceFrom(aHolder, aAddress, aFreeMilliCores, mNow.mTime);
+  }
+
+  void ReceivePresenceFrom(Incarnation aHolder,
+                           const char* aAddress,
+                           std::uint64_t aFreeMilliCores,
+                           Time aEchoed)
+  {
+    const auto toMs = [](Time aTime) {
+      return std::chrono::duration_cast<milliseconds>(aTime.time_since_epoch()).count();
+    };
+    const auto nowMs = toMs(mNow.mTime);
     message::Presence presence;
     presence.mIncarnation = aHolder;
     presence.mEntry = EntryRecord{ aAddress, aAddress, "a", 1, 0 };
     presence.mTimeMs = nowMs;
     presence.mLoads = { { "s", 64000, aFreeMilliCores, 0 } };
-    presence.mLastPresences = { { Incarnation{ 1 }, nowMs } };
+    presence.mLastPresences = { { Incarnation{ 1 }, toMs(aEchoed) } };
     if (mNumber) {
       presence.mAcceptedJobs = { *mNumber };
     }
@@ -983,6 +993,39 @@
   return Expect(!patient.Answered(), "a job with time left is submitted again") && ok;
 }
 
+/// Guards against a slow peer that gets a new connection from each neighbour every 350 ms, and
+/// against a broken connection that is kept. Pattern: a peer's presences arrive every 100 ms, and
+/// none echoes a recent timestamp.
+bool ConnectionsToSlowPeersAreKept()
+{
+  OwnerAndHolder world;
+  const auto run = [&world](milliseconds aTime, bool aEchoes) {
+    world.mActions.clear();
+    const auto stale = world.mNow.mTime;
+    for (auto left = aTime; left.count() > 0; left -= milliseconds(25)) {
+      world.mNow.mTime += milliseconds(25);
+      world.mNow.mUnixMs += 25;
+      if (left.count() % 100 == 0) {
+        world.ReceivePresenceFrom(OwnerAndHolder::kHolder,
+                                  OwnerAndHolder::kAddress,
+                                  64000,
+                                  aEchoes ? world.mNow.mTime : stale);
+      }
+      world.Step(Tick{});
+    }
+    return std::count_if(world.mActions.begin(), world.mActions.end(), [](const Action& aAction) {
+      const auto* connect = std::get_if<ConnectPeer>(&aAction);
+      return connect != nullptr && connect->mReconnect;
+    });
+  };
+  bool ok = Expect(run(milliseconds(1000), true) == 0, "a working connection is kept");
+  ok &= Expect(run(milliseconds(500), false) == 1, "a broken connection is replaced");
+  const auto replaced = run(milliseconds(5000), false);
+  ok &= Expect(replaced >= 3 && replaced <= 5, "replacements that do not help become rare");
+  ok &= Expect(run(milliseconds(1000), true) == 0, "a working connection is kept again");
+  return Expect(run(milliseconds(500), false) == 1, "the next break is found as soon") && ok;
+}
+
 /// Guards against an entry with too little processor time that takes the silence of all others,
 /// whose echoes it handles late, for their death, and fences live holders again and again. Pattern:
 /// a standby candidate or a holder handles events 400 ms late for 5 s. Of the holder's upstreams
@@ -1228,6 +1271,7 @@
   ok = CopyOfAnOrderIsStoppedAfterARestart() && ok;
   ok = RestartedEntryTakesNothingFromLiveHolders() && ok;
   ok = HopelessCallsAreAnsweredAtOnce() && ok;
+  ok = ConnectionsToSlowPeersAreKept() && ok;
   ok = SlowEntryTakesNothingFromLiveHolders(3, 0) && ok;
   ok = SlowEntryTakesNothingFromLiveHolders(0, 16) && ok;
   ok = ClaimsSucceedWhenClocksDiffer() && ok;
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -13,6 +13,9 @@
 /// A connection is replaced if the peer's presences arrive but echo no timestamp of this entry that
 /// is younger than this.
 constexpr milliseconds kReconnectTimeout{ 350 };
+/// Each replacement that brought no younger echo doubles the time to the next one, up to this. The
+/// peer is then slow, and new connections would cost it more time.
+constexpr milliseconds kMaxReconnectTimeout{ 1400 };
 /// A peer's timestamp is echoed for this long after its last presence.
 constexpr milliseconds kHeardRetention{ 10000 };
 
@@ -122,6 +125,7 @@
     aState.mPeerAddresses[aPresence.mIncarnation] = aFrom;
     peer.mIncarnation = aPresence.mIncarnation;
     peer.mEchoedAt.reset();
+    peer.mReconnectTimeout = kReconnectTimeout;
     peer.mHeldUpstreams = {};
     AddReport(aActions,
               "peer_started",
@@ -296,8 +300,16 @@
     }
     const bool heardByPeer = peer.mEchoedAt && aNow.mTime - *peer.mEchoedAt <= kReconnectTimeout;
     const bool heardFromPeer = peer.mHeardAt && aNow.mTime - *peer.mHeardAt <= kReconnectTimeout;
-    if (heardFromPeer && !heardByPeer && aNow.mTime - peer.mConnectedAt > kReconnectTimeout) {
+    if (heardByPeer) {
+      peer.mReconnectTimeout = kReconnectTimeout;
+    }
+    // Echoes that this entry handles late do not show that a connection is broken.
+    const bool isLate = aNow.mTime < aState.mLateUntil;
+    if (heardFromPeer && !heardByPeer && !isLate &&
+        aNow.mTime - peer.mConnectedAt > peer.mReconnectTimeout) {
       peer.mConnectedAt = aNow.mTime;
+      peer.mReconnectTimeout =
+        std::clamp(2 * peer.mReconnectTimeout, 2 * kReconnectTimeout, kMaxReconnectTimeout);
       aActions.emplace_back(ConnectPeer{ address, true });
     }
   }
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -49,6 +49,8 @@
   /// messages after it later than this, however long they were delayed on the way.
   std::optional<Time> mEchoedAt;
   Time mConnectedAt{};
+  /// Age of mConnectedAt at which a connection without recent echoes is replaced.
+  std::chrono::milliseconds mReconnectTimeout{ 0 };
   Time mSelectedAt{}; ///< When it became a neighbour.
   /// Interval at which this entry wants presences from the peer; 0: it is not a neighbour by this
   /// entry's choice.
