Keep no connection whose request is still being sent

Callers would see orders to a worker that end without an answer, and in the worst case an order that differs from the one that was decided.

Cause: a response that arrives before all of the request has been sent ended the call and freed its connection for the next one, which replaced the buffer of the write in progress. Found by reading, while looking for orders that are sent other than decided; orders are small, so a worker has to stop reading for it to happen.

Evidence: ConnectionIsNotReusedBeforeTheRequestIsSent fails before this change: the connection is in the list of idle ones.

Such a connection is now closed when the call ends.

--- a/src/libnet/http_pool.cpp
+++ b/src/libnet/http_pool.cpp
@@ -28,6 +28,7 @@
   bool mServerGone = false;
   std::optional<HttpCall> mCall;
   std::string mWriteBuffer; ///< Kept when an early response ends the call before all is written.
+  bool mWriting = false;
   Time mCallDeadline = Time::max();
   boost::beast::flat_buffer mBuffer;
   std::optional<ResponseParser> mParser;
@@ -89,7 +90,8 @@
 void Complete(const ConnectionPtr& aConnection)
 {
   const auto pool = aConnection->mPool.lock();
-  const bool keep = aConnection->mParser->keep_alive() && aConnection->mBuffer.size() == 0;
+  const bool keep = aConnection->mParser->keep_alive() && aConnection->mBuffer.size() == 0 &&
+                    !aConnection->mWriting;
   if (pool) {
     pool->mClosedByServer = false;
   }
@@ -150,10 +152,12 @@
   aConnection->mParser->eager(true);
   aConnection->mParser->body_limit(aLimits.mMaxBodyBytes);
   aConnection->mSent = true;
+  aConnection->mWriting = true;
   aConnection->mWriteBuffer = std::move(aConnection->mCall->mRequest);
   asio::async_write(aConnection->mSocket,
                     asio::buffer(aConnection->mWriteBuffer),
                     [aConnection](const boost::system::error_code& aEc, std::size_t) {
+                      aConnection->mWriting = false;
                       if (aEc) {
                         CloseByServer(aConnection);
                       }
--- a/src/libnet/net_test.cpp
+++ b/src/libnet/net_test.cpp
@@ -230,6 +230,32 @@
          test::Expect(pool->mOpenedConnections == 1, "no connection is opened for it");
 }
 
+/// Guards against a connection that is used for the next call while the rest of the last request
+/// is still being sent: the buffer that is sent would be replaced. The server answers before it has
+/// read the request.
+bool ConnectionIsNotReusedBeforeTheRequestIsSent(boost::asio::io_context& aContext)
+{
+  constexpr std::size_t kRequestBytes = std::size_t{ 32 } << 20; // More than the socket buffers.
+  net::Tcp::acceptor acceptor(aContext, { boost::asio::ip::address_v4::loopback(), 0 });
+  const auto pool =
+    std::make_shared<net::HttpPool>(aContext, acceptor.local_endpoint(), net::HttpPoolLimits{});
+  net::OneShot<net::HttpCallResult> answer;
+  net::Call(pool,
+            { "POST / HTTP/1.1\r\n\r\n" + std::string(kRequestBytes, 'x'),
+              std::chrono::seconds(5),
+              [&answer](net::HttpCallResult aResult) { answer.Set(std::move(aResult)); } });
+  boost::system::error_code ec;
+  net::Socket accepted(aContext);
+  acceptor.async_accept(accepted, net::Await(ec));
+  const std::string response = "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n";
+  accepted.async_write_some(boost::asio::buffer(response), net::Await(ec));
+  const auto result = answer.Wait();
+  const bool isIdle = !pool->mIdle.empty();
+  net::CloseAll(*pool);
+  return test::Expect(result.mStatus == 429, "the response is received") &&
+         test::Expect(!isIdle, "the connection is not used again");
+}
+
 } // namespace
 
 int main()
@@ -247,6 +273,7 @@
   passed &= EndedServersDifferFromCutOnes(context, true);
   passed &= EndedServersDifferFromCutOnes(context, false);
   passed &= ExpiredCallIsNotSentOverANewConnection(context);
+  passed &= ConnectionIsNotReusedBeforeTheRequestIsSent(context);
   passed &= WaitingCallExpires(context, true);
   passed &= WaitingCallExpires(context, false);
   passed &= test::HttpServerTests(context);
