--- a/review/common.py
+++ b/review/common.py
@@ -180,25 +180,37 @@
 
 class Proxy:
     """Forwards a free port to another one. While it is cut, nothing passes in either direction and
-    no connection is closed; new connections get no answer. Healing resets what was held up."""
+    no connection is closed; new connections get no answer. Healing resets what was held up.
+    cut_with_reset() resets the open connections instead, and new ones are refused."""
 
     def __init__(self, target):
         self.target = target
         self.is_cut = False
         self.pairs = []
+        self.port = free_ports(1)[0]
+        self._listen()
+
+    def _listen(self):
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.port = free_ports(1)[0]
         self.listener.bind(("127.0.0.1", self.port))
         self.listener.listen(512)
-        threading.Thread(target=self._accept, daemon=True).start()
+        threading.Thread(target=self._accept, args=(self.listener,), daemon=True).start()
 
     def cut(self):
         self.is_cut = True
 
+    def cut_with_reset(self):
+        listener, self.listener = self.listener, None
+        listener.shutdown(socket.SHUT_RDWR)  # Wakes the thread in accept().
+        listener.close()
+        self.reset()
+
     def heal(self):
         self.is_cut = False
         self.reset()
+        if self.listener is None:
+            self._listen()
 
     def reset(self):
         held, self.pairs = self.pairs, []
@@ -206,13 +218,17 @@
             for it in pair:
                 try:
                     it.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    it.shutdown(socket.SHUT_RD)  # Wakes the thread in recv().
                     it.close()
                 except OSError:
                     pass
 
-    def _accept(self):
+    def _accept(self, listener):
         while True:
-            near, _ = self.listener.accept()
+            try:
+                near, _ = listener.accept()
+            except OSError:
+                return
             if self.is_cut:
                 self.pairs.append((near,))
                 continue
