--- a/src/libentry/two_runs_test.cpp
+++ b/src/libentry/two_runs_test.cpp
@@ -216,6 +216,40 @@
   return NoViolations(w) && AllAnswered(w);
 }
 
+/// Guards against a run that goes on when its caller comes back, because the entry to which the
+/// caller was connected read the end of the connection late and meanwhile told the holder that the
+/// call is open. Pattern: the end is read after 60 to 250 ms, the entry is cut off at that moment,
+/// and the stops of the run are late.
+bool RunEndsBeforeItsCallerComesBackIfItsEndIsReadLate(std::uint64_t aSeed)
+{
+  WorldOptions options;
+  options.mSeed = aSeed;
+  options.mDataCentres = 2;
+  options.mLargeNodesEach = 1; // Nodes 0 and 2 hold the upstreams of their data centres.
+  options.mClockDrift = 0.02;
+  auto world = MakeWorld(options);
+  auto& w = *world;
+  RunFor(w, seconds(2));
+  const std::size_t owner = 1;
+  const auto job = SubmitJob(w, owner, 1, milliseconds(2500), seconds(4));
+  RunFor(w, milliseconds(100 + w.mRandom() % 120));
+  if (!Expect(w.mStarts == 1, "the task runs")) {
+    return false;
+  }
+  const milliseconds readDelay(60 + w.mRandom() % 190);
+  Disconnect(w, job, readDelay);
+  RunFor(w, readDelay - milliseconds(1));
+  CutNode(w, owner, true);
+  w.mOptions.mLateOrders = 1;
+  RunFor(w, milliseconds(1301) - readDelay);
+  const bool over = w.mRunningAt.at({ JobName(job), 0 }).empty();
+  CutNode(w, owner, false);
+  w.mOptions.mLateOrders = 0;
+  ResubmitJob(w, 3, job);
+  RunFor(w, seconds(6));
+  return NoViolations(w) && Expect(over, "the run is over when the caller comes back");
+}
+
 } // namespace
 
 int main()
@@ -252,6 +286,11 @@
                 "the caller of a killed entry comes back, seed " + std::to_string(seed)) &&
          ok;
   }
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    ok = Expect(RunEndsBeforeItsCallerComesBackIfItsEndIsReadLate(seed),
+                "the end of a caller's connection is read late, seed " + std::to_string(seed)) &&
+         ok;
+  }
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
 }
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -722,11 +722,21 @@
   (*next)();
 }
 
-void Disconnect(World& aWorld, RequestId aRequest)
+void Disconnect(World& aWorld, RequestId aRequest, Duration aReadDelay)
 {
   auto& call = aWorld.mCalls.at(aRequest);
   call.mGone = true;
-  Step(aWorld, call.mNode, CallerDisconnected{ aRequest });
+  if (aReadDelay.count() == 0) {
+    Step(aWorld, call.mNode, CallerDisconnected{ aRequest });
+    return;
+  }
+  After(aWorld,
+        aReadDelay,
+        [&aWorld, aRequest, node = call.mNode, generation = aWorld.mNodes[call.mNode].mGeneration] {
+          if (aWorld.mNodes[node].mGeneration == generation) {
+            Step(aWorld, node, CallerDisconnected{ aRequest });
+          }
+        });
 }
 
 void Kill(World& aWorld, std::size_t aNode)
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -168,8 +168,9 @@
                   Duration aTime,
                   std::chrono::milliseconds aRun);
 
-/// Ends the connection of a caller whose call is open.
-void Disconnect(World& aWorld, RequestId aRequest);
+/// Ends the connection of a caller whose call is open. The entry's event loop reads the end after
+/// aReadDelay.
+void Disconnect(World& aWorld, RequestId aRequest, Duration aReadDelay = Duration{ 0 });
 
 void Kill(World& aWorld, std::size_t aNode);
 /// Starts an entry. With seeds it knows only these entries and cannot read the platform's list.
