--- a/src/include/pollenwall/net/http_server.h
+++ b/src/include/pollenwall/net/http_server.h
@@ -49,6 +49,10 @@
 /// An accepted connection, opaque to request handlers.
 struct HttpConnection;
 
+/// The connection's socket, for FindClosed. The number may be used again once the connection's
+/// fiber has ended.
+int NativeSocket(HttpConnection& aConnection);
+
 /// Calls the function once if the caller disconnects during the lifetime of this object.
 struct DisconnectWatch
 {
--- a/src/include/pollenwall/net/stream.h
+++ b/src/include/pollenwall/net/stream.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <boost/asio/basic_stream_socket.hpp>
 #include <boost/asio/io_context.hpp>
@@ -71,6 +72,12 @@
                                     std::shared_ptr<boost::asio::ssl::context> aContext,
                                     boost::asio::ssl::stream_base::handshake_type aType);
 
+/// The indexes of those connected sockets whose peers have closed, half-closed or reset the
+/// connection, also behind unread input. Makes one system call, with whose error aEc is set; the
+/// result is empty then.
+std::vector<std::size_t> FindClosed(const std::vector<int>& aSockets,
+                                    boost::system::error_code& aEc);
+
 /// Closes at once, without a TLS close_notify. Outstanding operations end with an error.
 void Close(Stream& aStream);
 
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -343,6 +343,11 @@
 
 } // namespace
 
+int NativeSocket(HttpConnection& aConnection)
+{
+  return aConnection.mStream.mSocket.native_handle();
+}
+
 DisconnectWatch::DisconnectWatch(HttpConnection& aConnection,
                                  std::function<void()> aFunction,
                                  DisconnectCondition aCondition)
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -291,6 +291,39 @@
                 "callers that half-close are served");
 }
 
+/// Guards against a caller that counts as connected although it has left: the end of its connection
+/// stands behind unread input, or has not been read by the event loop.
+bool EndedConnectionsAreFoundWithoutReading(boost::asio::io_context& aContext)
+{
+  boost::asio::ip::tcp::acceptor acceptor(aContext, { boost::asio::ip::address_v4::loopback(), 0 });
+  using Socket = boost::asio::ip::tcp::socket;
+  const auto connect = [&](Socket& aAccepted) {
+    Socket caller(aContext);
+    caller.connect(acceptor.local_endpoint());
+    acceptor.accept(aAccepted);
+    boost::asio::write(caller, boost::asio::buffer(std::string("unread")));
+    return caller;
+  };
+  std::vector<Socket> accepted;
+  std::vector<Socket> callers;
+  std::vector<int> sockets;
+  for (int n = 0; n < 4; ++n) {
+    accepted.emplace_back(aContext);
+    callers.push_back(connect(accepted.back()));
+    sockets.push_back(accepted.back().native_handle());
+  }
+  boost::system::error_code ec;
+  const bool none = net::FindClosed(sockets, ec).empty() && !ec;
+  callers[0].close();
+  callers[1].shutdown(Socket::shutdown_send);
+  callers[2].set_option(boost::asio::socket_base::linger(true, 0));
+  callers[2].close();
+  const auto closed = net::FindClosed(sockets, ec);
+  return Expect(none, "open connections are not reported") &&
+         Expect(!ec && closed == std::vector<std::size_t>{ 0, 1, 2 },
+                "closed, half-closed and reset connections are reported");
+}
+
 /// Guards against a flood of connections that exhausts the file descriptors and stops the service
 /// for existing connections.
 bool ConnectionsAreLimited(boost::asio::io_context& aContext)
@@ -400,6 +433,7 @@
     passed &= AbandonedRequestsAreNotHandled(aContext, condition, false);
     passed &= AbandonedRequestsAreNotHandled(aContext, condition, true);
   }
+  passed &= EndedConnectionsAreFoundWithoutReading(aContext);
   passed &= ConnectionsAreLimited(aContext);
   passed &= StopCompletesRequestsInProgress(aContext);
   passed &= StopWaitsForQuietPeriod(aContext);
--- a/src/libnet/stream.cpp
+++ b/src/libnet/stream.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <pollenwall/net/fiber.h>
@@ -72,6 +73,31 @@
   return ec;
 }
 
+std::vector<std::size_t> FindClosed(const std::vector<int>& aSockets,
+                                    boost::system::error_code& aEc)
+{
+  aEc = {};
+  std::vector<std::size_t> closed;
+  if (aSockets.empty()) {
+    return closed;
+  }
+  std::vector<pollfd> polled;
+  polled.reserve(aSockets.size());
+  for (const auto socket : aSockets) {
+    polled.push_back({ socket, POLLRDHUP, 0 });
+  }
+  if (::poll(polled.data(), polled.size(), 0) < 0) {
+    aEc.assign(errno, boost::system::system_category());
+    return closed;
+  }
+  for (std::size_t n = 0; n < polled.size(); ++n) {
+    if (polled[n].revents != 0) {
+      closed.push_back(n);
+    }
+  }
+  return closed;
+}
+
 void Close(Stream& aStream)
 {
   boost::system::error_code ec;
--- a/src/pollenwalld/core_loop.h
+++ b/src/pollenwalld/core_loop.h
@@ -64,6 +64,13 @@
   aLoop.mWakeup.Set();
 }
 
+/// Called before each event is passed to the core. An overload for a loop may pass other events
+/// first.
+template<typename Loop, typename Actions>
+void BeforeEvent(Loop& /*aLoop*/, Actions& /*aActions*/)
+{
+}
+
 /// Passes events to the core one at a time and the resulting actions to the visitor.
 ///
 /// Returns when the core or a handler of an action has thrown; mStopped is then false, and the
@@ -83,6 +90,7 @@
       const auto decided = static_cast<std::ptrdiff_t>(actions.size());
       const auto name = "event " + std::to_string(event.index());
       if (!RunLogged(aLoop.mDaemon, "core_failed", name, [&] {
+            BeforeEvent(aLoop, actions);
             Handle(*aLoop.mState, event, ReadClocks(), actions);
           })) {
         aLoop.mFailed = true;
--- a/src/pollenwalld/entry_loop.cpp
+++ b/src/pollenwalld/entry_loop.cpp
@@ -66,6 +66,19 @@
 
 } // namespace
 
+void BeforeEvent(EntryLoop& aLoop, entry::Actions& /*aActions*/)
+{
+  const auto now = ReadClocks();
+  if (aLoop.mCallersCheckedAt &&
+      now.mTime - *aLoop.mCallersCheckedAt < Duration(std::chrono::milliseconds(10))) {
+    return;
+  }
+  aLoop.mCallersCheckedAt = now.mTime;
+  if (aLoop.mHandlers.mFindGoneCallers) {
+    aLoop.mHandlers.mFindGoneCallers();
+  }
+}
+
 EntryLoop::EntryLoop(DaemonContext& aDaemon, const entry::Options& aOptions)
   : mDaemon(aDaemon)
   , mState(entry::MakeState(aOptions, ReadClocks()))
--- a/src/pollenwalld/entry_loop.h
+++ b/src/pollenwalld/entry_loop.h
@@ -28,6 +28,8 @@
   std::function<void(entry::DisconnectPeer&)> mDisconnectPeer;
   std::function<void(entry::FollowUpstreams&)> mFollowUpstreams;
   std::function<void()> mAfterTick; ///< Called after each tick is queued.
+  /// Finds the callers whose connections have ended although the end has not been read yet.
+  std::function<std::vector<dispatch::RequestId>()> mFindGoneCallers;
 };
 
 struct EntryLoop
@@ -45,8 +47,12 @@
   net::OneShot<bool> mStopped; ///< True when the core has reported Stopped, false when it
                                ///< has failed.
   dispatch::RequestId mLastRequestId = 0;
+  std::optional<Time> mCallersCheckedAt; ///< When mFindGoneCallers was called last.
 };
 
+/// Looks for callers that are gone, at most once in 10 ms; see entry::CallersChecked.
+void BeforeEvent(EntryLoop& aLoop, entry::Actions& aActions);
+
 /// Queues an event, which is handled once the calling fiber has suspended.
 void Post(EntryLoop& aLoop, entry::Event aEvent);
 
