Count leases on the slowest clock that an upstream may have

The lease end was the last reading of the upstream's clock plus the time of the entry since then plus the lease. On a clock that runs 2% slow and was read a second ago, on an upstream that was idle, the lease lasted up to 735 ms in place of 714, which took most of the margin to the 1.3 s after which a caller comes back. The time since the reading now counts as the slowest clock shows it, as HasLeaseLapsed counts it.

LeaseAllowsForASlowClock failed before and passes.

--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -128,10 +128,19 @@
   });
 }
 
-/// The lease end for an order that is sent now: at most mLease after the present reading of the
-/// upstream's clock, which runs slow but not fast. Others rely on the runs of a dead or silent
-/// entry being over in time, so the clock counts from the arrival of its reading; from the sending
-/// of the poll, its wait at the upstream would lengthen the lease. The lease covers all runs of the
+/// What the upstream's clock shows now at least, in ms, if it runs as slow as mMaxClockDrift
+/// allows.
+double EarliestClock(const State& aState, const Session& aSession, const Now& aNow)
+{
+  const double passed = static_cast<double>(Milliseconds(aNow.mTime - aSession.mClockReadBefore));
+  return static_cast<double>(aSession.mClockMs.value_or(0)) +
+         passed * (1 - aState.mOptions.mMaxClockDrift);
+}
+
+/// The lease end for an order that is sent now: at most mLease after what the upstream's clock
+/// shows at least, as it runs slow but not fast. Others rely on the runs of a dead or silent entry
+/// being over in time, so the clock counts from the arrival of its reading; from the sending of the
+/// poll, its wait at the upstream would lengthen the lease. The lease covers all runs of the
 /// upstream, so it is not renewed while one of them should have ended: its job may soon be
 /// submitted elsewhere.
 std::int64_t NextLeaseEnd(const State& aState, Session& aSession, const Now& aNow)
@@ -139,10 +148,8 @@
   if (HasUnconfirmedStop(aSession)) {
     return aSession.mLeaseEndMs;
   }
-  const auto end = aSession.mClockMs.value_or(0) +
-                   Milliseconds(aNow.mTime - aSession.mClockReadBefore) +
-                   aState.mOptions.mLease.count();
-  aSession.mLeaseEndMs = std::max(aSession.mLeaseEndMs, end);
+  const auto clock = static_cast<std::int64_t>(EarliestClock(aState, aSession, aNow));
+  aSession.mLeaseEndMs = std::max(aSession.mLeaseEndMs, clock + aState.mOptions.mLease.count());
   return aSession.mLeaseEndMs;
 }
 
@@ -150,10 +157,8 @@
 /// mMaxClockDrift allows.
 bool HasLeaseLapsed(const State& aState, const Session& aSession, const Now& aNow)
 {
-  const double passed = static_cast<double>(Milliseconds(aNow.mTime - aSession.mClockReadBefore));
-  const double clock = static_cast<double>(aSession.mClockMs.value_or(0)) +
-                       passed * (1 - aState.mOptions.mMaxClockDrift);
-  return clock > static_cast<double>(aSession.mLeaseEndMs + aState.mOptions.mLapseMargin.count());
+  return EarliestClock(aState, aSession, aNow) >
+         static_cast<double>(aSession.mLeaseEndMs + aState.mOptions.mLapseMargin.count());
 }
 
 void MarkLost(std::string_view aUpstream, Session& aSession, Actions& aActions)
--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -408,6 +408,20 @@
   return Expect(order && order->mLeaseEndMs <= longest, "the lease is no longer than mLease");
 }
 
+/// Guards against a lease that lasts longer than others assume, because the upstream's clock runs
+/// slow and was read a while ago.
+bool LeaseAllowsForASlowClock()
+{
+  auto fixture = MakeFixture();
+  Pass(fixture, seconds(1));
+  const auto slow = static_cast<std::int64_t>(1000 * fixture.mState.mOptions.mMaxClockDrift);
+  const Run run{ { "j", 0 }, 1 };
+  const auto order = Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  const auto longest = fixture.mClockMs - slow + fixture.mState.mOptions.mLease.count();
+  return Expect(order && order->mLeaseEndMs <= longest,
+                "the lease is no longer than mLease on a slow clock");
+}
+
 /// Makes an answer to a poll that was sent at aSentAt.
 PollAnswered AnswerTo(const Fixture& aFixture, OrderStatus aStatus, Time aSentAt)
 {
@@ -494,6 +508,7 @@
   ok = OrdersBeforeALapseAreFenced() && ok;
   ok = LeaseOfARestartedUpstreamLasts() && ok;
   ok = LeaseDoesNotCountTheWaitOfAPoll() && ok;
+  ok = LeaseAllowsForASlowClock() && ok;
   ok = UnansweredPollsAreRepeated(OrderStatus::Unknown) && ok;
   ok = UnansweredPollsAreRepeated(OrderStatus::Done) && ok;
   ok = RepeatedPollsAreBounded() && ok;
