Raise the token when an upstream has restarted under its id

The session kept its token after its upstream had restarted under the same id. The new process had seen no token and its clock had started again, so it carried out late copies of earlier orders: a start whose run was over began once more, and late polls, with lease ends far ahead on the new clock, extended the lease past the time at which its runs were reported as lapsed. The token now rises as soon as the restart is noticed, and a poll carries it there at once; that earlier orders are then fenced is no sign of another holder.

OrdersBeforeARestartAreFenced failed before and passes. Until the first poll reaches the new process nothing but its id refuses an earlier order; that remains.

--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -333,6 +333,7 @@
 {
   std::uint64_t mNumber = 0;
   std::uint64_t mToken = 0;
+  Time mTokenSince{}; ///< Orders sent before have lower tokens; that one is fenced shows nothing.
   SessionPhase mPhase = SessionPhase::Claiming;
   bool mReleasing = false;            ///< Takes no new tasks; the session ends once nothing runs.
   bool mUsable = false;               ///< As last reported.
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -161,9 +161,10 @@
          static_cast<double>(aSession.mLeaseEndMs + aState.mOptions.mLapseMargin.count());
 }
 
-void MarkLost(std::string_view aUpstream, Session& aSession, Actions& aActions)
+/// Handles that an order was fenced.
+void MarkLost(std::string_view aUpstream, Session& aSession, Time aSentAt, Actions& aActions)
 {
-  if (aSession.mPhase == SessionPhase::Lost) {
+  if (aSession.mPhase == SessionPhase::Lost || aSentAt < aSession.mTokenSince) {
     return;
   }
   AddNote(aActions, "hold_lost", aUpstream, "another entry has a higher fencing token");
@@ -218,13 +219,19 @@
   aActions.emplace_back(OtherIncarnationFound{ std::string(aUpstream) });
 }
 
-/// Makes the upstream refuse the orders sent so far once it answers again, and ignores their
-/// answers: an order without an answer may be executed seconds later, when its run has been given
-/// up.
+/// Makes the upstream refuse the orders sent so far from the next one on: an order without an
+/// answer may be executed seconds later, when its run is over.
+void RaiseToken(const State& aState, Session& aSession, const Now& aNow)
+{
+  aSession.mToken = MakeToken(aState.mOptions.mTokenSalt, aNow.mUnixMs, aSession.mToken);
+  aSession.mTokenSince = aNow.mTime;
+}
+
+/// Raises the token and ignores the answers to all earlier orders.
 void FenceEarlierOrders(State& aState, Session& aSession, const Now& aNow)
 {
   aSession.mNumber = ++aState.mLastSession;
-  aSession.mToken = MakeToken(aState.mOptions.mTokenSalt, aNow.mUnixMs, aSession.mToken);
+  RaiseToken(aState, aSession, aNow);
   aSession.mPollPending = false;
   aSession.mPollsSent = 0;
 }
@@ -608,7 +615,7 @@
     MarkUnknown(aEvent.mUpstream, *session, aEvent.mRun, own, aNow, aActions);
   }
   if (aEvent.mStatus == OrderStatus::Fenced) {
-    MarkLost(aEvent.mUpstream, *session, aActions);
+    MarkLost(aEvent.mUpstream, *session, aEvent.mSentAt, aActions);
   } else if (isReplaced) {
     DropSession(aState, aEvent.mUpstream, aActions);
   }
@@ -621,7 +628,7 @@
     return;
   }
   if (aEvent.mStatus == OrderStatus::Fenced) {
-    MarkLost(aEvent.mUpstream, *session, aActions);
+    MarkLost(aEvent.mUpstream, *session, aEvent.mSentAt, aActions);
     return;
   }
   if (IsReplaced(*session, aEvent.mStatus, aEvent.mSentAt)) {
@@ -659,7 +666,7 @@
     case OrderStatus::Done:
       break;
     case OrderStatus::Fenced:
-      MarkLost(aEvent.mUpstream, *session, aActions);
+      MarkLost(aEvent.mUpstream, *session, aEvent.mSentAt, aActions);
       return;
     case OrderStatus::OtherIncarnation:
       DropSession(aState, aEvent.mUpstream, aActions);
@@ -698,10 +705,12 @@
     WithdrawCrash(aEvent.mUpstream, *session, aActions);
   } else {
     if (session->mBornMs) {
-      // A new process under the old id: it numbers its ends from 1 and runs only what it lists.
+      // A new process under the old id: it numbers its ends from 1, runs only what it lists, and
+      // would execute late copies of orders whose runs its predecessor has ended.
       ReportCrash(aState, aEvent.mUpstream, *session, CrashState::Confirmed, aActions);
       AddNote(aActions, "upstream_restarted", aEvent.mUpstream, "");
       session->mAcknowledgedEnd = 0;
+      RaiseToken(aState, *session, aNow);
       for (auto& [run, own] : session->mRuns) {
         own.mProcessEnded = true;
         own.mStopConfirmed = false; // The present process knows no stop.
@@ -731,7 +740,8 @@
     }
     SetPhase(aEvent.mUpstream, *session, phase, aActions);
   }
-  const bool busy = !session->mRuns.empty() || !session->mForeignRuns.empty();
+  const bool isTokenUnknown = session->mTokenSince >= aEvent.mSentAt;
+  const bool busy = isTokenUnknown || !session->mRuns.empty() || !session->mForeignRuns.empty();
   session->mNextPollAt =
     aNow.mTime + (busy ? Duration{ 0 } : Duration(aState.mOptions.mIdlePollInterval));
 }
--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -422,6 +422,43 @@
                 "the lease is no longer than mLease on a slow clock");
 }
 
+/// Guards against a run that is over and begins again in a process that has restarted under the
+/// same id: a late copy of its start carries the token of before, and the process knows nothing of
+/// the run. Also against a hold that is given up because such a copy is fenced.
+bool OrdersBeforeARestartAreFenced()
+{
+  auto fixture = MakeFixture();
+  const auto formerToken = TokenOf(fixture.mState, kUpstream);
+  const auto run = StartTwice(fixture);
+  const auto sentAt = fixture.mNow.mTime;
+  AnswerStart(fixture, run, OrderStatus::Done);
+  Pass(fixture, milliseconds(1));
+  PollAnswered ended{ kUpstream,
+                      SessionOf(fixture),
+                      OrderStatus::Done,
+                      fixture.mClockMs,
+                      fixture.mBornMs,
+                      fixture.mNow.mTime,
+                      {},
+                      { { 1, run, {} } } };
+  Handle(fixture.mState, ended, fixture.mNow, fixture.mActions);
+  bool ok = Expect(All<Ended>(fixture).size() == 1, "the run has ended");
+  Pass(fixture, milliseconds(1));
+  fixture.mClockMs = 100;
+  fixture.mBornMs = 8;
+  AnswerPoll(fixture);
+  AdvanceBy(fixture, milliseconds(1));
+  const auto polls = All<SendPoll>(fixture);
+  ok &= Expect(polls.size() == 1 && polls[0].mToken > formerToken,
+               "a poll with a higher token is sent at once");
+  Handle(fixture.mState,
+         StartAnswered{
+           kUpstream, SessionOf(fixture), run, OrderStatus::Fenced, fixture.mClockMs, sentAt },
+         fixture.mNow,
+         fixture.mActions);
+  return Expect(Holds(fixture.mState, kUpstream), "the hold is kept") && ok;
+}
+
 /// Makes an answer to a poll that was sent at aSentAt.
 PollAnswered AnswerTo(const Fixture& aFixture, OrderStatus aStatus, Time aSentAt)
 {
@@ -509,6 +546,7 @@
   ok = LeaseOfARestartedUpstreamLasts() && ok;
   ok = LeaseDoesNotCountTheWaitOfAPoll() && ok;
   ok = LeaseAllowsForASlowClock() && ok;
+  ok = OrdersBeforeARestartAreFenced() && ok;
   ok = UnansweredPollsAreRepeated(OrderStatus::Unknown) && ok;
   ok = UnansweredPollsAreRepeated(OrderStatus::Done) && ok;
   ok = RepeatedPollsAreBounded() && ok;
