Ignore 421 answers to orders for a former address at any time

An upstream may restart under its id at another address. A 421 answer to an order for the former address ended the hold, and with it runs at the present address, unless the upstream had answered a later order already. The core now tells the hold when the address changes, and 421 answers to orders sent before are ignored.

AnswerOfAFormerAddressBeforeTheFirstOfThePresentOne failed before and passes.

--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -360,6 +360,7 @@
   Time mClockReadBefore{};
   /// The latest time at which an order was sent that the upstream itself has answered.
   Time mAnsweredSentAt{};
+  Time mAddressSince{};         ///< When the upstream's address last changed.
   std::int64_t mLeaseEndMs = 0; ///< Latest in any order sent; on the upstream's clock.
 };
 
@@ -400,6 +401,10 @@
                                const Now& aNow,
                                Actions& aActions);
 
+/// Records that orders to the upstream go to another address from now on. That another process
+/// answers an order sent before shows nothing about the upstream.
+void ChangeAddress(State& aState, std::string_view aUpstream, const Now& aNow);
+
 /// Stops a run of this entry. Does nothing if the run is over already.
 void Stop(State& aState,
           std::string_view aUpstream,
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -577,6 +577,9 @@
     listed.insert(key);
     auto& upstream = aState.mUpstreams[key];
     changed = changed || upstream.mRecord != record;
+    if (upstream.mRecord.mAddress != record.mAddress || upstream.mRecord.mPort != record.mPort) {
+      holding::ChangeAddress(aState.mHolding, key, aNow);
+    }
     if (!NamesSameProcess(upstream.mRecord, record)) {
       upstream.mMisdirected = 0;
       upstream.mMisdirectedUntil = {};
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -103,13 +103,13 @@
 }
 
 /// Records an answer and returns whether it shows that the upstream runs another incarnation. It
-/// does not if the upstream has answered a later order: the earlier one went to an address that the
-/// upstream no longer has.
+/// does not if the upstream has answered a later order or has changed its address since: the order
+/// went to an address that the upstream no longer has.
 bool IsReplaced(Session& aSession, OrderStatus aStatus, Time aSentAt)
 {
   switch (aStatus) {
     case OrderStatus::OtherIncarnation:
-      return aSentAt >= aSession.mAnsweredSentAt;
+      return aSentAt >= aSession.mAnsweredSentAt && aSentAt >= aSession.mAddressSince;
     case OrderStatus::NotSent:
     case OrderStatus::ServerGone:
     case OrderStatus::Unknown:
@@ -551,6 +551,14 @@
                     std::move(aPayload) };
 }
 
+void ChangeAddress(State& aState, std::string_view aUpstream, const Now& aNow)
+{
+  const auto it = aState.mSessions.find(aUpstream);
+  if (it != aState.mSessions.end()) {
+    it->second.mAddressSince = aNow.mTime;
+  }
+}
+
 void Stop(State& aState,
           std::string_view aUpstream,
           const TaskId& aTask,
--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -422,6 +422,31 @@
                 "the lease is no longer than mLease on a slow clock");
 }
 
+/// Guards against a run that is taken for lost while it goes on: another process answers an order
+/// to the former address of its upstream before the upstream has answered the first order to the
+/// present one.
+bool AnswerOfAFormerAddressBeforeTheFirstOfThePresentOne()
+{
+  auto fixture = MakeFixture();
+  const Run early{ { "j", 0 }, 1 };
+  const Run run{ { "j", 1 }, 1 };
+  Start(fixture.mState, kUpstream, early, nullptr, fixture.mNow, fixture.mActions);
+  const auto earlySentAt = fixture.mNow.mTime;
+  Pass(fixture, milliseconds(5));
+  ChangeAddress(fixture.mState, kUpstream, fixture.mNow);
+  Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  Pass(fixture, milliseconds(1));
+  StartAnswered late{ kUpstream, SessionOf(fixture), early, OrderStatus::OtherIncarnation,
+                      {},        earlySentAt };
+  Handle(fixture.mState, late, fixture.mNow, fixture.mActions);
+  const auto ended = All<Ended>(fixture);
+  return Expect(Holds(fixture.mState, kUpstream), "the hold is kept") &&
+         Expect(std::none_of(ended.begin(),
+                             ended.end(),
+                             [&run](const Ended& aEnded) { return aEnded.mTask == run.mTask; }),
+                "the run at the present address goes on");
+}
+
 /// Guards against a run that is over and begins again in a process that has restarted under the
 /// same id: a late copy of its start carries the token of before, and the process knows nothing of
 /// the run. Also against a hold that is given up because such a copy is fenced.
@@ -547,6 +572,7 @@
   ok = LeaseDoesNotCountTheWaitOfAPoll() && ok;
   ok = LeaseAllowsForASlowClock() && ok;
   ok = OrdersBeforeARestartAreFenced() && ok;
+  ok = AnswerOfAFormerAddressBeforeTheFirstOfThePresentOne() && ok;
   ok = UnansweredPollsAreRepeated(OrderStatus::Unknown) && ok;
   ok = UnansweredPollsAreRepeated(OrderStatus::Done) && ok;
   ok = RepeatedPollsAreBounded() && ok;
