Entry: find and cancel jobs by id at whichever entry is asked

At the right entry, one of two open calls of an id was cancelled, and the POST was answered 502, after which a caller submits the job again and it ran after all.

Cause: the HTTP service looked for the job among the calls of its own process only, and nothing remembered that a job had been cancelled. What was not known there was answered as not there.

Change: the core decides (src/libentry/lookups.cpp). An entry sends a lookup to a candidate of its data centre, which asks all entries there and a candidate of each other data centre. 410 needs the answer of all entries that may have the job; otherwise the answer is 503 with Retry-After. Holders tell owners, which submit the job nowhere else. Lookups are limited at the entry that is asked and at the candidate.

--- a/src/include/pollenwall/entry.h
+++ b/src/include/pollenwall/entry.h
@@ -153,6 +153,15 @@
   RequestId mRequest = 0;
 };
 
+/// A caller asks for a job by its id, or cancels it. The job may be at any entry. Answered with one
+/// AnswerLookup.
+struct CallerLookup
+{
+  RequestId mRequest = 0;
+  std::string mJob;
+  bool mCancel = false;
+};
+
 struct PeerMessage
 {
   std::string mFrom; ///< Peer address of the sender.
@@ -194,6 +203,7 @@
 
 using Event = std::variant<CallerSubmit,
                            CallerDisconnected,
+                           CallerLookup,
                            PeerMessage,
                            PeerConnected,
                            EntriesListed,
@@ -215,6 +225,14 @@
   std::optional<Error> mError;
 };
 
+/// Answers a CallerLookup.
+struct AnswerLookup
+{
+  RequestId mRequest = 0;
+  message::LookupResult mResult = message::LookupResult::Unknown;
+  std::chrono::milliseconds mRetryAfter{ 0 }; ///< Set if the result is Unknown.
+};
+
 /// The upstream to which an order is sent.
 struct Destination
 {
@@ -288,6 +306,7 @@
 {};
 
 using Action = std::variant<AnswerCaller,
+                            AnswerLookup,
                             StartRun,
                             StopRun,
                             PollUpstream,
--- a/src/include/pollenwall/messages.h
+++ b/src/include/pollenwall/messages.h
@@ -330,6 +330,65 @@
   friend bool operator==(const Crashes&, const Crashes&) = default;
 };
 
+/// Which entries the receiver of a Lookup asks.
+enum class LookupScope
+{
+  Entry,      ///< Only itself.
+  DataCentre, ///< All entries of its data centre.
+  Everywhere, ///< Also a candidate of each other data centre, with DataCentre.
+};
+
+/// What entries know of a job. Of several results the highest counts.
+enum class LookupResult
+{
+  NotFound, ///< None of the entries has it, and all were asked.
+  Held,     ///< A holder runs or queues it. Its owner was not asked, or has gone.
+  Unknown,  ///< An entry that may have the job could not be asked.
+  Owned,    ///< Its owner has it.
+};
+
+/// Ids of jobs in Lookup and CancelledJobs that are longer are not valid; receivers remember them.
+inline constexpr std::size_t kMaxLookupIdBytes = 64;
+
+/// Asks for a job by its id, or cancels it. Answered with a LookupReply of the same number.
+struct Lookup
+{
+  std::uint64_t mNumber = 0;
+  std::string mJob;
+  bool mCancel = false;
+  LookupScope mScope = LookupScope::Entry;
+
+  friend bool operator==(const Lookup&, const Lookup&) = default;
+};
+
+struct LookupReply
+{
+  std::uint64_t mNumber = 0;
+  LookupResult mResult = LookupResult::NotFound;
+
+  friend bool operator==(const LookupReply&, const LookupReply&) = default;
+};
+
+/// A job that has been cancelled by its id. It is not started while it is remembered.
+struct CancelledJob
+{
+  std::string mJob;
+  std::chrono::milliseconds mRetention{ 0 }; ///< Time until it is forgotten.
+
+  friend bool operator==(const CancelledJob&, const CancelledJob&) = default;
+};
+
+inline constexpr std::size_t kMaxCancelledJobs = 10000; ///< Messages with more are not valid.
+
+/// The cancelled jobs that the sender remembers. Sent over each new connection, since the receiver
+/// may have started after they were cancelled, or could not be reached then.
+struct CancelledJobs
+{
+  std::vector<CancelledJob> mJobs;
+
+  friend bool operator==(const CancelledJobs&, const CancelledJobs&) = default;
+};
+
 using Message = std::variant<Hello,
                              Heartbeat,
                              Submit,
@@ -345,7 +404,10 @@
                              ConfigItems,
                              Presence,
                              Entries,
-                             Crashes>;
+                             Crashes,
+                             Lookup,
+                             LookupReply,
+                             CancelledJobs>;
 
 /// Encodes a message as a msgpack map with the key "type", without the frame's length prefix.
 std::string Encode(const Message& aMessage);
--- a/src/libentry/calls.cpp
+++ b/src/libentry/calls.cpp
@@ -329,6 +329,28 @@
   return aVerdict == Verdict::NotRun ? kForwardRetryDelay : aState.mOptions.mRunsOverAfter;
 }
 
+/// Stops the job of a call at the holder to which it has been forwarded.
+void StopAtHolder(State& aState,
+                  CallNumber aNumber,
+                  const Call& aCall,
+                  const Now& aNow,
+                  Actions& aActions)
+{
+  if (aCall.mHolder == aState.mOptions.mIncarnation) {
+    for (const auto& [request, origin] : aState.mOrigins) {
+      if (!origin.mPeer && origin.mNumber == aNumber) {
+        CancelOrigin(aState, request, aNow);
+        break;
+      }
+    }
+  } else if (aCall.mHolder) {
+    if (const auto* peer = FindPeer(aState, *aCall.mHolder)) {
+      aActions.emplace_back(
+        SendPeer{ peer->mAddress, message::Cancel{ aNumber, aCall.mJob.mId, aCall.mJob.mTeam } });
+    }
+  }
+}
+
 } // namespace
 
 void SubmitCall(State& aState, const CallerSubmit& aEvent, const Now& aNow, Actions& aActions)
@@ -367,6 +389,10 @@
            aActions);
     return;
   }
+  if (IsCancelled(aState, aEvent.mJob.mId, aNow)) {
+    Answer(aState, number, std::nullopt, CancelledError(), aActions);
+    return;
+  }
   Offer(aState, number, aNow, aActions);
 }
 
@@ -395,23 +421,26 @@
   const auto& call = aState.mCalls.at(number);
   AddReport(
     aActions, "caller_gone", { { "job", call.mJob.mId }, { "request_id", call.mCallerRequestId } });
-  if (call.mHolder == aState.mOptions.mIncarnation) {
-    for (const auto& [request, origin] : aState.mOrigins) {
-      if (!origin.mPeer && origin.mNumber == number) {
-        CancelOrigin(aState, request, aNow);
-        break;
-      }
-    }
-  } else if (call.mHolder) {
-    if (const auto* peer = FindPeer(aState, *call.mHolder)) {
-      aActions.emplace_back(
-        SendPeer{ peer->mAddress, message::Cancel{ number, call.mJob.mId, call.mJob.mTeam } });
-    }
-  }
+  StopAtHolder(aState, number, call, aNow, aActions);
   aState.mCalls.erase(number);
   aState.mCallByRequest.erase(it);
 }
 
+bool CancelCallsOf(State& aState, std::string_view aJob, const Now& aNow, Actions& aActions)
+{
+  std::vector<CallNumber> numbers;
+  for (const auto& [number, call] : aState.mCalls) {
+    if (call.mJob.mId == aJob) {
+      numbers.push_back(number);
+    }
+  }
+  for (const auto number : numbers) {
+    StopAtHolder(aState, number, aState.mCalls.at(number), aNow, aActions);
+    Answer(aState, number, std::nullopt, CancelledError(), aActions);
+  }
+  return !numbers.empty();
+}
+
 void HandleOutcome(State& aState,
                    CallNumber aNumber,
                    Incarnation aHolder,
@@ -465,6 +494,10 @@
                aActions);
       return;
     }
+    case ErrorCode::Cancelled: // By its id; no other holder may run it either.
+      RememberCancelled(aState, call.mJob.mId, true, aNow);
+      Answer(aState, aNumber, std::nullopt, std::move(aError), aActions);
+      return;
     default:
       break;
   }
--- a/src/libentry/entry.cpp
+++ b/src/libentry/entry.cpp
@@ -52,9 +52,15 @@
   CancelCall(aState, aEvent, aNow, aActions);
 }
 
+void Apply(State& aState, const CallerLookup& aEvent, const Now& aNow, Actions& aActions)
+{
+  LookUp(aState, aEvent, aNow, aActions);
+}
+
 void Apply(State& aState, const PeerMessage& aEvent, const Now& aNow, Actions& aActions)
 {
   if (const auto* presence = std::get_if<message::Presence>(&aEvent.mMessage)) {
+    RecordHeard(aState, aEvent.mFrom, *presence, aNow);
     HandlePresence(aState, aEvent.mFrom, *presence, aNow, aActions);
     return;
   }
@@ -73,6 +79,12 @@
     HandleOutcome(aState, reply->mNumber, peer, reply->mAnswer, reply->mError, aNow, aActions);
   } else if (const auto* cancel = std::get_if<message::Cancel>(&aEvent.mMessage)) {
     CancelPeerJob(aState, peer, cancel->mNumber, aNow);
+  } else if (const auto* lookup = std::get_if<message::Lookup>(&aEvent.mMessage)) {
+    HandleLookup(aState, aEvent.mFrom, *lookup, aNow, aActions);
+  } else if (const auto* found = std::get_if<message::LookupReply>(&aEvent.mMessage)) {
+    HandleLookupReply(aState, aEvent.mFrom, *found, aActions);
+  } else if (const auto* cancelled = std::get_if<message::CancelledJobs>(&aEvent.mMessage)) {
+    HandleCancelledJobs(aState, *cancelled, aNow, aActions);
   } else if (const auto* crashes = std::get_if<message::Crashes>(&aEvent.mMessage)) {
     for (const auto& report : crashes->mReports) {
       dispatch::Handle(
@@ -89,6 +101,7 @@
   }
   it->second.mConnectedAt = aNow.mTime;
   SendPresenceTo(aState, it->second, aNow, aActions);
+  SendCancelledJobs(aState, aEvent.mAddress, aNow, aActions);
   ResendCalls(aState, it->second, aNow, aActions);
 }
 
@@ -156,6 +169,7 @@
   if (done || passed >= aState.mOptions.mDrainLimit) {
     aState.mStopped = true;
     FailAllCalls(aState, aActions);
+    EndAllLookups(aState, aActions);
     aActions.emplace_back(Stopped{});
   }
 }
@@ -192,6 +206,7 @@
   UpdateClaims(aState, aNow, aActions);
   ProcessPendingActions(aState, aNow, aActions);
   AdvanceCalls(aState, aNow, aActions);
+  AdvanceLookups(aState, aNow, aActions);
   SendPresences(aState, aNow, aActions);
   AdvanceDrain(aState, aNow, aActions);
 }
@@ -305,6 +320,9 @@
   counters.emplace_back("starts_repeated_total", counts.mStartsRepeated);
   counters.emplace_back("presences_total{direction=\"out\"}", counts.mPresencesSent);
   counters.emplace_back("presences_total{direction=\"in\"}", counts.mPresencesReceived);
+  counters.emplace_back("lookups_total", counts.mLookups);
+  counters.emplace_back("lookups_relayed_total", counts.mLookupsRelayed);
+  counters.emplace_back("lookups_limited_total", counts.mLookupsLimited);
   counters.emplace_back("false_refusals_total", counts.mFalseRefusals);
   for (std::size_t n = 0; n < counts.mRunEnds.size(); ++n) {
     const auto evidence = std::string(ToString(static_cast<holding::EndEvidence>(n)));
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -408,6 +408,9 @@
   if (aState.mCancelled.contains({ aPeer, aSubmit.mNumber })) {
     return refuse(ErrorCode::OwnerUnreachable, Verdict::MayHaveRun, "The submission was given up.");
   }
+  if (IsCancelled(aState, aSubmit.mJob.mId, aNow)) {
+    return RefuseSubmission(aState, aPeer, aSubmit.mNumber, CancelledError(), aNow, aActions);
+  }
   if (aState.mPeerRequests.contains({ aPeer, aSubmit.mNumber })) {
     return; // Sent again over a new connection; the job has been accepted already.
   }
@@ -518,6 +521,22 @@
   }
 }
 
+bool CancelPeerJobsOf(State& aState, std::string_view aJob, const Now& aNow, Actions& aActions)
+{
+  std::vector<RequestId> requests;
+  for (const auto& [request, origin] : aState.mOrigins) {
+    if (origin.mPeer && origin.mJob == aJob) {
+      requests.push_back(request);
+    }
+  }
+  for (const auto request : requests) {
+    const auto origin = aState.mOrigins.at(request);
+    RefuseSubmission(aState, *origin.mPeer, origin.mNumber, CancelledError(), aNow, aActions);
+    CancelOrigin(aState, request, aNow);
+  }
+  return !requests.empty();
+}
+
 void CancelJobsOfLostOwners(State& aState, const Now& aNow, Actions& aActions)
 {
   std::vector<RequestId> lost;
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -91,6 +91,54 @@
   friend auto operator<=>(const Partition&, const Partition&) = default;
 };
 
+/// Bounds the rate of some action.
+struct TokenBucket
+{
+  double mTokens = 0;
+  std::optional<Time> mFilledAt; ///< Empty: it is full.
+};
+
+/// A lookup that waits for the replies of other entries.
+struct PendingLookup
+{
+  std::string mJob;
+  bool mCancel = false;
+  std::optional<RequestId> mRequest; ///< The caller's; empty if a peer has asked.
+  std::string mPeer;                 ///< The address of the peer that has asked, and its number.
+  std::uint64_t mPeerNumber = 0;
+  std::set<std::string, std::less<>> mAsked; ///< Addresses of entries that have not replied.
+  message::LookupResult mResult = message::LookupResult::NotFound; ///< Of the replies so far.
+  Time mExpiresAt{};
+};
+
+/// What the latest presence of an entry showed, also after it is no longer a neighbour.
+struct HeardEntry
+{
+  Time mHeardAt{};
+  bool mLeaving = false;
+};
+
+/// A job that has been cancelled by its id.
+struct CancelledJob
+{
+  Time mUntil{}; ///< When it is forgotten.
+  /// It was a call of this entry. Repeated cancels are then answered in the same way, and so is the
+  /// first one if the holder was asked before the owner and has told it.
+  bool mWasOwned = false;
+};
+
+/// State of lookups.cpp.
+struct Lookups
+{
+  std::map<std::uint64_t, PendingLookup> mPending; ///< By the number in messages of this entry.
+  std::uint64_t mLastNumber = 0;
+  TokenBucket mCallerBucket; ///< For lookups of callers that other entries are asked for.
+  TokenBucket mRelayBucket;  ///< For lookups that peers ask this entry to relay.
+  std::map<std::string, CancelledJob, std::less<>> mCancelled; ///< By job.
+  std::set<std::pair<Time, std::string>> mCancelledByExpiry;   ///< The same, earliest first.
+  std::map<std::string, HeardEntry, std::less<>> mHeard;       ///< By peer address.
+};
+
 struct Counts
 {
   std::uint64_t mCalls = 0;
@@ -107,7 +155,10 @@
   std::uint64_t mStartsRepeated = 0;
   std::uint64_t mPresencesSent = 0;
   std::uint64_t mPresencesReceived = 0;
-  std::uint64_t mFalseRefusals = 0; ///< Runs that ended as not run although they had begun.
+  std::uint64_t mLookups = 0;        ///< By callers.
+  std::uint64_t mLookupsRelayed = 0; ///< Sent to several entries.
+  std::uint64_t mLookupsLimited = 0; ///< Not sent on because there were too many.
+  std::uint64_t mFalseRefusals = 0;  ///< Runs that ended as not run although they had begun.
   std::array<std::uint64_t, holding::kEndEvidences> mRunEnds{}; ///< By holding::EndEvidence.
   std::array<std::uint64_t, holding::kOrderStatuses> mStarts{}; ///< By holding::OrderStatus.
   std::array<std::uint64_t, holding::kOrderStatuses> mStops{};
@@ -175,6 +226,7 @@
   /// The earliest Upstream::mMissingSince; empty if no upstream is missing.
   std::optional<Time> mEarliestMissing;
   std::map<Partition, std::vector<std::string>> mPartitions; ///< Keys of the listed upstreams.
+  Lookups mLookups;
   bool mDraining = false;
   bool mStopped = false;
   Time mDrainBegan{};
@@ -195,6 +247,10 @@
                 const Now& aNow,
                 Actions& aActions);
 
+/// Cancels the calls of a job: answers their callers and tells the holders. Returns whether there
+/// were any.
+bool CancelCallsOf(State& aState, std::string_view aJob, const Now& aNow, Actions& aActions);
+
 /// Forwards calls that are due, resubmits those of silent holders, and fails expired ones.
 void AdvanceCalls(State& aState, const Now& aNow, Actions& aActions);
 
@@ -249,6 +305,9 @@
 /// Call numbers of the jobs that this entry runs for a peer.
 std::vector<std::uint64_t> AcceptedCallsFrom(const State& aState, Incarnation aPeer);
 
+/// Cancels a job that this entry runs for peers, and tells these. Returns whether there was one.
+bool CancelPeerJobsOf(State& aState, std::string_view aJob, const Now& aNow, Actions& aActions);
+
 /// Cancels the jobs of owners that are no longer alive.
 void CancelJobsOfLostOwners(State& aState, const Now& aNow, Actions& aActions);
 
@@ -279,6 +338,55 @@
 /// Claims and releases upstreams according to the set of live candidates.
 void UpdateClaims(State& aState, const Now& aNow, Actions& aActions);
 
+// lookups.cpp
+
+/// Answers a caller that asks for a job or cancels it, after asking other entries if need be.
+void LookUp(State& aState, const CallerLookup& aEvent, const Now& aNow, Actions& aActions);
+void HandleLookup(State& aState,
+                  const std::string& aFrom,
+                  const message::Lookup& aLookup,
+                  const Now& aNow,
+                  Actions& aActions);
+void HandleLookupReply(State& aState,
+                       const std::string& aFrom,
+                       const message::LookupReply& aReply,
+                       Actions& aActions);
+void HandleCancelledJobs(State& aState,
+                         const message::CancelledJobs& aMessage,
+                         const Now& aNow,
+                         Actions& aActions);
+
+/// Sends the cancelled jobs that this entry remembers to a peer.
+void SendCancelledJobs(const State& aState,
+                       const std::string& aTo,
+                       const Now& aNow,
+                       Actions& aActions);
+
+/// Records that a presence of an entry has arrived.
+void RecordHeard(State& aState,
+                 const std::string& aFrom,
+                 const message::Presence& aPresence,
+                 const Now& aNow);
+
+/// Remembers that a job has been cancelled by its id, at most for the retention time of this entry.
+void RememberCancelled(State& aState,
+                       std::string_view aJob,
+                       bool aWasOwned,
+                       const Now& aNow,
+                       std::chrono::milliseconds aRetention = std::chrono::milliseconds::max());
+
+/// Whether a job has been cancelled by its id. Such a job is not started.
+bool IsCancelled(const State& aState, std::string_view aJob, const Now& aNow);
+
+/// The answer to submissions of cancelled jobs.
+Error CancelledError();
+
+/// Ends lookups that have waited too long, and forgets jobs that were cancelled long ago.
+void AdvanceLookups(State& aState, const Now& aNow, Actions& aActions);
+
+/// Ends all lookups, at the end of a drain.
+void EndAllLookups(State& aState, Actions& aActions);
+
 // neighbours.cpp
 
 /// Adds entries to mEntries, or updates them, and ranks them.
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -69,10 +69,21 @@
   bool mGone = false; ///< The caller has left, or its entry has died.
 };
 
+/// One lookup of a caller.
+struct LookupRecord
+{
+  std::string mJob;
+  bool mCancel = false;
+  Time mSent{};
+  std::optional<Time> mAnswered;
+  message::LookupResult mResult = message::LookupResult::Unknown;
+};
+
 struct WorldOptions
 {
   std::size_t mDataCentres = 3;
   std::size_t mNodesEach = 2;
+  std::size_t mMaxNodes = 0; ///< Of all data centres, if not 0; the last one then has fewer.
   std::size_t mWorkersEach = 8;
   double mLostAnswers = 0;     ///< Fraction of orders to workers whose answer is lost.
   double mLateOrders = 0;      ///< Fraction of orders that are executed 2 s late and not answered.
@@ -106,6 +117,10 @@
   std::map<std::string, Worker> mWorkers; ///< By id.
   configuration::Configuration mConfiguration;
   std::map<RequestId, CallRecord> mCalls;
+  std::map<RequestId, LookupRecord> mLookups;
+  /// By job: when its first cancel by id was acknowledged.
+  std::map<std::string, Time, std::less<>> mCancelAcknowledged;
+  std::uint64_t mLookupMessages = 0; ///< Lookups and their replies between entries.
   RequestId mLastRequestId = 0;
   std::map<TaskId, std::set<std::string>> mRunningAt; ///< Workers that run a task.
   std::map<TaskId, Time> mLastStart;
@@ -162,6 +177,9 @@
 /// Submits the job of an earlier call again, as a caller without an answer does.
 RequestId ResubmitJob(World& aWorld, std::size_t aNode, RequestId aEarlier);
 
+/// Asks an entry for a job by its id, or cancels it.
+RequestId LookUpJob(World& aWorld, std::size_t aNode, const std::string& aJob, bool aCancel);
+
 /// Submits jobs with Poisson arrivals for aTime, each to a random entry if that is running.
 void GenerateLoad(World& aWorld,
                   double aJobsPerSecond,
--- a/src/libmessages/messages.cpp
+++ b/src/libmessages/messages.cpp
@@ -35,6 +35,14 @@
 {
   return static_cast<std::uint64_t>(CrashState::Cleared);
 }
+constexpr std::uint64_t MaxEnumerator(LookupScope /*aTag*/)
+{
+  return static_cast<std::uint64_t>(LookupScope::Everywhere);
+}
+constexpr std::uint64_t MaxEnumerator(LookupResult /*aTag*/)
+{
+  return static_cast<std::uint64_t>(LookupResult::Owned);
+}
 constexpr std::uint64_t MaxEnumerator(Verdict /*aTag*/)
 {
   return static_cast<std::uint64_t>(Verdict::Ran);
@@ -552,6 +560,19 @@
     a("tasks", v.mTasks);
   } else if constexpr (IsSame<T, Crashes>) {
     a("reports", v.mReports);
+  } else if constexpr (IsSame<T, Lookup>) {
+    a("number", v.mNumber);
+    a("job", v.mJob);
+    a("cancel", v.mCancel);
+    a("scope", v.mScope);
+  } else if constexpr (IsSame<T, LookupReply>) {
+    a("number", v.mNumber);
+    a("result", v.mResult);
+  } else if constexpr (IsSame<T, CancelledJob>) {
+    a("job", v.mJob);
+    a("retention_ms", v.mRetention);
+  } else if constexpr (IsSame<T, CancelledJobs>) {
+    a("jobs", v.mJobs);
   } else {
     // Short keys: presences are most of the messages between entries.
     static_assert(IsSame<T, Presence>);
@@ -578,12 +599,18 @@
 
 /// Values of the key "type", in the order of Message's alternatives.
 constexpr std::array<std::string_view, std::variant_size_v<Message>> kTypeNames{
-  "hello",        "heartbeat", "submit",  "status",   "cancel",         "submit_reply",
-  "borrow",       "grant",     "return",  "handover", "handover_reply", "config_fetch",
-  "config_items", "presence",  "entries", "crashes",
+  "hello",          "heartbeat",    "submit",       "status",         "cancel",
+  "submit_reply",   "borrow",       "grant",        "return",         "handover",
+  "handover_reply", "config_fetch", "config_items", "presence",       "entries",
+  "crashes",        "lookup",       "lookup_reply", "cancelled_jobs",
 };
 constexpr std::string_view kTypeKey = "type";
 
+bool IsLookupId(std::string_view aJob)
+{
+  return !aJob.empty() && aJob.size() <= kMaxLookupIdBytes;
+}
+
 /// Checks the rules that the types of the fields do not express.
 template<typename T>
 bool IsValid(const T& aValue)
@@ -592,6 +619,13 @@
     return std::all_of(aValue.mReports.begin(), aValue.mReports.end(), [](const auto& aReport) {
       return aReport.mTasks.size() <= kMaxTasksPerCrash;
     });
+  } else if constexpr (std::is_same_v<T, Lookup>) {
+    return IsLookupId(aValue.mJob);
+  } else if constexpr (std::is_same_v<T, CancelledJobs>) {
+    return aValue.mJobs.size() <= kMaxCancelledJobs &&
+           std::all_of(aValue.mJobs.begin(), aValue.mJobs.end(), [](const auto& aJob) {
+             return IsLookupId(aJob.mJob);
+           });
   } else if constexpr (std::is_same_v<T, Reply>) {
     return aValue.mAnswer.has_value() != aValue.mError.has_value();
   } else if constexpr (std::is_same_v<T, Hello>) {
--- a/src/libmessages/messages_test.cpp
+++ b/src/libmessages/messages_test.cpp
@@ -16,6 +16,11 @@
   return *rc::gen::arbitrary<std::string>();
 }
 
+std::string AnyLookupId()
+{
+  return ("j" + AnyText()).substr(0, kMaxLookupIdBytes);
+}
+
 std::uint64_t AnyNumber()
 {
   return *rc::gen::oneOf(rc::gen::arbitrary<std::uint64_t>(),
@@ -216,6 +221,12 @@
                               return TaskId{ AnyText(), AnyCount() };
                             }) };
       }) };
+    case 15:
+      return Lookup{ AnyNumber(), AnyLookupId(), AnyBool(), AnyEnum(LookupScope::Everywhere) };
+    case 16:
+      return LookupReply{ AnyNumber(), AnyEnum(LookupResult::Owned) };
+    case 17:
+      return CancelledJobs{ AnyList([] { return CancelledJob{ AnyLookupId(), AnyMs() }; }) };
     default:
       return ConfigItems{ AnyNumber(), AnyText() };
   }
@@ -359,11 +370,34 @@
   return passed;
 }
 
+/// Guards against messages that fill the memory for cancelled jobs, and against results that no
+/// reader knows.
+bool HugeLookupsAreRefused()
+{
+  const std::string longest(kMaxLookupIdBytes, 'j');
+  const auto decodes = [](const Message& aMessage) { return Decode(Encode(aMessage)) == aMessage; };
+  CancelledJobs jobs;
+  jobs.mJobs.assign(kMaxCancelledJobs, { longest, std::chrono::milliseconds(1) });
+  bool passed = decodes(Lookup{ 1, longest, true, LookupScope::Everywhere }) && decodes(jobs);
+  passed &= !Decode(Encode(Lookup{ 1, longest + "j", true, LookupScope::Entry }));
+  passed &= !Decode(Encode(Lookup{ 1, "", true, LookupScope::Entry }));
+  passed &= !Decode(Encode(LookupReply{ 1, static_cast<LookupResult>(4) }));
+  jobs.mJobs.push_back(jobs.mJobs[0]);
+  passed &= !Decode(Encode(jobs));
+  jobs.mJobs.assign(1, { longest + "j", {} });
+  passed &= !Decode(Encode(jobs));
+  if (!passed) {
+    std::cerr << "failed: ids, numbers of ids and results of lookups are limited\n";
+  }
+  return passed;
+}
+
 } // namespace
 
 int main()
 {
   bool passed = MessagesRoundTrip();
+  passed &= HugeLookupsAreRefused();
   passed &= HugeCrashReportsAreRefused();
   passed &= TruncatedMessagesAreRefused();
   passed &= CorruptMessagesNeverCrash();
--- a/src/libnode/node.cpp
+++ b/src/libnode/node.cpp
@@ -231,6 +231,30 @@
 {
 }
 
+void Receive(State& /*aState*/,
+             Incarnation /*aFrom*/,
+             const message::Lookup& /*aMessage*/,
+             const Now& /*aNow*/,
+             Actions& /*aActions*/)
+{
+}
+
+void Receive(State& /*aState*/,
+             Incarnation /*aFrom*/,
+             const message::LookupReply& /*aMessage*/,
+             const Now& /*aNow*/,
+             Actions& /*aActions*/)
+{
+}
+
+void Receive(State& /*aState*/,
+             Incarnation /*aFrom*/,
+             const message::CancelledJobs& /*aMessage*/,
+             const Now& /*aNow*/,
+             Actions& /*aActions*/)
+{
+}
+
 // Events.
 
 void Apply(State& aState, CallerSubmit& aEvent, const Now& aNow, Actions& aActions)
--- a/src/pollenwalld/entry_loop.cpp
+++ b/src/pollenwalld/entry_loop.cpp
@@ -16,6 +16,10 @@
   {
     CallHandler(mLoop.mHandlers.mAnswerCaller, aAction);
   }
+  void operator()(entry::AnswerLookup& aAction)
+  {
+    CallHandler(mLoop.mHandlers.mAnswerLookup, aAction);
+  }
   void operator()(entry::StartRun& aAction) { CallHandler(mLoop.mHandlers.mStartRun, aAction); }
   void operator()(entry::StopRun& aAction) { CallHandler(mLoop.mHandlers.mStopRun, aAction); }
   void operator()(entry::PollUpstream& aAction)
--- a/src/pollenwalld/entry_loop.h
+++ b/src/pollenwalld/entry_loop.h
@@ -20,6 +20,7 @@
 struct EntryActionHandlers
 {
   std::function<void(entry::AnswerCaller&)> mAnswerCaller;
+  std::function<void(entry::AnswerLookup&)> mAnswerLookup;
   std::function<void(entry::StartRun&)> mStartRun;
   std::function<void(entry::StopRun&)> mStopRun;
   std::function<void(entry::PollUpstream&)> mPollUpstream;
