--- a/src/include/pollenwall/entry.h
+++ b/src/include/pollenwall/entry.h
@@ -166,6 +166,15 @@
 struct CallersChecked
 {};
 
+/// A caller asks for a job by its id, or cancels it. The job may be at any entry. Answered with one
+/// AnswerLookup.
+struct CallerLookup
+{
+  RequestId mRequest = 0;
+  std::string mJob;
+  bool mCancel = false;
+};
+
 struct PeerMessage
 {
   std::string mFrom; ///< Peer address of the sender.
@@ -208,6 +217,7 @@
 using Event = std::variant<CallerSubmit,
                            CallerDisconnected,
                            CallersChecked,
+                           CallerLookup,
                            PeerMessage,
                            PeerConnected,
                            EntriesListed,
@@ -229,6 +239,14 @@
   std::optional<Error> mError;
 };
 
+/// Answers a CallerLookup.
+struct AnswerLookup
+{
+  RequestId mRequest = 0;
+  message::LookupResult mResult = message::LookupResult::Unknown;
+  std::chrono::milliseconds mRetryAfter{ 0 }; ///< Set if the result is Unknown.
+};
+
 /// The upstream to which an order is sent.
 struct Destination
 {
@@ -302,6 +320,7 @@
 {};
 
 using Action = std::variant<AnswerCaller,
+                            AnswerLookup,
                             StartRun,
                             StopRun,
                             PollUpstream,
