Answer a job as failed only on proof that its upstreams have crashed

Cause: a suspicion was answered as a fact. A closed connection and a refused new one show that the path is broken; they were counted like the end of the process, and two of them made a task deadly. A report was withdrawn when the same process answered, after the job was given up.

Now two probable crashes make a task likely to be the cause and put it on hold, by the same conditions as before. It is deadly, and its job failed, only when the same holds for crashes that are proven: another process answers at the upstream. If the same process answers, the suspicion is withdrawn and the task starts again. Each report names the upstream, the start of its process and whether the runs had begun, so that whichever entry reaches the upstream decides it, also after the reporter's death. A cleared report is remembered, so that a late copy cannot bring it back.

Cost: a deadly job is answered some 3 s later, and as expired if its deadline is shorter than that; its later submissions are answered 502 until the crashes are proven.

Entries of an earlier release refuse the message, which has new fields.

--- a/src/include/pollenwall/dispatch.h
+++ b/src/include/pollenwall/dispatch.h
@@ -341,6 +341,12 @@
 /// The crashes that are remembered, oldest first, for an entry that does not know them.
 std::vector<CrashReport> RecentCrashes(const State& aState);
 
+/// The reports of crashes that a process at an upstream decides by its answer, with their new
+/// state. aBornMs is its start; nothing if it is known by another id.
+std::vector<CrashReport> DecidedCrashes(const State& aState,
+                                        std::string_view aUpstream,
+                                        std::optional<UnixMs> aBornMs);
+
 /// Monotonic counters by name, for metrics.
 std::vector<std::pair<std::string, std::uint64_t>> Counters(const State& aState);
 
--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -124,7 +124,7 @@
   Unavailable,      ///< The upstream did nothing; a later attempt may succeed.
   OtherIncarnation, ///< Another process runs at the address.
   NotSent,          ///< No byte was sent.
-  ServerGone,       ///< No byte was sent; the upstream's process has ended, see HttpCallResult.
+  ServerGone,       ///< No byte was sent; the process has likely ended, see HttpCallResult.
   Unknown,          ///< No answer; the upstream may have executed the order or may do so later.
 };
 inline constexpr std::size_t kOrderStatuses = 11;
@@ -266,6 +266,15 @@
   CrashState mState = CrashState::Confirmed;
   std::vector<Run> mRuns;           ///< This entry's runs that were at work there.
   std::vector<Run> mUnansweredRuns; ///< Those of which it is unknown whether they had begun.
+  std::optional<UnixMs> mBornMs;    ///< Start of the process that had the runs.
+};
+
+/// A process of the upstream has answered: the first one of a session, one with another start, or
+/// the first after AskForProcess.
+struct ProcessFound
+{
+  std::string mUpstream;
+  UnixMs mBornMs = 0;
 };
 
 /// A log event.
@@ -286,6 +295,7 @@
                             ClaimUnanswered,
                             OtherIncarnationFound,
                             Crashed,
+                            ProcessFound,
                             Note>;
 using Actions = std::vector<Action>;
 
@@ -353,6 +363,8 @@
   Time mAnsweredPollSentAt{};
   std::uint64_t mCrashNumber = 0; ///< Of the crash reported for this incarnation; 0: none.
   CrashState mCrashState = CrashState::Suspected; ///< As last reported, if mCrashNumber is not 0.
+  /// If set: ProcessFound is due with the answer to a poll that was sent no earlier.
+  std::optional<Time> mProcessAskedAt = Time{};
   /// The upstream's clock, read between mClockReadAfter and mClockReadBefore.
   std::optional<std::int64_t> mClockMs;
   Time mClockReadAfter{};
@@ -373,6 +385,10 @@
 /// Makes a token above aLeast.
 std::uint64_t MakeToken(std::uint16_t aSalt, UnixMs aUnixMs, std::uint64_t aLeast);
 
+/// Makes the next answer of a held upstream report its process, see ProcessFound. Answers to polls
+/// that are pending do not count: they may be of before what the caller has learned.
+void AskForProcess(State& aState, std::string_view aUpstream, const Now& aNow);
+
 /// The token with which an upstream is held; 0 if it is not held.
 std::uint64_t TokenOf(const State& aState, std::string_view aUpstream);
 
--- a/src/include/pollenwall/net/http_pool.h
+++ b/src/include/pollenwall/net/http_pool.h
@@ -32,8 +32,8 @@
   unsigned mStatus = 0; ///< 0: no response was received.
   std::string mBody;
   bool mSent = false; ///< A byte of the request may have been sent.
-  /// The server's process has ended: its machine closed the connections that there were and refuses
-  /// new ones. A cut of the network may refuse connections too, but does not close any.
+  /// The server's process has likely ended: the connections that there were have been closed and
+  /// new ones are refused. A cut of the network may do both, too.
   bool mServerGone = false;
 };
 
--- a/src/libdispatch/crashes.cpp
+++ b/src/libdispatch/crashes.cpp
@@ -2,90 +2,160 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace pollenwall::crashes {
 namespace {
 
-/// A task may be given up from the first number of crashes on, and is not started after the second.
+/// A task may be the cause from the first number of crashes on, and is not started after the
+/// second.
 constexpr std::size_t kMinCrashes = 2;
 constexpr std::size_t kMaxCrashes = 3;
 
-/// Number of crashes under a task that are more than suspected, or of those that no known deadly
-/// task explains.
-std::size_t CountCrashes(const State& aState, const TaskId& aTask, bool aOnlyUnexplained)
+/// Number of crashes under a task that are at least as certain as aLeast.
+std::size_t CountCrashes(const State& aState, const TaskId& aTask, CrashState aLeast)
 {
   const auto& crashes = aState.mSuspects.at(aTask).mCrashes;
   return static_cast<std::size_t>(
     std::count_if(crashes.begin(), crashes.end(), [&](const CrashId& aId) {
-      const auto& crash = aState.mCrashes.at(aId);
-      return crash.mReport.mState != CrashState::Suspected &&
-             !(aOnlyUnexplained && crash.mExplained);
+      return aState.mCrashes.at(aId).mReport.mState >= aLeast;
     }));
 }
 
-std::size_t UnexplainedCrashes(const State& aState, const TaskId& aTask)
+std::size_t ProbableCrashes(const State& aState, const TaskId& aTask)
 {
-  return CountCrashes(aState, aTask, true);
+  return CountCrashes(aState, aTask, CrashState::Refused);
 }
 
-std::size_t ProbableCrashes(const State& aState, const TaskId& aTask)
+std::size_t ConfirmedCrashes(const State& aState, const TaskId& aTask)
+{
+  return CountCrashes(aState, aTask, CrashState::Confirmed);
+}
+
+/// Number of probable crashes that no likely task explains.
+std::size_t UnexplainedCrashes(const State& aState, const TaskId& aTask)
 {
-  return CountCrashes(aState, aTask, false);
+  const auto& crashes = aState.mSuspects.at(aTask).mCrashes;
+  return static_cast<std::size_t>(
+    std::count_if(crashes.begin(), crashes.end(), [&](const CrashId& aId) {
+      const auto& crash = aState.mCrashes.at(aId);
+      return crash.mReport.mState >= CrashState::Refused && !crash.mExplained;
+    }));
 }
 
 /// Whether the task is the only explanation of a crash, apart from tasks of the same job: those
-/// fail together with it.
-bool IsSoleSuspect(const State& aState, const CrashReport& aReport, const TaskId& aTask)
+/// fail together with it. aCount returns the number of a task's crashes.
+template<typename Count>
+bool IsSoleSuspect(const CrashReport& aReport, const TaskId& aTask, Count aCount)
 {
-  const auto count = UnexplainedCrashes(aState, aTask);
+  const auto count = aCount(aTask);
   return count >= kMinCrashes &&
          std::all_of(aReport.mTasks.begin(), aReport.mTasks.end(), [&](const TaskId& aOther) {
-           return aOther.mJob == aTask.mJob || UnexplainedCrashes(aState, aOther) < count;
+           return aOther.mJob == aTask.mJob || aCount(aOther) < count;
          });
 }
 
-/// Marks and returns the tasks that are deadly according to a crash.
-std::vector<TaskId> FindCause(State& aState, Crash& aCrash)
+void Explain(State& aState, Crash& aCrash)
 {
   const auto& tasks = aCrash.mReport.mTasks;
   aCrash.mExplained = std::any_of(tasks.begin(), tasks.end(), [&](const TaskId& aTask) {
-    return aState.mSuspects.at(aTask).mDeadly;
+    return aState.mSuspects.at(aTask).mLikely;
   });
-  std::vector<TaskId> deadly;
-  for (const auto& task : tasks) {
-    const auto& suspect = aState.mSuspects.at(task);
-    if (!suspect.mDeadly && (ProbableCrashes(aState, task) >= kMaxCrashes ||
-                             IsSoleSuspect(aState, aCrash.mReport, task))) {
-      deadly.push_back(task);
+}
+
+/// Marks the tasks that are likely to be deadly according to a crash.
+void FindLikely(State& aState, Crash& aCrash)
+{
+  Explain(aState, aCrash);
+  const auto count = [&](const TaskId& aTask) { return UnexplainedCrashes(aState, aTask); };
+  std::vector<TaskId> likely;
+  for (const auto& task : aCrash.mReport.mTasks) {
+    if (ProbableCrashes(aState, task) >= kMaxCrashes ||
+        IsSoleSuspect(aCrash.mReport, task, count)) {
+      likely.push_back(task);
     }
   }
-  for (const auto& task : deadly) {
+  for (const auto& task : likely) {
     auto& suspect = aState.mSuspects.at(task);
-    suspect.mDeadly = true;
+    suspect.mLikely = true;
     for (const auto& other : suspect.mCrashes) {
       aState.mCrashes.at(other).mExplained = true;
     }
   }
-  return deadly;
 }
 
-void Remove(State& aState, const CrashId& aId)
+/// Whether the confirmed crashes alone show that a likely task is the cause.
+bool IsProven(const State& aState, const TaskId& aTask)
 {
-  const auto crash = aState.mCrashes.find(aId);
-  if (crash == aState.mCrashes.end()) {
-    return;
+  const auto& suspect = aState.mSuspects.at(aTask);
+  if (!suspect.mLikely) {
+    return false;
+  }
+  const auto count = [&](const TaskId& aOther) { return ConfirmedCrashes(aState, aOther); };
+  return count(aTask) >= kMaxCrashes ||
+         std::any_of(suspect.mCrashes.begin(), suspect.mCrashes.end(), [&](const CrashId& aId) {
+           const auto& report = aState.mCrashes.at(aId).mReport;
+           return report.mState == CrashState::Confirmed && IsSoleSuspect(report, aTask, count);
+         });
+}
+
+/// Marks and returns the tasks of a crash that are deadly since its report has been recorded.
+std::vector<TaskId> FindDeadly(State& aState, const CrashReport& aReport)
+{
+  std::vector<TaskId> deadly;
+  for (const auto& task : aReport.mTasks) {
+    if (!aState.mSuspects.at(task).mDeadly && IsProven(aState, task)) {
+      deadly.push_back(task);
+    }
   }
-  for (const auto& task : crash->second.mReport.mTasks) {
+  for (const auto& task : deadly) {
+    aState.mSuspects.at(task).mDeadly = true;
+  }
+  return deadly;
+}
+
+/// Removes the tasks of a crash. One that has too few crashes left explains none of them.
+void RemoveTasks(State& aState, const CrashId& aId)
+{
+  const auto tasks = std::exchange(aState.mCrashes.at(aId).mReport.mTasks, {});
+  for (const auto& task : tasks) {
     const auto it = aState.mSuspects.find(task);
     if (it == aState.mSuspects.end()) {
       continue; // The report names the task twice.
     }
-    std::erase(it->second.mCrashes, aId);
-    if (it->second.mCrashes.empty()) {
+    auto& suspect = it->second;
+    std::erase(suspect.mCrashes, aId);
+    if (suspect.mCrashes.empty()) {
       aState.mSuspects.erase(it);
+    } else if (suspect.mLikely && !suspect.mDeadly && ProbableCrashes(aState, task) < kMinCrashes) {
+      suspect.mLikely = false;
+      for (const auto& other : suspect.mCrashes) {
+        Explain(aState, aState.mCrashes.at(other));
+      }
     }
   }
-  aState.mCrashes.erase(crash);
+}
+
+void MarkDecided(State& aState, const CrashId& aId)
+{
+  const auto it = aState.mUndecided.find(aState.mCrashes.at(aId).mReport.mUpstream);
+  if (it == aState.mUndecided.end()) {
+    return;
+  }
+  it->second.erase(aId);
+  if (it->second.empty()) {
+    aState.mUndecided.erase(it);
+  }
+}
+
+void Remove(State& aState, const CrashId& aId)
+{
+  if (!aState.mCrashes.contains(aId)) {
+    return;
+  }
+  RemoveTasks(aState, aId);
+  MarkDecided(aState, aId);
+  aState.mCrashes.erase(aId);
 }
 
 } // namespace
@@ -93,10 +163,6 @@
 std::vector<TaskId> Record(State& aState, const CrashReport& aReport, const Now& aNow)
 {
   const CrashId id{ aReport.mReporter, aReport.mNumber };
-  if (aReport.mState == CrashState::Cleared) {
-    Remove(aState, id);
-    return {};
-  }
   const auto [it, isNew] = aState.mCrashes.try_emplace(id, Crash{ aReport, aNow.mTime });
   auto& crash = it->second;
   if (isNew) {
@@ -104,17 +170,58 @@
     for (const auto& task : crash.mReport.mTasks) {
       aState.mSuspects[task].mCrashes.push_back(id);
     }
+    aState.mUndecided[crash.mReport.mUpstream].insert(id);
   } else if (crash.mReport.mState >= aReport.mState) {
     return {};
   }
   crash.mReport.mState = aReport.mState;
-  return aReport.mState == CrashState::Suspected ? std::vector<TaskId>{} : FindCause(aState, crash);
+  switch (aReport.mState) {
+    case CrashState::Suspected:
+      return {};
+    case CrashState::Refused:
+      FindLikely(aState, crash);
+      return {};
+    case CrashState::Confirmed:
+      MarkDecided(aState, id);
+      FindLikely(aState, crash);
+      return FindDeadly(aState, crash.mReport);
+    case CrashState::Cleared:
+      MarkDecided(aState, id);
+      RemoveTasks(aState, id);
+      return {};
+  }
+  return {};
 }
 
 bool IsOnHold(const State& aState, const TaskId& aTask)
 {
   const auto it = aState.mSuspects.find(aTask);
-  return it != aState.mSuspects.end() && it->second.mCrashes.size() >= kMaxCrashes;
+  return it != aState.mSuspects.end() &&
+         (it->second.mLikely || it->second.mCrashes.size() >= kMaxCrashes);
+}
+
+std::vector<CrashReport> FindDecided(const State& aState,
+                                     std::string_view aUpstream,
+                                     std::optional<UnixMs> aBornMs)
+{
+  std::vector<CrashReport> decided;
+  const auto it = aState.mUndecided.find(aUpstream);
+  if (it == aState.mUndecided.end()) {
+    return decided;
+  }
+  for (const auto& id : it->second) {
+    auto report = aState.mCrashes.at(id).mReport;
+    if (aBornMs && !report.mBornMs) {
+      continue; // Without a start time it is unknown whether it is the same process.
+    }
+    const bool isSame = aBornMs && aBornMs == report.mBornMs;
+    if (!isSame && !report.mBegan) {
+      continue;
+    }
+    report.mState = isSame ? CrashState::Cleared : CrashState::Confirmed;
+    decided.push_back(std::move(report));
+  }
+  return decided;
 }
 
 std::optional<std::uint32_t> FindDeadlyTask(const State& aState, const std::string& aJob)
--- a/src/libdispatch/crashes.h
+++ b/src/libdispatch/crashes.h
@@ -6,7 +6,9 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -28,15 +30,16 @@
 
 struct Crash
 {
-  CrashReport mReport;
+  CrashReport mReport; ///< Without tasks once it is cleared; late copies of it then change nothing.
   Time mRecordedAt{};
-  bool mExplained = false; ///< One of the tasks is known to be deadly.
+  bool mExplained = false; ///< One of the tasks is likely to be deadly.
 };
 
 struct Suspect
 {
   std::vector<CrashId> mCrashes;
-  bool mDeadly = false;
+  bool mLikely = false; ///< It may be deadly; some of its crashes may not be proven yet.
+  bool mDeadly = false; ///< Proven.
 };
 
 struct State
@@ -45,20 +48,29 @@
   /// The keys of mCrashes in the order of Crash::mRecordedAt, and some that have been removed.
   std::deque<CrashId> mOldest;
   std::map<TaskId, Suspect> mSuspects;
+  /// Crashes that are neither confirmed nor cleared, by upstream.
+  std::map<std::string, std::set<CrashId>, std::less<>> mUndecided;
 };
 
 /// Records that an upstream of this or another entry has crashed, may have, or has not. Returns the
 /// tasks that are deadly according to this crash. A copy of a report changes nothing.
 ///
-/// A suspected crash makes no task deadly. Of the others, a task is deadly after two that no known
-/// deadly task explains, if fewer happened under each task of other jobs on the same upstream; and
-/// after three in any case.
+/// A task is likely to be deadly after two crashes that are more than suspected and that no other
+/// likely task explains, if fewer happened under each task of other jobs on the same upstream; and
+/// after three in any case. It is deadly when the same holds for confirmed crashes alone: a cut of
+/// the network makes a sound task likely, but never deadly.
 std::vector<TaskId> Record(State& aState, const CrashReport& aReport, const Now& aNow);
 
-/// Whether the task must not be started before more is known: three upstreams have crashed under it
-/// or may have.
+/// Whether the task must not be started before more is known: it is likely to be deadly, or three
+/// upstreams have crashed under it or may have.
 bool IsOnHold(const State& aState, const TaskId& aTask);
 
+/// The reports that a process at an upstream decides by its answer, with their new state. aBornMs
+/// is its start; nothing if it is known by another id.
+std::vector<CrashReport> FindDecided(const State& aState,
+                                     std::string_view aUpstream,
+                                     std::optional<UnixMs> aBornMs);
+
 /// The index of a task of the job that is known to be deadly.
 std::optional<std::uint32_t> FindDeadlyTask(const State& aState, const std::string& aJob);
 
--- a/src/libdispatch/queries.cpp
+++ b/src/libdispatch/queries.cpp
@@ -258,6 +258,13 @@
   return reports;
 }
 
+std::vector<CrashReport> DecidedCrashes(const State& aState,
+                                        std::string_view aUpstream,
+                                        std::optional<UnixMs> aBornMs)
+{
+  return crashes::FindDecided(aState.mCrashes, aUpstream, aBornMs);
+}
+
 std::vector<std::pair<std::string, std::uint64_t>> Counters(const State& aState)
 {
   const auto& counts = aState.mCounts;
--- a/src/libentry/entry.cpp
+++ b/src/libentry/entry.cpp
@@ -75,6 +75,9 @@
     CancelPeerJob(aState, peer, cancel->mNumber, aNow);
   } else if (const auto* crashes = std::get_if<message::Crashes>(&aEvent.mMessage)) {
     for (const auto& report : crashes->mReports) {
+      if (report.mState < CrashState::Confirmed) {
+        holding::AskForProcess(aState.mHolding, report.mUpstream, aNow);
+      }
       dispatch::Handle(
         *aState.mDispatch, dispatch::UpstreamCrashed{ report }, aNow, aState.mDispatchActions);
     }
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -303,6 +303,7 @@
     if (!NamesSameProcess(upstream.mRecord, upstream.mClaimedRecord)) {
       return; // The answer may be of a process at the former address.
     }
+    PublishDecided(aAction.mUpstream, std::nullopt);
     constexpr std::uint32_t kMaxDoublings = 16;
     const auto delay = mState.mOptions.mMisdirectedClaimRetryDelay *
                        (1U << std::min(upstream.mMisdirected, kMaxDoublings));
@@ -313,23 +314,59 @@
 
   /// Reports a crash to the scheduling core and to the candidates: the job may be submitted to
   /// another holder when this entry dies.
-  void PublishCrash(std::uint64_t aNumber,
+  void PublishReport(CrashReport aReport)
+  {
+    for (const auto& [address, peer] : mState.mPeers) {
+      if (peer.mPresence.mCandidate) {
+        mActions.emplace_back(SendPeer{ address, message::Crashes{ { aReport } } });
+      }
+    }
+    Dispatch(mState, dispatch::UpstreamCrashed{ std::move(aReport) }, mNow);
+  }
+
+  void PublishCrash(const holding::Crashed& aCrash,
                     CrashState aCrashState,
-                    const std::vector<holding::Run>& aRuns)
+                    const std::vector<holding::Run>& aRuns,
+                    bool aBegan)
   {
     if (aRuns.empty() && aCrashState != CrashState::Cleared) {
       return;
     }
-    CrashReport report{ mState.mOptions.mIncarnation, aNumber, aCrashState, {} };
+    CrashReport report{ mState.mOptions.mIncarnation,
+                        2 * aCrash.mNumber + (aBegan ? 0 : 1),
+                        aCrashState,
+                        {},
+                        aCrash.mUpstream,
+                        aCrash.mBornMs,
+                        aBegan };
     for (const auto& run : aRuns) {
       report.mTasks.push_back(run.mTask);
     }
-    for (const auto& [address, peer] : mState.mPeers) {
-      if (peer.mPresence.mCandidate) {
-        mActions.emplace_back(SendPeer{ address, message::Crashes{ { report } } });
+    PublishReport(std::move(report));
+  }
+
+  /// Decides the crashes that other holders of the upstream, or earlier sessions, have suspected:
+  /// their reporters may have died or lost the upstream. aBornMs is as in DecidedCrashes.
+  void PublishDecided(const std::string& aUpstream, std::optional<UnixMs> aBornMs)
+  {
+    const auto it = mState.mUpstreams.find(aUpstream);
+    const bool leaving = it != mState.mUpstreams.end() && it->second.mRecord.mLeaving;
+    for (auto& report : dispatch::DecidedCrashes(*mState.mDispatch, aUpstream, aBornMs)) {
+      if (leaving && report.mState != CrashState::Cleared) {
+        continue; // Its end was announced; the tasks are not the cause.
       }
+      AddReport(
+        mActions,
+        "crash_decided",
+        { { "upstream", aUpstream },
+          { "result", report.mState == CrashState::Cleared ? "same_process" : "other_process" } });
+      PublishReport(std::move(report));
     }
-    Dispatch(mState, dispatch::UpstreamCrashed{ std::move(report) }, mNow);
+  }
+
+  void operator()(holding::ProcessFound& aAction)
+  {
+    PublishDecided(aAction.mUpstream, aAction.mBornMs);
   }
 
   void operator()(holding::Crashed& aAction)
@@ -354,11 +391,12 @@
     if (leaving && state != CrashState::Cleared) {
       return; // Its end was announced; the tasks are not the cause.
     }
-    PublishCrash(2 * aAction.mNumber, state, aAction.mRuns);
+    PublishCrash(aAction, state, aAction.mRuns, true);
     // A run of which it is unknown whether it had begun is never proof against its task.
-    PublishCrash(2 * aAction.mNumber + 1,
+    PublishCrash(aAction,
                  state == CrashState::Cleared ? state : CrashState::Suspected,
-                 aAction.mUnansweredRuns);
+                 aAction.mUnansweredRuns,
+                 false);
   }
 
   void operator()(holding::Note& aAction)
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -80,6 +80,7 @@
   double mSlowOrders = 0;      ///< Fraction of orders, and of answers, that take 20 to 140 ms.
   double mFailingTasks = 0;    ///< Fraction of runs that fail.
   bool mCutsRefuse = false;    ///< Connections over a cut to a worker are refused instead of lost.
+  bool mCutsReset = false;     ///< Cuts to workers also reset the connections that there are.
   bool mSilentCrashes = false; ///< Deadly tasks take their worker's machine down with it.
   double mDeadlyJobs = 0;      ///< Fraction of the jobs of GenerateLoad whose first task is deadly.
   std::uint32_t mMaxFailures = 3;
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -180,7 +180,8 @@
   }
   aSession.mCrashNumber = isReported ? aSession.mCrashNumber : ++aState.mLastCrash;
   aSession.mCrashState = aCrashState;
-  Crashed crashed{ std::string(aUpstream), aSession.mCrashNumber, aCrashState, {}, {} };
+  Crashed crashed{ std::string(aUpstream), aSession.mCrashNumber, aCrashState, {}, {},
+                   aSession.mBornMs };
   for (const auto& [run, began] : aSession.mLapsedRuns) {
     (began ? crashed.mRuns : crashed.mUnansweredRuns).push_back(run);
   }
@@ -195,7 +196,7 @@
 {
   if (aSession.mCrashNumber != 0) {
     aActions.emplace_back(
-      Crashed{ std::string(aUpstream), aSession.mCrashNumber, CrashState::Cleared, {}, {} });
+      Crashed{ std::string(aUpstream), aSession.mCrashNumber, CrashState::Cleared, {}, {}, {} });
   }
 }
 
@@ -473,6 +474,14 @@
   return (std::max(clock, (aLeast >> kTokenSaltBits) + 1) << kTokenSaltBits) | aSalt;
 }
 
+void AskForProcess(State& aState, std::string_view aUpstream, const Now& aNow)
+{
+  const auto it = aState.mSessions.find(aUpstream);
+  if (it != aState.mSessions.end()) {
+    it->second.mProcessAskedAt = aNow.mTime;
+  }
+}
+
 std::uint64_t TokenOf(const State& aState, std::string_view aUpstream)
 {
   const auto it = aState.mSessions.find(aUpstream);
@@ -710,6 +719,11 @@
                                : session->mClockMs.value_or(0) + aState.mOptions.mMaxLease.count();
     }
     session->mBornMs = aEvent.mBornMs;
+    session->mProcessAskedAt = session->mProcessAskedAt.value_or(aEvent.mSentAt);
+  }
+  if (session->mBornMs && session->mProcessAskedAt && aEvent.mSentAt >= *session->mProcessAskedAt) {
+    session->mProcessAskedAt.reset();
+    aActions.emplace_back(ProcessFound{ aEvent.mUpstream, *session->mBornMs });
   }
   session->mCrashNumber = 0;
   session->mLapsedRuns.clear();
--- a/src/libmessages/messages.cpp
+++ b/src/libmessages/messages.cpp
@@ -550,6 +550,9 @@
     a("number", v.mNumber);
     a("state", v.mState);
     a("tasks", v.mTasks);
+    a("upstream", v.mUpstream);
+    a("born", v.mBornMs);
+    a("began", v.mBegan);
   } else if constexpr (IsSame<T, Crashes>) {
     a("reports", v.mReports);
   } else {
