Take two crashes for a coincidence while crashes are common

Cause: two crashes were proof whatever happened elsewhere.

Now three crashes are needed while at least eight more crashes of the last 30 s have no task that explains them than have one. Crashes of the last 2 s are left out: a deadly task that caused one of them has not been started again yet, so a wave of deadly tasks is not noise. A task whose crashes are all decided without proof is no longer on hold.

Test: CoincidencesAreNoProof (crashes_test).

--- a/src/libdispatch/crashes.cpp
+++ b/src/libdispatch/crashes.cpp
@@ -12,6 +12,13 @@
 constexpr std::size_t kMinCrashes = 2;
 constexpr std::size_t kMaxCrashes = 3;
 
+/// When many upstreams crash whatever they run, two crashes under one task are likely a coincidence
+/// and it may be started a third time. Crashes count for that if they happened within kNoiseWindow,
+/// but more than kRepeatTime ago: a task that had caused one would have caused another since.
+constexpr std::chrono::seconds kNoiseWindow{ 30 };
+constexpr std::chrono::seconds kRepeatTime{ 2 };
+constexpr std::size_t kMinNoise = 8;
+
 /// Number of crashes under a task that are at least as certain as aLeast.
 std::size_t CountCrashes(const State& aState, const TaskId& aTask, CrashState aLeast)
 {
@@ -43,6 +50,33 @@
     }));
 }
 
+/// Whether the crashes of late that were not under the task, and are at least as certain as aLeast,
+/// have mostly no likely task that explains them.
+bool AreCrashesCommon(const State& aState, const TaskId& aTask, CrashState aLeast, const Now& aNow)
+{
+  std::size_t explained = 0;
+  std::size_t unexplained = 0;
+  for (auto it = aState.mOldest.rbegin(); it != aState.mOldest.rend(); ++it) {
+    const auto found = aState.mCrashes.find(*it);
+    if (found == aState.mCrashes.end()) {
+      continue;
+    }
+    const auto& crash = found->second;
+    const auto& tasks = crash.mReport.mTasks;
+    const auto age = aNow.mTime - crash.mRecordedAt;
+    if (age > Duration(kNoiseWindow)) {
+      break;
+    }
+    if (crash.mReport.mState < aLeast || crash.mReport.mState == CrashState::Cleared ||
+        std::find(tasks.begin(), tasks.end(), aTask) != tasks.end()) {
+      continue;
+    }
+    explained += crash.mExplained ? 1 : 0;
+    unexplained += !crash.mExplained && age > Duration(kRepeatTime) ? 1 : 0;
+  }
+  return unexplained >= kMinNoise + explained;
+}
+
 /// Whether the task is the only explanation of a crash, apart from tasks of the same job: those
 /// fail together with it. aCount returns the number of a task's crashes.
 template<typename Count>
@@ -64,14 +98,15 @@
 }
 
 /// Marks the tasks that are likely to be deadly according to a crash.
-void FindLikely(State& aState, Crash& aCrash)
+void FindLikely(State& aState, Crash& aCrash, const Now& aNow)
 {
   Explain(aState, aCrash);
   const auto count = [&](const TaskId& aTask) { return UnexplainedCrashes(aState, aTask); };
   std::vector<TaskId> likely;
   for (const auto& task : aCrash.mReport.mTasks) {
     if (ProbableCrashes(aState, task) >= kMaxCrashes ||
-        IsSoleSuspect(aCrash.mReport, task, count)) {
+        (IsSoleSuspect(aCrash.mReport, task, count) &&
+         !AreCrashesCommon(aState, task, CrashState::Refused, aNow))) {
       likely.push_back(task);
     }
   }
@@ -85,26 +120,28 @@
 }
 
 /// Whether the confirmed crashes alone show that a likely task is the cause.
-bool IsProven(const State& aState, const TaskId& aTask)
+bool IsProven(const State& aState, const TaskId& aTask, const Now& aNow)
 {
   const auto& suspect = aState.mSuspects.at(aTask);
   if (!suspect.mLikely) {
     return false;
   }
   const auto count = [&](const TaskId& aOther) { return ConfirmedCrashes(aState, aOther); };
+  const auto isSole = [&](const CrashId& aId) {
+    const auto& report = aState.mCrashes.at(aId).mReport;
+    return report.mState == CrashState::Confirmed && IsSoleSuspect(report, aTask, count);
+  };
   return count(aTask) >= kMaxCrashes ||
-         std::any_of(suspect.mCrashes.begin(), suspect.mCrashes.end(), [&](const CrashId& aId) {
-           const auto& report = aState.mCrashes.at(aId).mReport;
-           return report.mState == CrashState::Confirmed && IsSoleSuspect(report, aTask, count);
-         });
+         (std::any_of(suspect.mCrashes.begin(), suspect.mCrashes.end(), isSole) &&
+          !AreCrashesCommon(aState, aTask, CrashState::Confirmed, aNow));
 }
 
 /// Marks and returns the tasks of a crash that are deadly since its report has been recorded.
-std::vector<TaskId> FindDeadly(State& aState, const CrashReport& aReport)
+std::vector<TaskId> FindDeadly(State& aState, const CrashReport& aReport, const Now& aNow)
 {
   std::vector<TaskId> deadly;
   for (const auto& task : aReport.mTasks) {
-    if (!aState.mSuspects.at(task).mDeadly && IsProven(aState, task)) {
+    if (!aState.mSuspects.at(task).mDeadly && IsProven(aState, task, aNow)) {
       deadly.push_back(task);
     }
   }
@@ -179,12 +216,12 @@
     case CrashState::Suspected:
       return {};
     case CrashState::Refused:
-      FindLikely(aState, crash);
+      FindLikely(aState, crash, aNow);
       return {};
     case CrashState::Confirmed:
       MarkDecided(aState, id);
-      FindLikely(aState, crash);
-      return FindDeadly(aState, crash.mReport);
+      FindLikely(aState, crash, aNow);
+      return FindDeadly(aState, crash.mReport, aNow);
     case CrashState::Cleared:
       MarkDecided(aState, id);
       RemoveTasks(aState, id);
@@ -196,8 +233,12 @@
 bool IsOnHold(const State& aState, const TaskId& aTask)
 {
   const auto it = aState.mSuspects.find(aTask);
-  return it != aState.mSuspects.end() &&
-         (it->second.mLikely || it->second.mCrashes.size() >= kMaxCrashes);
+  if (it == aState.mSuspects.end()) {
+    return false;
+  }
+  const auto& crashes = it->second.mCrashes;
+  return crashes.size() >= kMaxCrashes ||
+         (it->second.mLikely && ConfirmedCrashes(aState, aTask) < crashes.size());
 }
 
 std::vector<CrashReport> FindDecided(const State& aState,
--- a/src/libdispatch/crashes.h
+++ b/src/libdispatch/crashes.h
@@ -57,12 +57,13 @@
 ///
 /// A task is likely to be deadly after two crashes that are more than suspected and that no other
 /// likely task explains, if fewer happened under each task of other jobs on the same upstream; and
-/// after three in any case. It is deadly when the same holds for confirmed crashes alone: a cut of
-/// the network makes a sound task likely, but never deadly.
+/// after three in any case. Two are not enough while upstreams crash under all kinds of tasks. It
+/// is deadly when the same holds for confirmed crashes alone: a cut of the network makes a sound
+/// task likely, but never deadly.
 std::vector<TaskId> Record(State& aState, const CrashReport& aReport, const Now& aNow);
 
-/// Whether the task must not be started before more is known: it is likely to be deadly, or three
-/// upstreams have crashed under it or may have.
+/// Whether the task must not be started before more is known: it is likely to be deadly and one of
+/// its crashes is not decided, or three upstreams have crashed under it or may have.
 bool IsOnHold(const State& aState, const TaskId& aTask);
 
 /// The reports that a process at an upstream decides by its answer, with their new state. aBornMs
--- a/src/libdispatch/crashes_test.cpp
+++ b/src/libdispatch/crashes_test.cpp
@@ -126,6 +126,27 @@
          ok;
 }
 
+/// Guards against sound jobs that are given up on a day on which many upstreams crash, each under
+/// other tasks, and against a deadly task that is started without a limit meanwhile.
+bool CoincidencesAreNoProof()
+{
+  Log log;
+  for (int n = 0; n < 10; ++n) {
+    Crashed(log, { { "sound" + std::to_string(n), 0 } });
+  }
+  log.mNow.mTime += Duration(seconds(3));
+  const std::vector<TaskId> task{ { "a", 0 } };
+  bool ok = Expect(Crashed(log, task).empty() && Crashed(log, task).empty(),
+                   "two crashes prove nothing among many others");
+  ok &= Expect(!IsOnHold(log.mState, task.front()), "the task may be started a third time");
+  ok &= Expect(Crashed(log, task) == task, "no task is started after three crashes");
+  log.mNow.mTime += Duration(seconds(31));
+  const std::vector<TaskId> other{ { "b", 0 } };
+  return Expect(Crashed(log, other).empty() && Crashed(log, other) == other,
+                "two crashes are proof again when the others have stopped") &&
+         ok;
+}
+
 /// Guards against suspicions that nobody decides because their reporter has died, and against those
 /// that are decided without proof.
 bool AnotherEntryDecides()
@@ -193,6 +214,7 @@
   ok &= SilentUpstreamsAreNotBlamed();
   ok &= RefusedConnectionsAreNoProof();
   ok &= AnotherEntryDecides();
+  ok &= CoincidencesAreNoProof();
   ok &= MemoryIsBounded();
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
