--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -52,6 +52,12 @@
   return microseconds(200 + static_cast<std::int64_t>(UniformRandom(aWorld) * 1500));
 }
 
+/// Whether losses and delays of orders concern an entry.
+bool IsLossy(const World& aWorld, std::size_t aNode)
+{
+  return aWorld.mLossyNodes.empty() || aWorld.mLossyNodes.contains(aNode);
+}
+
 /// The delay of an order to a worker, or of its answer, over a network that may lose packets.
 Duration OrderDelay(World& aWorld)
 {
@@ -62,13 +68,53 @@
   return microseconds(20000 + static_cast<std::int64_t>(UniformRandom(aWorld) * 120000));
 }
 
+bool IsTraced()
+{
+  static const bool isTraced = std::getenv("POLLENWALL_TEST_LOG") != nullptr;
+  return isTraced;
+}
+
+/// Prints what happens at a worker if the log is asked for.
+void Trace(const World& aWorld,
+           const Worker& aWorker,
+           std::string_view aWhat,
+           const holding::Run* aRun = nullptr)
+{
+  if (IsTraced()) {
+    std::cerr << aWorld.mNow.mTime.time_since_epoch().count() << " " << aWorker.mRecord.mId << " "
+              << aWhat << " "
+              << (aRun == nullptr ? ""
+                                  : ToString(aRun->mTask) + " run " + std::to_string(aRun->mNumber))
+              << " clock=" << ClockOf(aWorld, aWorker) << " token=" << aWorker.mToken
+              << " lease_end=" << aWorker.mLeaseEndMs << "\n";
+  }
+}
+
+/// The delay of an order that is executed late.
+Duration LateDelay(World& aWorld)
+{
+  const auto most = aWorld.mOptions.mMaxLateDelay;
+  const auto more = most > kLateOrderDelay ? UniformRandom(aWorld) : 0;
+  return kLateOrderDelay + Duration(std::llround(
+                             more * static_cast<double>(Duration(most - kLateOrderDelay).count())));
+}
+
 void AddViolation(World& aWorld, std::string aText)
 {
+  if (IsTraced()) {
+    std::cerr << aWorld.mNow.mTime.time_since_epoch().count() << " VIOLATED " << aText << "\n";
+  }
   aWorld.mViolations.push_back(std::move(aText));
 }
 
 // Workers.
 
+/// Identifies the entry that made a token.
+std::uint64_t SaltOf(std::uint64_t aToken)
+{
+  return aToken & ((std::uint64_t{ 1 } << holding::kTokenSaltBits) - 1);
+}
+
 void EndRun(World& aWorld, Worker& aWorker, const holding::Run& aRun, holding::RunEnd aRunEnd)
 {
   if (aWorker.mRunning.erase(aRun) == 0) {
@@ -82,6 +128,10 @@
   if (aRunEnd == holding::RunEnd::Done) {
     ++aWorld.mDone[aRun.mTask];
   }
+  if (aRunEnd == holding::RunEnd::Stopped || aRunEnd == holding::RunEnd::Lapsed) {
+    aWorld.mLastRunEnd[aRun.mTask] = { aWorld.mNow.mTime, SaltOf(aWorker.mToken) };
+  }
+  Trace(aWorld, aWorker, aRunEnd == holding::RunEnd::Lapsed ? "lapsed" : "ended", &aRun);
 }
 
 void LetLapse(World& aWorld, Worker& aWorker)
@@ -90,7 +140,8 @@
     return;
   }
   while (!aWorker.mRunning.empty()) {
-    EndRun(aWorld, aWorker, aWorker.mRunning.begin()->first, holding::RunEnd::Lapsed);
+    const auto run = aWorker.mRunning.begin()->first; // EndRun removes the key.
+    EndRun(aWorld, aWorker, run, holding::RunEnd::Lapsed);
   }
 }
 
@@ -134,6 +185,9 @@
   }
   const auto over = aWorker.mHighestEndedRun.find(aOrder.mRun.mTask);
   if (over != aWorker.mHighestEndedRun.end() && aOrder.mRun.mNumber <= over->second) {
+    if (aWorld.mOptions.mRefusedStartsRenew) {
+      Renew(aWorld, aWorker, aOrder.mLeaseEndMs);
+    }
     return OrderStatus::Superseded;
   }
   if (ClockOf(aWorld, aWorker) > aOrder.mLeaseEndMs) {
@@ -146,7 +200,13 @@
   }
   runningAt.insert(aWorker.mRecord.mId);
   aWorld.mLastStart[aOrder.mRun.mTask] = aWorld.mNow.mTime;
+  const auto end = aWorld.mLastRunEnd.find(aOrder.mRun.mTask);
+  if (end != aWorld.mLastRunEnd.end() && end->second.second != SaltOf(aOrder.mToken)) {
+    const auto gap = aWorld.mNow.mTime - end->second.first;
+    aWorld.mLeastGap = std::min(aWorld.mLeastGap.value_or(gap), gap);
+  }
   ++aWorld.mStarts;
+  Trace(aWorld, aWorker, "started", &aOrder.mRun);
   if (aWorld.mDeadlyTasks.contains(aOrder.mRun.mTask)) {
     if (++aWorld.mCrashes[aOrder.mRun.mTask] > kMaxCrashes) {
       AddViolation(aWorld,
@@ -187,7 +247,13 @@
   aWorker.mToken = aOrder.mToken;
   const auto it = aWorker.mRunning.find(aOrder.mRun);
   if (it != aWorker.mRunning.end()) {
-    it->second.mEndsAt = std::min(it->second.mEndsAt, aWorld.mNow.mTime + Duration(kStopTime));
+    const auto most = aWorld.mOptions.mMaxStopTime;
+    const auto stopTime = most.count() == 0
+                            ? Duration(kStopTime)
+                            : Duration(std::llround(UniformRandom(aWorld) *
+                                                    static_cast<double>(Duration(most).count())));
+    it->second.mEndsAt = std::min(it->second.mEndsAt, aWorld.mNow.mTime + stopTime);
+    Trace(aWorld, aWorker, "stopping", &aOrder.mRun);
     it->second.mRunEnd = holding::RunEnd::Stopped;
   } else {
     auto& over = aWorker.mHighestEndedRun[aOrder.mRun.mTask];
@@ -201,13 +267,17 @@
 /// there were.
 std::optional<OrderStatus> RefusedStatus(const World& aWorld,
                                          std::size_t aNode,
-                                         const std::string& aWorker)
+                                         const std::string& aWorker,
+                                         const std::string& aAddress)
 {
   if (aWorld.mCutFromWorkers.contains({ aNode, aWorker })) {
     return aWorld.mOptions.mCutsRefuse ? std::optional(OrderStatus::NotSent) : std::nullopt;
   }
   const auto it = aWorld.mWorkers.find(aWorker);
-  if (it != aWorld.mWorkers.end() && it->second.mReplaced) {
+  const bool isElsewhere =
+    it != aWorld.mWorkers.end() &&
+    aAddress != it->second.mRecord.mAddress + ":" + std::to_string(it->second.mRecord.mPort);
+  if (isElsewhere || (it != aWorld.mWorkers.end() && it->second.mReplaced)) {
     return OrderStatus::OtherIncarnation;
   }
   const bool crashed = it != aWorld.mWorkers.end() && !it->second.mAlive && it->second.mRefuses;
@@ -237,22 +307,28 @@
 
 /// Executes an order after the network delay. aMake builds the answer's event from the status.
 template<typename Act, typename Make>
-void Order(World& aWorld, std::size_t aNode, const std::string& aWorker, Act aCallback, Make aMake)
+void Order(World& aWorld, std::size_t aNode, const Destination& aWorker, Act aCallback, Make aMake)
 {
   const auto generation = aWorld.mNodes[aNode].mGeneration;
-  const bool late = UniformRandom(aWorld) < aWorld.mOptions.mLateOrders;
-  const bool lost = late || UniformRandom(aWorld) < aWorld.mOptions.mLostAnswers;
-  const auto orderDelay = late ? Duration(kLateOrderDelay) + Delay(aWorld) : OrderDelay(aWorld);
+  const bool lossy = IsLossy(aWorld, aNode);
+  const bool late = UniformRandom(aWorld) < aWorld.mOptions.mLateOrders && lossy;
+  const bool lost = late || (UniformRandom(aWorld) < aWorld.mOptions.mLostAnswers && lossy);
+  const auto orderDelay = late ? LateDelay(aWorld) + Delay(aWorld) : OrderDelay(aWorld);
+  if (lossy && aWorld.mOptions.mLostOrders > 0 &&
+      UniformRandom(aWorld) < aWorld.mOptions.mLostOrders) {
+    Reply(aWorld, aNode, generation, kAnswerTimeout, aMake(OrderStatus::Unknown, std::nullopt));
+    return;
+  }
   After(aWorld, orderDelay, [&aWorld, aNode, aWorker, generation, lost, aCallback, aMake] {
-    if (const auto refused = RefusedStatus(aWorld, aNode, aWorker)) {
+    if (const auto refused = RefusedStatus(aWorld, aNode, aWorker.mId, aWorker.mAddress)) {
       Reply(aWorld, aNode, generation, Delay(aWorld), aMake(*refused, std::nullopt));
       return;
     }
-    if (!Reaches(aWorld, aNode, aWorker)) {
+    if (!Reaches(aWorld, aNode, aWorker.mId)) {
       Reply(aWorld, aNode, generation, kAnswerTimeout, aMake(OrderStatus::Unknown, std::nullopt));
       return;
     }
-    auto& worker = aWorld.mWorkers.at(aWorker);
+    auto& worker = aWorld.mWorkers.at(aWorker.mId);
     const auto status = aCallback(worker);
     if (!lost) {
       Reply(aWorld, aNode, generation, OrderDelay(aWorld), aMake(status, ClockOf(aWorld, worker)));
@@ -263,6 +339,16 @@
   }
 }
 
+/// The delay of a poll, or of its answer.
+Duration PollDelay(World& aWorld)
+{
+  const auto slow = aWorld.mOptions.mSlowPolls;
+  if (slow == 0 || UniformRandom(aWorld) >= slow) {
+    return Delay(aWorld);
+  }
+  return microseconds(20000 + static_cast<std::int64_t>(UniformRandom(aWorld) * 120000));
+}
+
 /// Applies the token and the lease of a poll.
 void ApplyPoll(World& aWorld, Worker& aWorker, const holding::SendPoll& aOrder)
 {
@@ -273,6 +359,9 @@
   if (aOrder.mLeaseEndMs) {
     Renew(aWorld, aWorker, *aOrder.mLeaseEndMs);
   }
+  if (!aWorker.mRunning.empty()) {
+    Trace(aWorld, aWorker, "polled");
+  }
 }
 
 /// Answers a poll once a run has ended or the wait is over.
@@ -280,27 +369,36 @@
                 std::size_t aNode,
                 std::uint64_t aGeneration,
                 const holding::SendPoll& aOrder,
-                const std::string& aWorker,
+                const Destination& aWorker,
                 Time aUntil,
-                Time aSentAt)
+                Time aSentAt,
+                std::optional<UnixMs> aBornMs)
 {
   holding::PollAnswered answer;
   answer.mUpstream = aOrder.mUpstream;
   answer.mSession = aOrder.mSession;
   answer.mSentAt = aSentAt;
-  if (const auto refused = RefusedStatus(aWorld, aNode, aWorker)) {
+  if (const auto refused = RefusedStatus(aWorld, aNode, aWorker.mId, aWorker.mAddress)) {
     answer.mStatus = *refused;
     Reply(aWorld, aNode, aGeneration, Delay(aWorld), answer);
     return;
   }
-  if (!Reaches(aWorld, aNode, aWorker)) {
+  if (!Reaches(aWorld, aNode, aWorker.mId)) {
     Reply(aWorld, aNode, aGeneration, kAnswerTimeout, answer);
     return;
   }
-  auto& worker = aWorld.mWorkers.at(aWorker);
+  auto& worker = aWorld.mWorkers.at(aWorker.mId);
   answer.mStatus = OrderStatus::Done;
   answer.mClockMs = ClockOf(aWorld, worker);
   answer.mBornMs = worker.mBornMs;
+  if (aWorld.mOptions.mPollsEndWithProcess && aBornMs && *aBornMs != worker.mBornMs) {
+    answer = {};
+    answer.mUpstream = aOrder.mUpstream;
+    answer.mSession = aOrder.mSession;
+    answer.mSentAt = aSentAt;
+    Reply(aWorld, aNode, aGeneration, kAnswerTimeout, answer);
+    return;
+  }
   if (aOrder.mToken < worker.mToken) {
     answer.mStatus = OrderStatus::Fenced;
     Reply(aWorld, aNode, aGeneration, Delay(aWorld), answer);
@@ -309,9 +407,20 @@
   std::erase_if(worker.mEnds,
                 [&](const auto& aEnd) { return aEnd.mNumber <= aOrder.mAcknowledgedEnd; });
   if (worker.mEnds.empty() && aWorld.mNow.mTime < aUntil) {
-    After(aWorld, milliseconds(1), [&aWorld, aNode, aGeneration, aOrder, aWorker, aUntil, aSentAt] {
-      AnswerPoll(aWorld, aNode, aGeneration, aOrder, aWorker, aUntil, aSentAt);
-    });
+    After(aWorld,
+          milliseconds(1),
+          [&aWorld, aNode, aGeneration, aOrder, aWorker, aUntil, aSentAt, aBornMs] {
+            AnswerPoll(aWorld, aNode, aGeneration, aOrder, aWorker, aUntil, aSentAt, aBornMs);
+          });
+    return;
+  }
+  if (IsLossy(aWorld, aNode) && aWorld.mOptions.mLostPolls > 0 &&
+      UniformRandom(aWorld) < aWorld.mOptions.mLostPolls) {
+    answer = {};
+    answer.mUpstream = aOrder.mUpstream;
+    answer.mSession = aOrder.mSession;
+    answer.mSentAt = aSentAt;
+    Reply(aWorld, aNode, aGeneration, kAnswerTimeout, answer);
     return;
   }
   for (const auto& [run, running] : worker.mRunning) {
@@ -320,7 +429,7 @@
     answer.mRunning.push_back({ run, std::floor(100 * done / whole) / 100 });
   }
   answer.mEnds = worker.mEnds;
-  Reply(aWorld, aNode, aGeneration, Delay(aWorld), answer);
+  Reply(aWorld, aNode, aGeneration, PollDelay(aWorld), answer);
 }
 
 /// Lets a caller without an answer submit its job again to a random entry that runs.
@@ -353,6 +462,9 @@
   {
     auto& call = mWorld.mCalls.at(aAction.mRequest);
     ++call.mAnswers;
+    if (call.mGone && mWorld.mOptions.mGoneCallersHearNothing) {
+      return;
+    }
     call.mAnswered = mWorld.mNow.mTime;
     call.mComplete = aAction.mAnswer && aAction.mAnswer->mState == JobState::Complete;
     call.mError = aAction.mAnswer ? aAction.mAnswer->mError : aAction.mError;
@@ -389,7 +501,7 @@
     Order(
       mWorld,
       mNode,
-      aAction.mTo.mId,
+      aAction.mTo,
       [&world = mWorld, order, run](Worker& aWorker) {
         return ExecuteStart(world, aWorker, order, milliseconds(run));
       },
@@ -406,7 +518,7 @@
     Order(
       mWorld,
       mNode,
-      aAction.mTo.mId,
+      aAction.mTo,
       [&world = mWorld, order](Worker& aWorker) { return ExecuteStop(world, aWorker, order); },
       [order, sentAt](OrderStatus aStatus, std::optional<std::int64_t> aClock) -> Event {
         return holding::StopAnswered{ order.mUpstream, order.mSession, order.mRun,
@@ -420,9 +532,21 @@
     const auto generation = mWorld.mNodes[mNode].mGeneration;
     const auto sentAt = mWorld.mNow.mTime;
     const auto late = mWorld.mOptions.mLatePolls;
-    if (late > 0 && UniformRandom(mWorld) < late) {
-      After(mWorld, kLateOrderDelay, [&world = mWorld, node = mNode, order, id = aAction.mTo.mId] {
-        if (Reaches(world, node, id)) {
+    const auto lost = mWorld.mOptions.mLostOrders;
+    const bool lossy = IsLossy(mWorld, mNode);
+    if (lossy && lost > 0 && UniformRandom(mWorld) < lost) {
+      holding::PollAnswered answer;
+      answer.mUpstream = order.mUpstream;
+      answer.mSession = order.mSession;
+      answer.mSentAt = sentAt;
+      const auto timeout = mWorld.mNodes[mNode].mOptions.mHolding.mAnswerTimeout + order.mWait;
+      Reply(mWorld, mNode, generation, timeout, answer);
+      return;
+    }
+    if (lossy && late > 0 && UniformRandom(mWorld) < late) {
+      After(mWorld, LateDelay(mWorld), [&world = mWorld, node = mNode, order, to = aAction.mTo] {
+        const auto& id = to.mId;
+        if (!RefusedStatus(world, node, id, to.mAddress) && Reaches(world, node, id)) {
           ApplyPoll(world, world.mWorkers.at(id), order);
         }
       });
@@ -435,13 +559,16 @@
       return;
     }
     After(mWorld,
-          Delay(mWorld),
-          [&world = mWorld, node = mNode, generation, order, id = aAction.mTo.mId, sentAt] {
-            if (Reaches(world, node, id)) {
+          PollDelay(mWorld),
+          [&world = mWorld, node = mNode, generation, order, to = aAction.mTo, sentAt] {
+            const auto& id = to.mId;
+            std::optional<UnixMs> born;
+            if (!RefusedStatus(world, node, id, to.mAddress) && Reaches(world, node, id)) {
               ApplyPoll(world, world.mWorkers.at(id), order);
+              born = world.mWorkers.at(id).mBornMs;
             }
-            AnswerPoll(
-              world, node, generation, order, id, world.mNow.mTime + Duration(order.mWait), sentAt);
+            const auto until = world.mNow.mTime + Duration(order.mWait);
+            AnswerPoll(world, node, generation, order, to, until, sentAt, born);
           });
   }
 
@@ -457,19 +584,27 @@
         return aNode.mOptions.mPeerAddress == aAction.mAddress;
       });
     const auto to = static_cast<std::size_t>(it - mWorld.mNodes.begin());
-    if (mWorld.mCutNodes.contains({ mNode, to })) {
+    if (mWorld.mCutNodes.contains({ mNode, to }) || mWorld.mSilentLinks.contains({ mNode, to })) {
       return;
     }
     auto& last = mWorld.mLastArrival[{ mNode, to }];
     last = std::max(last, mWorld.mNow.mTime + Delay(mWorld));
     const auto generation = it->mGeneration;
+    const auto reconnects = mWorld.mReconnects[{ mNode, to }];
     After(
       mWorld,
       last - mWorld.mNow.mTime,
       [&world = mWorld,
+       from = mNode,
        to,
        generation,
+       reconnects,
        event = Event(PeerMessage{ mWorld.mNodes[mNode].mOptions.mPeerAddress, aAction.mMessage })] {
+        const auto lost = world.mOptions.mLostOnReconnect;
+        if (lost > 0 && world.mReconnects[{ from, to }] != reconnects &&
+            UniformRandom(world) < lost) {
+          return;
+        }
         if (world.mNodes[to].mGeneration == generation) {
           Step(world, to, event);
         }
@@ -479,6 +614,12 @@
   void operator()(const ConnectPeer& aAction) const
   {
     const auto generation = mWorld.mNodes[mNode].mGeneration;
+    for (std::size_t to = 0; aAction.mReconnect && to < mWorld.mNodes.size(); ++to) {
+      if (mWorld.mNodes[to].mOptions.mPeerAddress == aAction.mAddress) {
+        ++mWorld.mReconnects[{ mNode, to }];
+        mWorld.mSilentLinks.erase({ mNode, to });
+      }
+    }
     Reply(mWorld, mNode, generation, Delay(mWorld), PeerConnected{ aAction.mAddress });
   }
 
@@ -515,6 +656,11 @@
 
 void HandleNow(World& aWorld, std::size_t aNode, const Event& aEvent)
 {
+  if (const auto* submission = std::get_if<CallerSubmit>(&aEvent)) {
+    if (aWorld.mOptions.mDropsAbandonedRequests && aWorld.mCalls.at(submission->mRequest).mGone) {
+      return;
+    }
+  }
   Actions actions;
   auto now = aWorld.mNow;
   now.mUnixMs += aWorld.mNodes[aNode].mClockOffsetMs;
@@ -687,7 +833,7 @@
   ListWorkers(aWorld);
 }
 
-RequestId ResubmitJob(World& aWorld, std::size_t aNode, RequestId aEarlier)
+RequestId ResubmitJob(World& aWorld, std::size_t aNode, RequestId aEarlier, Duration aReadDelay)
 {
   const auto request = ++aWorld.mLastRequestId;
   CallRecord call;
@@ -695,8 +841,20 @@
   call.mSubmitted = aWorld.mNow.mTime;
   call.mJob = aWorld.mCalls.at(aEarlier).mJob;
   const auto job = call.mJob;
+  if (IsTraced()) {
+    std::cerr << aWorld.mNow.mTime.time_since_epoch().count() << " caller of " << job.mId
+              << " comes to " << aWorld.mNodes[aNode].mOptions.mName << "\n";
+  }
   aWorld.mCalls.emplace(request, std::move(call));
-  Step(aWorld, aNode, CallerSubmit{ request, job });
+  if (aReadDelay.count() == 0) {
+    Step(aWorld, aNode, CallerSubmit{ request, job });
+    return request;
+  }
+  After(aWorld, aReadDelay, [&aWorld, aNode, request, job] {
+    if (!aWorld.mCalls.at(request).mGone) {
+      Step(aWorld, aNode, CallerSubmit{ request, job });
+    }
+  });
   return request;
 }
 
@@ -722,6 +880,24 @@
   (*next)();
 }
 
+void Leave(World& aWorld, RequestId aRequest, Duration aReadDelay)
+{
+  auto& call = aWorld.mCalls.at(aRequest);
+  call.mGone = true;
+  if (IsTraced()) {
+    std::cerr << aWorld.mNow.mTime.time_since_epoch().count() << " caller of " << call.mJob.mId
+              << " leaves " << aWorld.mNodes[call.mNode].mOptions.mName << ", read after "
+              << aReadDelay.count() << "\n";
+  }
+  RetryLater(aWorld, aRequest);
+  const auto generation = aWorld.mNodes[call.mNode].mGeneration;
+  After(aWorld, aReadDelay, [&aWorld, aRequest, generation, node = call.mNode] {
+    if (aWorld.mNodes[node].mGeneration == generation) {
+      Step(aWorld, node, CallerDisconnected{ aRequest });
+    }
+  });
+}
+
 void Disconnect(World& aWorld, RequestId aRequest)
 {
   auto& call = aWorld.mCalls.at(aRequest);
@@ -739,6 +915,10 @@
   node.mDeferredEvents.clear();
   ++node.mGeneration;
   node.mState.reset();
+  if (IsTraced()) {
+    std::cerr << aWorld.mNow.mTime.time_since_epoch().count() << " " << node.mOptions.mName
+              << " is killed\n";
+  }
   for (auto& [request, call] : aWorld.mCalls) {
     if (call.mNode == aNode && !call.mAnswered && !call.mGone) {
       call.mGone = true;
@@ -807,6 +987,7 @@
 {
   auto& worker = aWorld.mWorkers.at(aId);
   worker.mAlive = false;
+  Trace(aWorld, worker, "process ends");
   for (const auto& [run, running] : worker.mRunning) {
     aWorld.mRunningAt[run.mTask].erase(aId);
   }
@@ -843,6 +1024,15 @@
   restarted.mRecord = worker.mRecord;
   restarted.mBornMs = aWorld.mNow.mUnixMs;
   worker = std::move(restarted);
+  Trace(aWorld, worker, "process starts");
+}
+
+void MoveWorker(World& aWorld, const std::string& aId)
+{
+  CrashWorker(aWorld, aId);
+  auto& worker = aWorld.mWorkers.at(aId);
+  worker.mRecord.mPort = static_cast<std::uint16_t>(worker.mRecord.mPort + 1000);
+  RestartWorker(aWorld, aId);
 }
 
 void BeginDrain(World& aWorld, std::size_t aNode)
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -94,6 +94,26 @@
   std::chrono::milliseconds mRetryDelay{ 0 };
   double mClockDrift = 0; ///< Fraction by which the workers' clocks run slow.
   double mLinkMbps = 0;   ///< See entry::Options.
+  double mLostOrders = 0; ///< Fraction of orders, and of polls, that are never executed.
+  double mLostPolls = 0;  ///< Fraction of polls that are executed and whose answer is lost.
+  double mSlowPolls = 0;  ///< As mSlowOrders, for polls.
+  /// If not 0: late orders and polls are executed after 2 s up to this, instead of after 2 s.
+  std::chrono::milliseconds mMaxLateDelay{ 0 };
+  /// If not 0: a stop takes up to this instead of a fixed time.
+  std::chrono::milliseconds mMaxStopTime{ 0 };
+  /// A start that is refused because of an earlier end extends the lease, as on the platform.
+  bool mRefusedStartsRenew = false;
+  /// A poll that waits at a worker's process which ends is not answered. Otherwise the next process
+  /// answers it.
+  bool mPollsEndWithProcess = false;
+  /// A caller that has left neither retries because of an answer nor is told anything by it.
+  bool mGoneCallersHearNothing = false;
+  /// A request that an entry handles after its caller has left is dropped, as the network code
+  /// does.
+  bool mDropsAbandonedRequests = false;
+  /// Fraction of the messages in flight between two entries that are lost when the connection is
+  /// replaced.
+  double mLostOnReconnect = 0;
   std::uint64_t mSeed = 1;
 };
 
@@ -115,6 +135,16 @@
   std::map<TaskId, std::uint32_t> mCrashes; ///< Workers that crashed under a deadly task.
   std::set<std::pair<std::size_t, std::size_t>> mCutNodes; ///< Sender and receiver; one direction.
   std::set<std::pair<std::size_t, std::string>> mCutFromWorkers; ///< Node and worker.
+  /// Sender and receiver of connections that deliver nothing until they are replaced.
+  std::set<std::pair<std::size_t, std::size_t>> mSilentLinks;
+  /// How often the connection of a sender to a receiver has been replaced.
+  std::map<std::pair<std::size_t, std::size_t>, std::uint64_t> mReconnects;
+  /// If not empty: the losses and delays of orders and polls concern only these entries.
+  std::set<std::size_t> mLossyNodes;
+  /// Ends by a stop or a lapsed lease, with the salt of the worker's token.
+  std::map<TaskId, std::pair<Time, std::uint64_t>> mLastRunEnd;
+  /// Least time between such an end and the next start of the task by another entry.
+  std::optional<Duration> mLeastGap;
   std::size_t mRepliesToLose = 0;       ///< The next replies between entries that are lost.
   std::set<std::string> mUnlisted;      ///< Workers that are missing from the list.
   std::vector<std::string> mViolations; ///< Descriptions of violated invariants.
@@ -159,8 +189,12 @@
 /// may still use the former capacity.
 void SetCapacity(World& aWorld, const std::string& aId, std::uint32_t aMilliCores);
 
-/// Submits the job of an earlier call again, as a caller without an answer does.
-RequestId ResubmitJob(World& aWorld, std::size_t aNode, RequestId aEarlier);
+/// Submits the job of an earlier call again, as a caller without an answer does. The entry reads
+/// the request after aReadDelay, unless the caller has left by then.
+RequestId ResubmitJob(World& aWorld,
+                      std::size_t aNode,
+                      RequestId aEarlier,
+                      Duration aReadDelay = Duration{ 0 });
 
 /// Submits jobs with Poisson arrivals for aTime, each to a random entry if that is running.
 void GenerateLoad(World& aWorld,
@@ -168,6 +202,10 @@
                   Duration aTime,
                   std::chrono::milliseconds aRun);
 
+/// Ends the connection of a caller whose call is open. Its entry reads the end after aReadDelay,
+/// and the caller submits its job again after WorldOptions::mRetryDelay.
+void Leave(World& aWorld, RequestId aRequest, Duration aReadDelay);
+
 /// Ends the connection of a caller whose call is open.
 void Disconnect(World& aWorld, RequestId aRequest);
 
@@ -185,6 +223,9 @@
 void ReplaceWorker(World& aWorld, const std::string& aId, const std::string& aNewId);
 /// Starts a new process of a worker under its id, at the address in its record.
 void RestartWorker(World& aWorld, const std::string& aId);
+/// Moves a worker that runs to another address under its id: its process ends, a new one starts.
+/// The former address answers as another process's does. The list is not sent.
+void MoveWorker(World& aWorld, const std::string& aId);
 void BeginDrain(World& aWorld, std::size_t aNode);
 /// Replaces the connection of one entry to another; messages in flight still arrive.
 void Reconnect(World& aWorld, std::size_t aFrom, std::size_t aTo);
