--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -180,6 +180,47 @@
          Expect(All<Ended>(fixture).size() == 1, "the run ends after its lease");
 }
 
+/// Guards against a run that counts as lapsed while its lease lasts. A poll that was sent to the
+/// upstream's former process is executed late by the new one, under the same token. Its lease end
+/// is on the former clock, so the new process extends its lease to the longest one. Then the
+/// network to it is cut.
+bool PollBeforeARestartExtendsNoLease()
+{
+  auto fixture = MakeFixture();
+  const Run early{ { "j", 0 }, 1 };
+  Start(fixture.mState, kUpstream, early, nullptr, fixture.mNow, fixture.mActions);
+  AnswerStart(fixture, early, OrderStatus::Done);
+  AdvanceBy(fixture, milliseconds(1));
+  const auto polls = All<SendPoll>(fixture);
+  if (!Expect(polls.size() == 1 && polls[0].mLeaseEndMs, "a poll renews the lease")) {
+    return false;
+  }
+  fixture.mClockMs = 10;
+  fixture.mBornMs = 8;
+  AnswerPoll(fixture);
+  const Run run{ { "j", 1 }, 1 };
+  const auto order = Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  AnswerStart(fixture, run, OrderStatus::Done);
+  if (!Expect(order.has_value(), "the new process takes a run")) {
+    return false;
+  }
+  for (std::uint32_t n = 0; n < fixture.mState.mOptions.mMaxLostPolls; ++n) {
+    RefusePoll(fixture);
+  }
+  Pass(fixture, milliseconds(400));
+  auto leaseEndMs = order->mLeaseEndMs;
+  if (polls[0].mToken >= order->mToken) {
+    const auto longest = fixture.mClockMs + fixture.mState.mOptions.mMaxLease.count();
+    leaseEndMs = std::max(leaseEndMs, std::min(*polls[0].mLeaseEndMs, longest));
+  }
+  bool ok = true;
+  while (fixture.mClockMs < leaseEndMs) {
+    AdvanceBy(fixture, milliseconds(10));
+    ok = ok && (All<Ended>(fixture).empty() || fixture.mClockMs >= leaseEndMs);
+  }
+  return Expect(ok, "the run does not end before the lease that an earlier poll extends");
+}
+
 /// Guards against runs that stay open, or are reported as lost, although every copy of their start
 /// was refused.
 bool RunEndsOnceAllCopiesAreRefused()
@@ -493,6 +534,7 @@
   ok = LateAnswerOfAFormerAddressEndsNoHold() && ok;
   ok = OrdersBeforeALapseAreFenced() && ok;
   ok = LeaseOfARestartedUpstreamLasts() && ok;
+  ok = PollBeforeARestartExtendsNoLease() && ok;
   ok = LeaseDoesNotCountTheWaitOfAPoll() && ok;
   ok = UnansweredPollsAreRepeated(OrderStatus::Unknown) && ok;
   ok = UnansweredPollsAreRepeated(OrderStatus::Done) && ok;
