Test that a late 421 of a former address ends no run (fails)

A 421 to an order that was sent before ends the hold unless a later order has been answered. A start that was sent to the new address and is not answered yet does not count, and its run ends as replaced while it is at work.

--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -221,6 +221,25 @@
   return Expect(ok, "the run does not end before the lease that an earlier poll extends");
 }
 
+/// Guards against a task that runs twice at once when its upstream starts again under the same id
+/// at another address: a poll to the former address is answered by another process after a start
+/// was sent to the new address, and before the start is answered.
+bool LateAnswerOfAFormerAddressEndsNoRun()
+{
+  auto fixture = MakeFixture();
+  const Run run{ { "j", 0 }, 1 };
+  const auto session = SessionOf(fixture);
+  const auto pollSentAt = fixture.mNow.mTime;
+  Pass(fixture, milliseconds(5));
+  Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  Pass(fixture, milliseconds(1));
+  PollAnswered late{
+    kUpstream, session, OrderStatus::OtherIncarnation, {}, {}, pollSentAt, {}, {}
+  };
+  Handle(fixture.mState, late, fixture.mNow, fixture.mActions);
+  return Expect(All<Ended>(fixture).empty(), "the run does not end before its start is answered");
+}
+
 /// Guards against runs that stay open, or are reported as lost, although every copy of their start
 /// was refused.
 bool RunEndsOnceAllCopiesAreRefused()
@@ -535,6 +554,7 @@
   ok = OrdersBeforeALapseAreFenced() && ok;
   ok = LeaseOfARestartedUpstreamLasts() && ok;
   ok = PollBeforeARestartExtendsNoLease() && ok;
+  ok = LateAnswerOfAFormerAddressEndsNoRun() && ok;
   ok = LeaseDoesNotCountTheWaitOfAPoll() && ok;
   ok = UnansweredPollsAreRepeated(OrderStatus::Unknown) && ok;
   ok = UnansweredPollsAreRepeated(OrderStatus::Done) && ok;
