Test that a lease after a pause allows for a slow clock (fails)

NextLeaseEnd extends the upstream's clock at the entry's own rate from a reading that is as old as the pause, so 2% of that time is added to the lease.

--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -240,6 +240,24 @@
   return Expect(All<Ended>(fixture).empty(), "the run does not end before its start is answered");
 }
 
+/// Guards against a run that outlives the time after which its job may start elsewhere: its entry
+/// did not run for 5 s, and the first order after that carries a lease end that assumes an exact
+/// clock of the upstream, which is 2% slow.
+bool LeaseAfterAPauseAllowsForASlowClock()
+{
+  auto fixture = MakeFixture();
+  const auto readMs = fixture.mClockMs;
+  constexpr milliseconds kPause{ 5000 };
+  Pass(fixture, kPause);
+  const Run run{ { "j", 0 }, 1 };
+  const auto order = Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  const auto slowClockMs = readMs + kPause.count() * 98 / 100;
+  constexpr std::int64_t kRoundingMs = 2;
+  return Expect(order && order->mLeaseEndMs <=
+                           slowClockMs + fixture.mState.mOptions.mLease.count() + kRoundingMs,
+                "the lease is not longer on a slow clock");
+}
+
 /// Guards against runs that stay open, or are reported as lost, although every copy of their start
 /// was refused.
 bool RunEndsOnceAllCopiesAreRefused()
@@ -554,6 +572,7 @@
   ok = OrdersBeforeALapseAreFenced() && ok;
   ok = LeaseOfARestartedUpstreamLasts() && ok;
   ok = PollBeforeARestartExtendsNoLease() && ok;
+  ok = LeaseAfterAPauseAllowsForASlowClock() && ok;
   ok = LateAnswerOfAFormerAddressEndsNoRun() && ok;
   ok = LeaseDoesNotCountTheWaitOfAPoll() && ok;
   ok = UnansweredPollsAreRepeated(OrderStatus::Unknown) && ok;
