--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -364,6 +364,13 @@
   }
 }
 
+/// Whether a worker's process that started at a time still runs.
+bool IsProcess(const World& aWorld, const std::string& aWorker, UnixMs aBornMs)
+{
+  const auto it = aWorld.mWorkers.find(aWorker);
+  return it != aWorld.mWorkers.end() && it->second.mAlive && it->second.mBornMs == aBornMs;
+}
+
 /// Answers a poll once a run has ended or the wait is over.
 void AnswerPoll(World& aWorld,
                 std::size_t aNode,
@@ -378,6 +385,11 @@
   answer.mUpstream = aOrder.mUpstream;
   answer.mSession = aOrder.mSession;
   answer.mSentAt = aSentAt;
+  if (aWorld.mOptions.mPollsEndWithProcess && aBornMs &&
+      !IsProcess(aWorld, aWorker.mId, *aBornMs)) {
+    Reply(aWorld, aNode, aGeneration, Delay(aWorld), answer);
+    return;
+  }
   if (const auto refused = RefusedStatus(aWorld, aNode, aWorker.mId, aWorker.mAddress)) {
     answer.mStatus = *refused;
     Reply(aWorld, aNode, aGeneration, Delay(aWorld), answer);
@@ -391,14 +403,6 @@
   answer.mStatus = OrderStatus::Done;
   answer.mClockMs = ClockOf(aWorld, worker);
   answer.mBornMs = worker.mBornMs;
-  if (aWorld.mOptions.mPollsEndWithProcess && aBornMs && *aBornMs != worker.mBornMs) {
-    answer = {};
-    answer.mUpstream = aOrder.mUpstream;
-    answer.mSession = aOrder.mSession;
-    answer.mSentAt = aSentAt;
-    Reply(aWorld, aNode, aGeneration, kAnswerTimeout, answer);
-    return;
-  }
   if (aOrder.mToken < worker.mToken) {
     answer.mStatus = OrderStatus::Fenced;
     Reply(aWorld, aNode, aGeneration, Delay(aWorld), answer);
