--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -180,6 +180,85 @@
          Expect(All<Ended>(fixture).size() == 1, "the run ends after its lease");
 }
 
+/// Guards against a run that counts as lapsed while its lease lasts. A poll that was sent to the
+/// upstream's former process is executed late by the new one, under the same token. Its lease end
+/// is on the former clock, so the new process extends its lease to the longest one. Then the
+/// network to it is cut.
+bool PollBeforeARestartExtendsNoLease()
+{
+  auto fixture = MakeFixture();
+  const Run early{ { "j", 0 }, 1 };
+  Start(fixture.mState, kUpstream, early, nullptr, fixture.mNow, fixture.mActions);
+  AnswerStart(fixture, early, OrderStatus::Done);
+  AdvanceBy(fixture, milliseconds(1));
+  const auto polls = All<SendPoll>(fixture);
+  if (!Expect(polls.size() == 1 && polls[0].mLeaseEndMs, "a poll renews the lease")) {
+    return false;
+  }
+  fixture.mClockMs = 10;
+  fixture.mBornMs = 8;
+  AnswerPoll(fixture);
+  const Run run{ { "j", 1 }, 1 };
+  const auto order = Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  AnswerStart(fixture, run, OrderStatus::Done);
+  if (!Expect(order.has_value(), "the new process takes a run")) {
+    return false;
+  }
+  for (std::uint32_t n = 0; n < fixture.mState.mOptions.mMaxLostPolls; ++n) {
+    RefusePoll(fixture);
+  }
+  Pass(fixture, milliseconds(400));
+  auto leaseEndMs = order->mLeaseEndMs;
+  if (polls[0].mToken >= order->mToken) {
+    const auto longest = fixture.mClockMs + fixture.mState.mOptions.mMaxLease.count();
+    leaseEndMs = std::max(leaseEndMs, std::min(*polls[0].mLeaseEndMs, longest));
+  }
+  bool ok = true;
+  while (fixture.mClockMs < leaseEndMs) {
+    AdvanceBy(fixture, milliseconds(10));
+    ok = ok && (All<Ended>(fixture).empty() || fixture.mClockMs >= leaseEndMs);
+  }
+  return Expect(ok, "the run does not end before the lease that an earlier poll extends");
+}
+
+/// Guards against a task that runs twice at once when its upstream starts again under the same id
+/// at another address: a poll to the former address is answered by another process after a start
+/// was sent to the new address, and before the start is answered.
+bool LateAnswerOfAFormerAddressEndsNoRun()
+{
+  auto fixture = MakeFixture();
+  const Run run{ { "j", 0 }, 1 };
+  const auto session = SessionOf(fixture);
+  const auto pollSentAt = fixture.mNow.mTime;
+  Pass(fixture, milliseconds(5));
+  ChangeAddress(fixture.mState, kUpstream, fixture.mNow);
+  Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  Pass(fixture, milliseconds(1));
+  PollAnswered late{
+    kUpstream, session, OrderStatus::OtherIncarnation, {}, {}, pollSentAt, {}, {}
+  };
+  Handle(fixture.mState, late, fixture.mNow, fixture.mActions);
+  return Expect(All<Ended>(fixture).empty(), "the run does not end before its start is answered");
+}
+
+/// Guards against a run that outlives the time after which its job may start elsewhere: its entry
+/// did not run for 5 s, and the first order after that carries a lease end that assumes an exact
+/// clock of the upstream, which is 2% slow.
+bool LeaseAfterAPauseAllowsForASlowClock()
+{
+  auto fixture = MakeFixture();
+  const auto readMs = fixture.mClockMs;
+  constexpr milliseconds kPause{ 5000 };
+  Pass(fixture, kPause);
+  const Run run{ { "j", 0 }, 1 };
+  const auto order = Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  const auto slowClockMs = readMs + kPause.count() * 98 / 100;
+  constexpr std::int64_t kRoundingMs = 2;
+  return Expect(order && order->mLeaseEndMs <=
+                           slowClockMs + fixture.mState.mOptions.mLease.count() + kRoundingMs,
+                "the lease is not longer on a slow clock");
+}
+
 /// Guards against runs that stay open, or are reported as lost, although every copy of their start
 /// was refused.
 bool RunEndsOnceAllCopiesAreRefused()
@@ -569,6 +648,9 @@
   ok = LateAnswerOfAFormerAddressEndsNoHold() && ok;
   ok = OrdersBeforeALapseAreFenced() && ok;
   ok = LeaseOfARestartedUpstreamLasts() && ok;
+  ok = PollBeforeARestartExtendsNoLease() && ok;
+  ok = LeaseAfterAPauseAllowsForASlowClock() && ok;
+  ok = LateAnswerOfAFormerAddressEndsNoRun() && ok;
   ok = LeaseDoesNotCountTheWaitOfAPoll() && ok;
   ok = LeaseAllowsForASlowClock() && ok;
   ok = OrdersBeforeARestartAreFenced() && ok;
