Settle contested claims, and bound the lead of tokens over the clock

Cause: entries on two sides of a cut that reach the same upstreams took them from each other once a second, and each lost hold raised the next token by 10 s of clock time, without a bound. Only living entries knew what had been reached, so restarted ones began at the clock, and caught up by 10 s a second at most.

Change: - A lost hold no longer raises the token; the clock does. Only a claim that is fenced before it was ever accepted raises it, by 1, 2, 4, ... s, every 50 ms, up to one hour ahead of the entry's clock; then it is repeated once a second. So no lead grows beyond the hour, and any lead up to it is made up in at most 13 claims. - A token counts as known, and is named in presences, once an upstream has accepted it. One upstream that refuses all tokens raises no other's. - The loser of a hold waits 1 s if it is, or hears, the candidate that is preferred for the upstream (rendezvous hashing over addresses, silent candidates included, those of the upstream's data centre first), else 10 s. Both sides can evaluate this. Each further loss doubles the delay, to at most 20 s, so that a cut-off entry gets work if the others died. - Once a live peer names the upstream as held, the delay is over, so that a dead holder is replaced as fast as any. A peer that is heard again ends the long delays. Fencing itself is unchanged: the worker still accepts one holder's orders.

--- a/src/include/pollenwall/entry.h
+++ b/src/include/pollenwall/entry.h
@@ -70,11 +70,16 @@
   /// An upstream that is missing from the platform's list is kept for this long. Records that
   /// expired while the platform's store was unavailable reappear in the list within 2 s.
   std::chrono::milliseconds mMissingUpstreamRetention{ 2500 };
-  /// Delay before an upstream that another entry has claimed is claimed again.
+  /// Delay before an upstream that another entry has claimed is claimed again. Entries on two sides
+  /// of a cut that both reach the upstream would take it from each other, and each time lose its
+  /// runs. The second delay applies to the side that does not hear the candidate that is preferred
+  /// for the upstream; see DelayClaim. Both double with each further loss up to the third value,
+  /// which is bounded because the other holder may die unheard.
   std::chrono::milliseconds mClaimRetryDelay{ 1000 };
-  /// The same for an entry that is isolated from all peers. It is longer, so that an entry that is
-  /// connected to others keeps the upstream.
-  std::chrono::milliseconds mIsolatedClaimRetryDelay{ 3000 };
+  std::chrono::milliseconds mYieldedClaimRetryDelay{ 10000 };
+  std::chrono::milliseconds mMaxClaimRetryDelay{ 20000 };
+  /// Delay after a claim that was fenced, while further claims can still use higher tokens.
+  std::chrono::milliseconds mFencedClaimRetryDelay{ 50 };
   /// Delay after a claim that the upstream did not answer, in this entry's data centre and in other
   /// ones. Claims in other data centres mostly fail because of the network between them. When the
   /// network works again, presences of the entries there should arrive before the next claim
--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -239,10 +239,13 @@
   bool mUsable = false;
 };
 
-/// Another entry has claimed the upstream.
+/// The upstream has refused a token: it has seen a higher one.
 struct HoldLost
 {
   std::string mUpstream;
+  /// The upstream had accepted the token, so another entry has claimed it since. Otherwise the
+  /// first poll of a claim was refused, which does not show whether any entry holds the upstream.
+  bool mWasHeld = false;
 };
 
 /// The upstream did not answer the first poll of a claim; it is not held.
--- a/src/libentry/claims.cpp
+++ b/src/libentry/claims.cpp
@@ -26,6 +26,16 @@
 /// core.
 constexpr double kUpstreamsPerMbps = 2.5;
 constexpr double kCapacityOfClassZero = 64;
+/// A fenced claim shows only that a higher token has been used, not how high. The next token is
+/// this much higher, and the step doubles with each further fenced claim of the upstream. After 12
+/// steps the lead over the clock is above kMaxTokenLead. A step overshoots by less than the lead
+/// that was missing before it.
+constexpr milliseconds kFirstTokenStep{ 1000 };
+constexpr std::uint32_t kMaxStepDoublings = 12;
+constexpr std::uint32_t kMaxLossDoublings = 8;
+/// Claims that are fenced raise tokens no further ahead of this entry's clock, and higher tokens in
+/// presences are ignored: no clock is that wrong.
+constexpr milliseconds kMaxTokenLead = std::chrono::hours(1);
 
 using Keys = std::vector<std::string>;
 
@@ -248,6 +258,13 @@
   const bool mayKeep = isHolder || (!aHolder && !aState.mDraining);
   for (const auto& key : aKeys) {
     auto& upstream = aState.mUpstreams.at(key);
+    const bool isHeldByPeer = aHeldByPeers.contains(upstream.mHash);
+    if (isHeldByPeer) {
+      // The holder is known, so its death will be noticed.
+      upstream.mContestedUntil = {};
+      upstream.mLosses = 0;
+      upstream.mFencedClaims = 0;
+    }
     if (aState.mHolding.mSessions.contains(key)) {
       if (!mayKeep) {
         holding::Release(aState.mHolding, key, aState.mHoldingActions);
@@ -258,7 +275,11 @@
     }
     if (!isHolder || upstream.mRecord.mLeaving || upstream.mMissingSince ||
         aNow.mTime < upstream.mClaimNotBefore || aNow.mTime < upstream.mMisdirectedUntil ||
-        aHeldByPeers.contains(upstream.mHash)) {
+        isHeldByPeer) {
+      continue;
+    }
+    if (aNow.mTime < upstream.mContestedUntil) {
+      aState.mNextClaims = std::min(aState.mNextClaims, upstream.mContestedUntil);
       continue;
     }
     ++aState.mCounts.mClaims;
@@ -267,7 +288,6 @@
     const auto least = std::max(upstream.mLeastToken, aLeastToken);
     holding::Claim(aState.mHolding, key, least, aNow, aState.mHoldingActions);
     upstream.mLeastToken = holding::TokenOf(aState.mHolding, key);
-    aState.mHighestToken = std::max(aState.mHighestToken, upstream.mLeastToken);
     aState.mPresenceDue = true;
     aState.mReconfigureDue =
       aState.mReconfigureDue || upstream.mRecord.mDataCentre != aState.mOptions.mDataCentre;
@@ -299,8 +319,95 @@
   return std::clamp<std::size_t>(static_cast<std::size_t>(capacity), 1, most);
 }
 
+std::uint64_t TokenStep(milliseconds aTime)
+{
+  return static_cast<std::uint64_t>(aTime / holding::kTokenUnit) << holding::kTokenSaltBits;
+}
+
+/// Whether this entry is, or hears, the candidate that is preferred for an upstream: among all that
+/// it knows, silent ones included, the first by rendezvous hashing of those in the upstream's data
+/// centre, if any.
+bool IsPreferredCandidateHeard(const State& aState,
+                               const std::string& aKey,
+                               const Upstream& aUpstream,
+                               const Now& aNow)
+{
+  const auto rank = [&](const std::string& aAddress, const std::string& aDataCentre) {
+    return std::pair(aDataCentre == aUpstream.mRecord.mDataCentre,
+                     RendezvousWeight(aKey, Hash64(aAddress)));
+  };
+  auto best = rank(aState.mOptions.mPeerAddress, aState.mOptions.mDataCentre);
+  bool isHeard = true;
+  for (const auto& [address, peer] : aState.mPeers) {
+    if (!peer.mPresence.mCandidate || peer.mPresence.mLeaving) {
+      continue;
+    }
+    const auto other = rank(address, peer.mRecord.mDataCentre);
+    if (other > best) {
+      best = other;
+      isHeard = IsPresent(aState, peer, aNow);
+    }
+  }
+  return isHeard;
+}
+
 } // namespace
 
+std::uint64_t HighestAllowedToken(const Now& aNow)
+{
+  return holding::MakeToken(0, aNow.mUnixMs + kMaxTokenLead.count(), 0);
+}
+
+void DelayClaim(State& aState, const holding::HoldLost& aEvent, const Now& aNow)
+{
+  const auto it = aState.mUpstreams.find(aEvent.mUpstream);
+  if (it == aState.mUpstreams.end()) {
+    return;
+  }
+  const auto& options = aState.mOptions;
+  auto& upstream = it->second;
+  auto delay = options.mClaimRetryDelay;
+  if (aEvent.mWasHeld) {
+    // The clock raises the token of the next claim.
+    delay = IsPreferredCandidateHeard(aState, it->first, upstream, aNow)
+              ? options.mClaimRetryDelay
+              : options.mYieldedClaimRetryDelay;
+    delay *= 1U << std::min(upstream.mLosses, kMaxLossDoublings);
+    delay = std::min(delay, options.mMaxClaimRetryDelay);
+    ++upstream.mLosses;
+  } else {
+    const auto step = kFirstTokenStep * (1U << std::min(upstream.mFencedClaims, kMaxStepDoublings));
+    const auto highest = HighestAllowedToken(aNow);
+    // At the greatest lead, tokens rise with the clock and claims are as rare as after a loss.
+    if (upstream.mLeastToken + TokenStep(2 * kFirstTokenStep) < highest) {
+      delay = options.mFencedClaimRetryDelay;
+    }
+    upstream.mLeastToken =
+      std::max(upstream.mLeastToken, std::min(upstream.mLeastToken + TokenStep(step), highest));
+    ++upstream.mFencedClaims;
+  }
+  upstream.mContestedUntil = aNow.mTime + Duration(delay);
+  aState.mNextClaims = std::min(aState.mNextClaims, upstream.mContestedUntil);
+}
+
+void ShortenContests(State& aState, const Now& aNow)
+{
+  const auto latest = aNow.mTime + Duration(aState.mOptions.mClaimRetryDelay);
+  for (auto& [key, upstream] : aState.mUpstreams) {
+    upstream.mContestedUntil = std::min(upstream.mContestedUntil, latest);
+    upstream.mLosses = 0;
+  }
+}
+
+void RecordAcceptedToken(State& aState, const std::string& aUpstream)
+{
+  const auto token = holding::TokenOf(aState.mHolding, aUpstream);
+  aState.mHighestToken = std::max(aState.mHighestToken, token);
+  if (const auto it = aState.mUpstreams.find(aUpstream); it != aState.mUpstreams.end()) {
+    it->second.mFencedClaims = 0;
+  }
+}
+
 double HolderCapacity(const EntryRecord& aEntry)
 {
   const auto byProcessor = aEntry.mProcessorShare * kUpstreamsPerCore;
--- a/src/libentry/entry.cpp
+++ b/src/libentry/entry.cpp
@@ -130,6 +130,9 @@
 {
   ++aState.mCounts.mPolls.at(static_cast<std::size_t>(aEvent.mStatus));
   holding::Handle(aState.mHolding, aEvent, aNow, aState.mHoldingActions);
+  if (aEvent.mStatus == holding::OrderStatus::Done) {
+    RecordAcceptedToken(aState, aEvent.mUpstream);
+  }
 }
 
 void Apply(State& aState, const Drain&, const Now& aNow, Actions& aActions)
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -18,11 +18,6 @@
 constexpr milliseconds kReplyRetention{ 10000 };
 /// Retry-after time of a refused submission; earlier runs of the job may still be stopping.
 constexpr milliseconds kRefusalRetryAfter{ 100 };
-/// A failed claim shows only that a higher token is in use. The next claim's token exceeds the
-/// tokens of entries whose clocks are ahead by up to this.
-constexpr milliseconds kMaxClockLead{ 10000 };
-constexpr std::uint64_t kTokenStep = static_cast<std::uint64_t>(kMaxClockLead / holding::kTokenUnit)
-                                     << holding::kTokenSaltBits;
 
 std::string KeyOf(const UpstreamRecord& aRecord)
 {
@@ -204,8 +199,6 @@
 
   void operator()(holding::SendPoll& aAction)
   {
-    // A hold takes a higher token when its upstream falls silent.
-    mState.mHighestToken = std::max(mState.mHighestToken, aAction.mToken);
     if (auto to = DestinationOf(mState, aAction.mUpstream)) {
       mActions.emplace_back(PollUpstream{ std::move(*to), std::move(aAction) });
     }
@@ -267,17 +260,7 @@
   {
     ++mState.mCounts.mHoldsLost;
     mState.mPresenceDue = true;
-    const auto it = mState.mUpstreams.find(aAction.mUpstream);
-    if (it == mState.mUpstreams.end()) {
-      return;
-    }
-    const bool isolated =
-      std::none_of(mState.mPeers.begin(), mState.mPeers.end(), [this](const auto& aPeer) {
-        return IsPresent(mState, aPeer.second, mNow);
-      });
-    it->second.mClaimNotBefore = mNow.mTime + (isolated ? mState.mOptions.mIsolatedClaimRetryDelay
-                                                        : mState.mOptions.mClaimRetryDelay);
-    it->second.mLeastToken += kTokenStep;
+    DelayClaim(mState, aAction, mNow);
   }
 
   void operator()(holding::ClaimUnanswered& aAction)
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -25,8 +25,6 @@
 /// Presences of a peer's earlier incarnation arrive at most this long after those of the present
 /// one.
 constexpr milliseconds kOldMessageTime{ 1000 };
-/// Tokens further ahead of this entry's clock are ignored: no clock is that wrong.
-constexpr milliseconds kMaxTokenLead = std::chrono::hours(1);
 
 std::int64_t ToMs(Time aTime)
 {
@@ -139,7 +137,7 @@
       RecordEcho(peer, heard.mTimeMs, aNow);
     }
   }
-  if (aPresence.mHighestToken <= holding::MakeToken(0, aNow.mUnixMs + kMaxTokenLead.count(), 0)) {
+  if (aPresence.mHighestToken <= HighestAllowedToken(aNow)) {
     aState.mHighestToken = std::max(aState.mHighestToken, aPresence.mHighestToken);
   }
   if (aPresence.mHeldUpstreams && aPresence.mHeldUpstreams != peer.mHeldUpstreams) {
@@ -288,6 +286,9 @@
     const bool alive = IsPresent(aState, peer, aNow);
     if (alive != peer.mWasAlive) {
       peer.mWasAlive = alive;
+      if (alive) {
+        ShortenContests(aState, aNow);
+      }
       aState.mClaimsDue = true;
       aState.mNeighboursDue = true;
       AddReport(aActions,
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -74,8 +74,11 @@
   std::uint64_t mHash = 0; ///< Hash64 of its key.
   std::optional<Time> mMissingSince;
   Time mClaimNotBefore{};
-  std::uint64_t mLeastToken = 0; ///< The next claim's token exceeds this.
-  UpstreamRecord mClaimedRecord; ///< The record at the latest claim.
+  std::uint64_t mLeastToken = 0;   ///< The next claim's token exceeds this.
+  std::uint32_t mFencedClaims = 0; ///< Since this entry or a live peer last held it.
+  std::uint32_t mLosses = 0;       ///< Since a live peer last held it.
+  Time mContestedUntil{};          ///< Earliest time of the next claim after the latest loss.
+  UpstreamRecord mClaimedRecord;   ///< The record at the latest claim.
   /// Answers of another process at its address since it was last usable or its record last named
   /// another process, and the time of the next claim after them.
   std::uint32_t mMisdirected = 0;
@@ -160,8 +163,9 @@
   message::HeldUpstreams mHeldUpstreams; ///< As of the latest presence.
   bool mEntriesRead = false;             ///< The platform's list of entries has been read.
   bool mCandidate = false;               ///< See the description in entry.h.
-  /// The highest token of this entry and in presences, so that tokens increase across entries whose
-  /// clocks differ.
+  /// The highest token that an upstream has accepted from this entry or that presences name, so
+  /// that tokens increase across entries whose clocks differ. Tokens of fenced claims don't count:
+  /// one upstream that refuses all would raise the tokens of all entries.
   std::uint64_t mHighestToken = 0;
   /// Peer addresses of the first live entries of this entry's data centre, as far as it knows.
   std::set<std::string, std::less<>> mFirstLive;
@@ -279,6 +283,21 @@
 /// Claims and releases upstreams according to the set of live candidates.
 void UpdateClaims(State& aState, const Now& aNow, Actions& aActions);
 
+/// The highest token that this entry uses or believes. Only a token that an upstream has accepted
+/// makes it go beyond, by one unit for each claim.
+std::uint64_t HighestAllowedToken(const Now& aNow);
+
+/// Sets time and token of the next claim after the upstream has refused a token. On two sides of a
+/// cut, the side waits longer that does not hear the candidate preferred for the upstream: both
+/// know the candidates, and both sides keep some upstreams.
+void DelayClaim(State& aState, const holding::HoldLost& aEvent, const Now& aNow);
+
+/// Ends the long delays after lost holds: a peer is heard again, and names what it holds.
+void ShortenContests(State& aState, const Now& aNow);
+
+/// Records the token that an upstream has accepted from this entry.
+void RecordAcceptedToken(State& aState, const std::string& aUpstream);
+
 // neighbours.cpp
 
 /// Adds entries to mEntries, or updates them, and ranks them.
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -161,9 +161,13 @@
   if (aSession.mPhase == SessionPhase::Lost) {
     return;
   }
-  AddNote(aActions, "hold_lost", aUpstream, "another entry has a higher fencing token");
+  const bool wasHeld = aSession.mPhase != SessionPhase::Claiming;
+  AddNote(aActions,
+          wasHeld ? "hold_lost" : "claim_fenced",
+          aUpstream,
+          "the upstream has seen a higher fencing token");
   SetPhase(aUpstream, aSession, SessionPhase::Lost, aActions);
-  aActions.emplace_back(HoldLost{ std::string(aUpstream) });
+  aActions.emplace_back(HoldLost{ std::string(aUpstream), wasHeld });
 }
 
 /// Reports that the upstream has crashed or may have, and the runs that it may have had.
