Give entries with equal random bits different tokens

Cause: the low 16 bits of a token are those of the entry's incarnation. Two entries with the same bits that claim an upstream from the same highest token, as successors of one holder on two sides of a cut do while tokens are ahead of the clock, use one token. Neither is fenced, and a task may run twice at a time.

Change: an entry that hears a peer with its own bits and a lower incarnation takes others that no known peer has. Tokens keep their 53 bits. Entries that have never heard each other can still have equal bits, 1 in 65,536 for a pair.

Evidence: claims_test, TokensOfTwoEntriesDiffer; it failed before for each of 8 upstreams ("two entries use one token"). The simulated network now checks in all tests that no two entries poll a worker with one token.

--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -29,8 +29,9 @@
 namespace pollenwall::holding {
 
 /// The high bits of a token are the wall clock in these units, so that a later claim has a higher
-/// token without coordination between entries. The low bits are the claiming entry's salt, so that
-/// no two entries use the same token. Tokens stay below 2^53 and fit a JSON number.
+/// token without coordination between entries. The low bits are the claiming entry's salt, random
+/// and different from those of the entries that it has heard, so that no two entries use the same
+/// token. Tokens stay below 2^53 and fit a JSON number.
 inline constexpr std::chrono::milliseconds kTokenUnit{ 16 };
 inline constexpr int kTokenSaltBits = 16;
 
--- a/src/libentry/claims_test.cpp
+++ b/src/libentry/claims_test.cpp
@@ -311,6 +311,33 @@
   return ok && NoViolations(w);
 }
 
+/// Guards against two entries that hold an upstream with one token, so that neither is fenced and
+/// both start tasks there. Pattern: the random bits of all incarnations are equal; the only holder
+/// dies while its two successors are cut off from each other, and both know the same highest token,
+/// which is ahead of their clocks.
+bool TokensOfTwoEntriesDiffer()
+{
+  WorldOptions options;
+  options.mDataCentres = 1;
+  options.mNodesEach = 3;
+  options.mLargeNodesEach = 1;
+  options.mEqualSalts = true;
+  auto world = MakeWorld(options);
+  auto& w = *world;
+  RunFor(w, seconds(3));
+  for (auto& [id, worker] : w.mWorkers) {
+    worker.mToken = holding::MakeToken(0, w.mNow.mUnixMs + 60'000, 0);
+  }
+  RestartAll(w);
+  RunFor(w, seconds(4));
+  bool ok = Expect(Usable(w, 0) == static_cast<double>(w.mWorkers.size()), "one entry holds all");
+  Kill(w, 0);
+  CutGroup(w, { 1 }, true);
+  GenerateLoad(w, 20, seconds(3), milliseconds(200));
+  RunFor(w, seconds(4));
+  return NoViolations(w) && ok;
+}
+
 } // namespace
 
 int main()
@@ -325,6 +352,7 @@
   }
   ok = CatchesUpWithAnyLead() && ok;
   ok = OneHighTokenRaisesNoOther() && ok;
+  ok = TokensOfTwoEntriesDiffer() && ok;
   ok = DeadHoldersAreReplacedAfterACut() && ok;
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -31,6 +31,30 @@
   return duration_cast<milliseconds>(aTime.time_since_epoch()).count();
 }
 
+std::uint16_t SaltOf(Incarnation aIncarnation)
+{
+  return static_cast<std::uint16_t>(aIncarnation.mValue);
+}
+
+/// Makes this entry's tokens differ from those of a peer with the same random bits in its
+/// incarnation. Two entries that claim an upstream from the same highest token would otherwise both
+/// hold it. The entry with the higher incarnation changes its salt.
+void AvoidSaltOf(State& aState, Incarnation aPeer)
+{
+  auto& salt = aState.mHolding.mOptions.mTokenSalt;
+  if (SaltOf(aPeer) != salt || aPeer > aState.mOptions.mIncarnation) {
+    return;
+  }
+  const auto isUsed = [&aState](std::uint16_t aSalt) {
+    return std::any_of(aState.mPeers.begin(), aState.mPeers.end(), [aSalt](const auto& aIt) {
+      return SaltOf(aIt.second.mIncarnation) == aSalt;
+    });
+  };
+  while (isUsed(salt)) {
+    salt = static_cast<std::uint16_t>(aState.mRandom());
+  }
+}
+
 } // namespace
 
 bool IsAlive(const State& aState, const Peer& aPeer, const Now& aNow)
@@ -122,6 +146,7 @@
     aState.mPeerAddresses.erase(peer.mIncarnation);
     aState.mPeerAddresses[aPresence.mIncarnation] = aFrom;
     peer.mIncarnation = aPresence.mIncarnation;
+    AvoidSaltOf(aState, peer.mIncarnation);
     peer.mEchoedAt.reset();
     peer.mReconnectTimeout = kReconnectTimeout;
     peer.mHeldUpstreams = {};
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -419,6 +419,12 @@
     const auto order = aAction.mOrder;
     const auto generation = mWorld.mNodes[mNode].mGeneration;
     const auto sentAt = mWorld.mNow.mTime;
+    const auto self = mWorld.mNodes[mNode].mOptions.mIncarnation;
+    const auto& user =
+      mWorld.mTokenUsers.emplace(std::pair(aAction.mTo.mId, order.mToken), self).first->second;
+    if (user != self) {
+      AddViolation(mWorld, "two entries use one token for " + aAction.mTo.mId);
+    }
     const auto late = mWorld.mOptions.mLatePolls;
     if (late > 0 && UniformRandom(mWorld) < late) {
       After(mWorld, kLateOrderDelay, [&world = mWorld, node = mNode, order, id = aAction.mTo.mId] {
@@ -753,7 +759,7 @@
   ++node.mGeneration;
   node.mOptions.mIncarnation =
     MakeIncarnation(aWorld.mNow.mUnixMs + node.mClockOffsetMs + static_cast<UnixMs>(aNode),
-                    static_cast<std::uint32_t>(aWorld.mRandom()));
+                    aWorld.mOptions.mEqualSalts ? 0 : static_cast<std::uint32_t>(aWorld.mRandom()));
   node.mOptions.mSeed = aWorld.mRandom();
   node.mState = MakeState(node.mOptions, aWorld.mNow);
   node.mAlive = true;
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -92,8 +92,9 @@
   /// After this, callers whose entry died or who were answered that their job may have run submit
   /// it again to another entry, as the platform's callers do. 0: they don't.
   std::chrono::milliseconds mRetryDelay{ 0 };
-  double mClockDrift = 0; ///< Fraction by which the workers' clocks run slow.
-  double mLinkMbps = 0;   ///< See entry::Options.
+  double mClockDrift = 0;   ///< Fraction by which the workers' clocks run slow.
+  double mLinkMbps = 0;     ///< See entry::Options.
+  bool mEqualSalts = false; ///< The random bits of all incarnations are equal.
   std::uint64_t mSeed = 1;
 };
 
@@ -115,8 +116,10 @@
   std::map<TaskId, std::uint32_t> mCrashes; ///< Workers that crashed under a deadly task.
   std::set<std::pair<std::size_t, std::size_t>> mCutNodes; ///< Sender and receiver; one direction.
   std::set<std::pair<std::size_t, std::string>> mCutFromWorkers; ///< Node and worker.
-  std::size_t mRepliesToLose = 0;       ///< The next replies between entries that are lost.
-  std::set<std::string> mUnlisted;      ///< Workers that are missing from the list.
+  std::size_t mRepliesToLose = 0;  ///< The next replies between entries that are lost.
+  std::set<std::string> mUnlisted; ///< Workers that are missing from the list.
+  /// By worker and token: the entry that polls with it.
+  std::map<std::pair<std::string, std::uint64_t>, Incarnation> mTokenUsers;
   std::vector<std::string> mViolations; ///< Descriptions of violated invariants.
   std::uint64_t mStarts = 0;
 
