Raise tokens of fenced claims by smaller steps

Cause: steps that double overshoot by as much as the lead that was missing, and this adds up when entries whose clocks differ are restarted and claim in turn.

Change: a step is 1 s or an eighth of the token's lead over the entry's clock, half of it above 64 s, and a fenced claim is repeated at the next tick.

--- a/src/include/pollenwall/entry.h
+++ b/src/include/pollenwall/entry.h
@@ -79,7 +79,7 @@
   std::chrono::milliseconds mYieldedClaimRetryDelay{ 10000 };
   std::chrono::milliseconds mMaxClaimRetryDelay{ 20000 };
   /// Delay after a claim that was fenced, while further claims can still use higher tokens.
-  std::chrono::milliseconds mFencedClaimRetryDelay{ 50 };
+  std::chrono::milliseconds mFencedClaimRetryDelay{ 20 };
   /// Delay after a claim that the upstream did not answer, in this entry's data centre and in other
   /// ones. Claims in other data centres mostly fail because of the network between them. When the
   /// network works again, presences of the entries there should arrive before the next claim
--- a/src/libentry/claims.cpp
+++ b/src/libentry/claims.cpp
@@ -27,11 +27,14 @@
 constexpr double kUpstreamsPerMbps = 2.5;
 constexpr double kCapacityOfClassZero = 64;
 /// A fenced claim shows only that a higher token has been used, not how high. The next token is
-/// this much higher, and the step doubles with each further fenced claim of the upstream. After 12
-/// steps the lead over the clock is above kMaxTokenLead. A step overshoots by less than the lead
-/// that was missing before it.
-constexpr milliseconds kFirstTokenStep{ 1000 };
-constexpr std::uint32_t kMaxStepDoublings = 12;
+/// higher by at least kMinTokenStep, or by a fraction of its lead over this entry's clock. The
+/// fraction bounds the overshoot, which adds up when entries whose clocks differ are restarted and
+/// claim in turn: with steps that double, leads reached 2000 s in three minutes. Above kLargeLead
+/// it is larger, so that a lead of kMaxTokenLead is made up in about 40 claims.
+constexpr milliseconds kMinTokenStep{ 1000 };
+constexpr milliseconds kLargeLead{ 64000 };
+constexpr int kStepDivisor = 8;
+constexpr int kLargeStepDivisor = 2;
 constexpr std::uint32_t kMaxLossDoublings = 8;
 /// Claims that are fenced raise tokens no further ahead of this entry's clock, and higher tokens in
 /// presences are ignored: no clock is that wrong.
@@ -263,7 +266,6 @@
       // The holder is known, so its death will be noticed.
       upstream.mContestedUntil = {};
       upstream.mLosses = 0;
-      upstream.mFencedClaims = 0;
     }
     if (aState.mHolding.mSessions.contains(key)) {
       if (!mayKeep) {
@@ -324,6 +326,13 @@
   return static_cast<std::uint64_t>(aTime / holding::kTokenUnit) << holding::kTokenSaltBits;
 }
 
+/// How far a token is ahead of this entry's clock.
+milliseconds LeadOf(std::uint64_t aToken, const Now& aNow)
+{
+  return holding::kTokenUnit * static_cast<std::int64_t>(aToken >> holding::kTokenSaltBits) -
+         milliseconds(aNow.mUnixMs);
+}
+
 /// Whether this entry is, or hears, the candidate that is preferred for an upstream: among all that
 /// it knows, silent ones included, the first by rendezvous hashing of those in the upstream's data
 /// centre, if any.
@@ -376,15 +385,16 @@
     delay = std::min(delay, options.mMaxClaimRetryDelay);
     ++upstream.mLosses;
   } else {
-    const auto step = kFirstTokenStep * (1U << std::min(upstream.mFencedClaims, kMaxStepDoublings));
     const auto highest = HighestAllowedToken(aNow);
+    const auto lead = LeadOf(upstream.mLeastToken, aNow);
+    const auto step =
+      std::max(kMinTokenStep, lead / (lead < kLargeLead ? kStepDivisor : kLargeStepDivisor));
     // At the greatest lead, tokens rise with the clock and claims are as rare as after a loss.
-    if (upstream.mLeastToken + TokenStep(2 * kFirstTokenStep) < highest) {
+    if (lead + 2 * kMinTokenStep < kMaxTokenLead) {
       delay = options.mFencedClaimRetryDelay;
     }
     upstream.mLeastToken =
       std::max(upstream.mLeastToken, std::min(upstream.mLeastToken + TokenStep(step), highest));
-    ++upstream.mFencedClaims;
   }
   upstream.mContestedUntil = aNow.mTime + Duration(delay);
   aState.mNextClaims = std::min(aState.mNextClaims, upstream.mContestedUntil);
@@ -403,9 +413,6 @@
 {
   const auto token = holding::TokenOf(aState.mHolding, aUpstream);
   aState.mHighestToken = std::max(aState.mHighestToken, token);
-  if (const auto it = aState.mUpstreams.find(aUpstream); it != aState.mUpstreams.end()) {
-    it->second.mFencedClaims = 0;
-  }
 }
 
 double HolderCapacity(const EntryRecord& aEntry)
--- a/src/libentry/state.h
+++ b/src/libentry/state.h
@@ -74,11 +74,10 @@
   std::uint64_t mHash = 0; ///< Hash64 of its key.
   std::optional<Time> mMissingSince;
   Time mClaimNotBefore{};
-  std::uint64_t mLeastToken = 0;   ///< The next claim's token exceeds this.
-  std::uint32_t mFencedClaims = 0; ///< Since this entry or a live peer last held it.
-  std::uint32_t mLosses = 0;       ///< Since a live peer last held it.
-  Time mContestedUntil{};          ///< Earliest time of the next claim after the latest loss.
-  UpstreamRecord mClaimedRecord;   ///< The record at the latest claim.
+  std::uint64_t mLeastToken = 0; ///< The next claim's token exceeds this.
+  std::uint32_t mLosses = 0;     ///< Since a live peer last held it.
+  Time mContestedUntil{};        ///< Earliest time of the next claim after the latest loss.
+  UpstreamRecord mClaimedRecord; ///< The record at the latest claim.
   /// Answers of another process at its address since it was last usable or its record last named
   /// another process, and the time of the next claim after them.
   std::uint32_t mMisdirected = 0;
