--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -29,8 +29,9 @@
 namespace pollenwall::holding {
 
 /// The high bits of a token are the wall clock in these units, so that a later claim has a higher
-/// token without coordination between entries. The low bits are the claiming entry's salt, so that
-/// no two entries use the same token. Tokens stay below 2^53 and fit a JSON number.
+/// token without coordination between entries. The low bits are the claiming entry's salt, random
+/// and different from those of the entries that it has heard, so that no two entries use the same
+/// token. Tokens stay below 2^53 and fit a JSON number.
 inline constexpr std::chrono::milliseconds kTokenUnit{ 16 };
 inline constexpr int kTokenSaltBits = 16;
 
@@ -239,10 +240,13 @@
   bool mUsable = false;
 };
 
-/// Another entry has claimed the upstream.
+/// The upstream has refused a token: it has seen a higher one.
 struct HoldLost
 {
   std::string mUpstream;
+  /// The upstream had accepted the token, so another entry has claimed it since. Otherwise the
+  /// first poll of a claim was refused, which does not show whether any entry holds the upstream.
+  bool mWasHeld = false;
 };
 
 /// The upstream did not answer the first poll of a claim; it is not held.
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -25,14 +25,36 @@
 /// Presences of a peer's earlier incarnation arrive at most this long after those of the present
 /// one.
 constexpr milliseconds kOldMessageTime{ 1000 };
-/// Tokens further ahead of this entry's clock are ignored: no clock is that wrong.
-constexpr milliseconds kMaxTokenLead = std::chrono::hours(1);
 
 std::int64_t ToMs(Time aTime)
 {
   return duration_cast<milliseconds>(aTime.time_since_epoch()).count();
 }
 
+std::uint16_t SaltOf(Incarnation aIncarnation)
+{
+  return static_cast<std::uint16_t>(aIncarnation.mValue);
+}
+
+/// Makes this entry's tokens differ from those of a peer with the same random bits in its
+/// incarnation. Two entries that claim an upstream from the same highest token would otherwise both
+/// hold it. The entry with the higher incarnation changes its salt.
+void AvoidSaltOf(State& aState, Incarnation aPeer)
+{
+  auto& salt = aState.mHolding.mOptions.mTokenSalt;
+  if (SaltOf(aPeer) != salt || aPeer > aState.mOptions.mIncarnation) {
+    return;
+  }
+  const auto isUsed = [&aState](std::uint16_t aSalt) {
+    return std::any_of(aState.mPeers.begin(), aState.mPeers.end(), [aSalt](const auto& aIt) {
+      return SaltOf(aIt.second.mIncarnation) == aSalt;
+    });
+  };
+  while (isUsed(salt)) {
+    salt = static_cast<std::uint16_t>(aState.mRandom());
+  }
+}
+
 } // namespace
 
 bool IsAlive(const State& aState, const Peer& aPeer, const Now& aNow)
@@ -124,6 +146,7 @@
     aState.mPeerAddresses.erase(peer.mIncarnation);
     aState.mPeerAddresses[aPresence.mIncarnation] = aFrom;
     peer.mIncarnation = aPresence.mIncarnation;
+    AvoidSaltOf(aState, peer.mIncarnation);
     peer.mEchoedAt.reset();
     peer.mCheckedTimeMs.reset();
     peer.mReconnectTimeout = kReconnectTimeout;
@@ -140,7 +163,7 @@
       RecordEcho(peer, heard.mTimeMs, aNow);
     }
   }
-  if (aPresence.mHighestToken <= holding::MakeToken(0, aNow.mUnixMs + kMaxTokenLead.count(), 0)) {
+  if (aPresence.mHighestToken <= HighestAllowedToken(aNow)) {
     aState.mHighestToken = std::max(aState.mHighestToken, aPresence.mHighestToken);
   }
   if (aPresence.mHeldUpstreams && aPresence.mHeldUpstreams != peer.mHeldUpstreams) {
@@ -298,6 +321,9 @@
     const bool alive = IsPresent(aState, peer, aNow);
     if (alive != peer.mWasAlive) {
       peer.mWasAlive = alive;
+      if (alive) {
+        ShortenContests(aState, aNow);
+      }
       aState.mClaimsDue = true;
       aState.mNeighboursDue = true;
       AddReport(aActions,
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -559,6 +559,12 @@
     const auto order = aAction.mOrder;
     const auto generation = mWorld.mNodes[mNode].mGeneration;
     const auto sentAt = mWorld.mNow.mTime;
+    const auto self = mWorld.mNodes[mNode].mOptions.mIncarnation;
+    const auto& user =
+      mWorld.mTokenUsers.emplace(std::pair(aAction.mTo.mId, order.mToken), self).first->second;
+    if (user != self) {
+      AddViolation(mWorld, "two entries use one token for " + aAction.mTo.mId);
+    }
     const auto late = mWorld.mOptions.mLatePolls;
     const auto lost = mWorld.mOptions.mLostOrders;
     const bool lossy = IsLossy(mWorld, mNode);
@@ -688,11 +694,15 @@
 };
 
 /// Tells an entry which of its callers are gone, as the daemon does before events.
-void CheckCallers(World& aWorld, std::size_t aNode, const Now& aNow, Actions& aActions)
+void CheckCallers(World& aWorld,
+                  std::size_t aNode,
+                  const Event& aEvent,
+                  const Now& aNow,
+                  Actions& aActions)
 {
   auto& node = aWorld.mNodes[aNode];
   const auto now = aWorld.mNow.mTime;
-  if (now < node.mNextCallerCheck) {
+  if (now < node.mNextCallerCheck && !NeedsCallerCheck(aEvent)) {
     return;
   }
   node.mNextCallerCheck = now + Duration(kCallerCheckInterval);
@@ -712,7 +722,7 @@
   Actions actions;
   auto now = aWorld.mNow;
   now.mUnixMs += aWorld.mNodes[aNode].mClockOffsetMs;
-  CheckCallers(aWorld, aNode, now, actions);
+  CheckCallers(aWorld, aNode, aEvent, now, actions);
   Handle(*aWorld.mNodes[aNode].mState, aEvent, now, actions);
   for (const auto& action : actions) {
     std::visit(ActionHandler{ aWorld, aNode }, action);
@@ -1002,7 +1012,7 @@
   ++node.mGeneration;
   node.mOptions.mIncarnation =
     MakeIncarnation(aWorld.mNow.mUnixMs + node.mClockOffsetMs + static_cast<UnixMs>(aNode),
-                    static_cast<std::uint32_t>(aWorld.mRandom()));
+                    aWorld.mOptions.mEqualSalts ? 0 : static_cast<std::uint32_t>(aWorld.mRandom()));
   node.mOptions.mSeed = aWorld.mRandom();
   node.mState = MakeState(node.mOptions, aWorld.mNow);
   node.mAlive = true;
--- a/src/libentry/world_test.h
+++ b/src/libentry/world_test.h
@@ -129,6 +129,7 @@
   /// Fraction of the messages in flight between two entries that are lost when the connection is
   /// replaced.
   double mLostOnReconnect = 0;
+  bool mEqualSalts = false; ///< The random bits of all incarnations are equal.
   std::uint64_t mSeed = 1;
 };
 
@@ -165,8 +166,10 @@
   std::map<TaskId, std::pair<Time, std::uint64_t>> mLastRunEnd;
   /// Least time between such an end and the next start of the task by another entry.
   std::optional<Duration> mLeastGap;
-  std::size_t mRepliesToLose = 0;       ///< The next replies between entries that are lost.
-  std::set<std::string> mUnlisted;      ///< Workers that are missing from the list.
+  std::size_t mRepliesToLose = 0;  ///< The next replies between entries that are lost.
+  std::set<std::string> mUnlisted; ///< Workers that are missing from the list.
+  /// By worker and token: the entry that polls with it.
+  std::map<std::pair<std::string, std::uint64_t>, Incarnation> mTokenUsers;
   std::vector<std::string> mViolations; ///< Descriptions of violated invariants.
   std::uint64_t mStarts = 0;
 
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -167,9 +167,13 @@
   if (aSession.mPhase == SessionPhase::Lost || aSentAt < aSession.mTokenSince) {
     return;
   }
-  AddNote(aActions, "hold_lost", aUpstream, "another entry has a higher fencing token");
+  const bool wasHeld = aSession.mPhase != SessionPhase::Claiming;
+  AddNote(aActions,
+          wasHeld ? "hold_lost" : "claim_fenced",
+          aUpstream,
+          "the upstream has seen a higher fencing token");
   SetPhase(aUpstream, aSession, SessionPhase::Lost, aActions);
-  aActions.emplace_back(HoldLost{ std::string(aUpstream) });
+  aActions.emplace_back(HoldLost{ std::string(aUpstream), wasHeld });
 }
 
 /// Reports that the upstream has crashed or may have, and the runs that it may have had.
--- a/src/pollenwalld/core_loop.h
+++ b/src/pollenwalld/core_loop.h
@@ -66,8 +66,8 @@
 
 /// Called before each event is passed to the core. An overload for a loop may pass other events
 /// first.
-template<typename Loop, typename Actions>
-void BeforeEvent(Loop& /*aLoop*/, Actions& /*aActions*/)
+template<typename Loop, typename Event, typename Actions>
+void BeforeEvent(Loop& /*aLoop*/, const Event& /*aEvent*/, Actions& /*aActions*/)
 {
 }
 
@@ -90,7 +90,7 @@
       const auto decided = static_cast<std::ptrdiff_t>(actions.size());
       const auto name = "event " + std::to_string(event.index());
       if (!RunLogged(aLoop.mDaemon, "core_failed", name, [&] {
-            BeforeEvent(aLoop, actions);
+            BeforeEvent(aLoop, event, actions);
             Handle(*aLoop.mState, event, ReadClocks(), actions);
           })) {
         aLoop.mFailed = true;
--- a/src/pollenwalld/entry_loop.cpp
+++ b/src/pollenwalld/entry_loop.cpp
@@ -70,12 +70,12 @@
 
 } // namespace
 
-void BeforeEvent(EntryLoop& aLoop, entry::Actions& aActions)
+void BeforeEvent(EntryLoop& aLoop, const entry::Event& aEvent, entry::Actions& aActions)
 {
   const auto now = ReadClocks();
   if (aLoop.mCallersCheckedAt) {
     const auto passed = now.mTime - *aLoop.mCallersCheckedAt;
-    if (passed < Duration(entry::kCallerCheckInterval)) {
+    if (passed < Duration(entry::kCallerCheckInterval) && !entry::NeedsCallerCheck(aEvent)) {
       return;
     }
     metrics::Observe(aLoop.mDaemon.mMetrics,
--- a/src/pollenwalld/entry_loop.h
+++ b/src/pollenwalld/entry_loop.h
@@ -53,7 +53,7 @@
 };
 
 /// Looks for callers that are gone; see entry::CallersChecked.
-void BeforeEvent(EntryLoop& aLoop, entry::Actions& aActions);
+void BeforeEvent(EntryLoop& aLoop, const entry::Event& aEvent, entry::Actions& aActions);
 
 /// Queues an event, which is handled once the calling fiber has suspended.
 void Post(EntryLoop& aLoop, entry::Event aEvent);
