Test: submissions and the check of callers

The tests passed with a submission that echoes the latest timestamp instead of the checked one, and with a submission whose caller was found gone before.

--- a/src/libentry/entry_test.cpp
+++ b/src/libentry/entry_test.cpp
@@ -1238,6 +1238,53 @@
   return ok;
 }
 
+/// Guards against a submission that gives its holder permission past the latest time at which the
+/// entry has looked for callers that are gone.
+bool SubmissionEchoesNothingLaterThanTheCheckOfCallers()
+{
+  OwnerAndHolder fixture;
+  const auto checkedMs =
+    std::chrono::duration_cast<milliseconds>(fixture.mNow.mTime.time_since_epoch()).count();
+  fixture.Step(Tick{});
+  fixture.mNow.mTime += milliseconds(60);
+  message::Presence presence;
+  presence.mIncarnation = OwnerAndHolder::kHolder;
+  presence.mTimeMs = checkedMs + 60;
+  presence.mLoads = { { "s", 64000, 64000, 0 } };
+  presence.mLastPresences = { { Incarnation{ 1 }, checkedMs } };
+  Handle(*fixture.mState,
+         PeerMessage{ OwnerAndHolder::kAddress, presence },
+         fixture.mNow,
+         fixture.mActions);
+  JobSpec job;
+  job.mId = "j";
+  job.mService = "s";
+  job.mTeam = "t";
+  job.mDeadline = milliseconds(3000);
+  job.mTasks.resize(1);
+  job.mTasks[0].mNeeds.mMilliCores = 16000;
+  Handle(*fixture.mState, CallerSubmit{ 7, job }, fixture.mNow, fixture.mActions);
+  bool isRight = false;
+  for (const auto& action : fixture.mActions) {
+    const auto* send = std::get_if<SendPeer>(&action);
+    const auto* submit = send == nullptr ? nullptr : std::get_if<message::Submit>(&send->mMessage);
+    if (submit != nullptr) {
+      isRight = submit->mValidUntilMs == checkedMs + Options{}.mSilentAfter.count();
+    }
+  }
+  return Expect(isRight, "the submission is valid from the timestamp of the latest check");
+}
+
+/// Guards against a job that is submitted although its caller was found gone while the request
+/// waited to be handled.
+bool CallOfACallerThatIsGoneIsNotSubmitted()
+{
+  OwnerAndHolder fixture;
+  fixture.Step(CallerDisconnected{ 7 });
+  fixture.Submit();
+  return Expect(!fixture.mNumber && !fixture.Answered(), "nothing is sent and nobody answered");
+}
+
 } // namespace
 
 int main(int aCount, char** aArguments)
@@ -1298,6 +1345,8 @@
   for (std::uint64_t seed = kFirstLossySeed + 1; seed <= kFirstLossySeed + 20; ++seed) {
     ok = RandomFaults(seed) && ok;
   }
+  ok = SubmissionEchoesNothingLaterThanTheCheckOfCallers() && ok;
+  ok = CallOfACallerThatIsGoneIsNotSubmitted() && ok;
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
 }
