--- a/src/libentry/two_runs_test.cpp
+++ b/src/libentry/two_runs_test.cpp
@@ -254,6 +254,82 @@
   return NoViolations(w) && Expect(over, "the run is over when the caller comes back");
 }
 
+/// Guards against a run that goes on when its caller comes back: a submission on a replaced
+/// connection is handled after a presence on the new one that no longer lists the call, and the
+/// later timestamp that the presence echoes counts as permission for the job.
+bool LaterEchoIsNoPermissionForAnEarlierSubmission()
+{
+  Now now{ Time{ seconds(1000) }, 1'700'000'000'000 };
+  Options options;
+  options.mName = "holder";
+  options.mDataCentre = "a";
+  options.mPeerAddress = "10.0.0.1:1";
+  options.mIncarnation = Incarnation{ 1 };
+  const auto state = MakeState(options, now);
+  Actions actions;
+  const char* address = "10.0.0.2:1";
+  const auto ms = [](Time aTime) {
+    return std::chrono::duration_cast<milliseconds>(aTime.time_since_epoch()).count();
+  };
+  const auto step = [&](const Event& aEvent) {
+    Handle(*state, CallersChecked{}, now, actions);
+    Handle(*state, aEvent, now, actions);
+  };
+  const auto pass = [&](milliseconds aTime) {
+    now.mTime += aTime;
+    now.mUnixMs += aTime.count();
+  };
+  const auto hear = [&] {
+    message::Presence presence;
+    presence.mIncarnation = Incarnation{ 2 };
+    presence.mEntry = EntryRecord{ address, address, "a", 1, 0 };
+    presence.mTimeMs = ms(now.mTime);
+    presence.mLastPresences = { { Incarnation{ 1 }, ms(now.mTime) } };
+    step(PeerMessage{ address, presence });
+  };
+  configuration::Configuration configuration;
+  configuration.mVersion = 1;
+  configuration.mServices["s"] = { "s", {}, seconds(60), milliseconds(100), seconds(60), 1.0 };
+  configuration.mTeams["t"] = { "t", 1, 1e9, 1e9 };
+  step(ConfigurationListed{ configuration });
+  UpstreamRecord record;
+  record.mId = "w";
+  record.mService = "s";
+  record.mDataCentre = "a";
+  record.mAddress = "10.0.0.9";
+  record.mPort = 1;
+  record.mSlots = 4;
+  record.mCapacity.mMilliCores = 64000;
+  step(UpstreamsListed{ { record } });
+  hear();
+  JobSpec job;
+  job.mId = "j";
+  job.mService = "s";
+  job.mTeam = "t";
+  job.mDeadline = milliseconds(5000);
+  job.mRestartable = true;
+  job.mTasks.resize(1);
+  job.mTasks[0].mNeeds.mMilliCores = 1000;
+  const auto echoed = now.mTime; // The caller leaves just after.
+  const auto valid = ms(echoed) + options.mSilentAfter.count();
+  pass(milliseconds(300));
+  hear();
+  pass(milliseconds(10));
+  step(PeerMessage{ address, message::Submit{ 5, true, job, 1, valid, Incarnation{ 1 } } });
+  const auto isOpen = [&] {
+    return Dump(*state, now).find("\"origins\":1") != std::string::npos;
+  };
+  std::cerr << (isOpen() ? "the submission is accepted\n" : "the submission is refused\n");
+  while (isOpen() && now.mTime - echoed < seconds(2)) {
+    pass(milliseconds(10));
+    step(Tick{});
+  }
+  const auto given = std::chrono::duration_cast<milliseconds>(now.mTime - echoed);
+  std::cerr << "given up " << given.count() << " ms after the echoed time\n";
+  return Expect(given <= options.mSilentAfter + kOwnerCheckInterval + milliseconds(10),
+                "the job is given up when its own permission has run out");
+}
+
 } // namespace
 
 int main()
@@ -298,6 +374,7 @@
            ok;
     }
   }
+  ok = LaterEchoIsNoPermissionForAnEarlierSubmission() && ok;
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
 }
--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -563,6 +563,156 @@
   return Expect(Holds(fixture.mState, kUpstream), "the hold is kept") && ok;
 }
 
+/// Guards against runs that outlive the time after which their caller comes back: the longest lease
+/// that an upstream may have after its restart is assumed for its earlier orders, and must not be
+/// given by the next ones.
+bool OrdersAfterARestartGiveNoLongerLease()
+{
+  auto fixture = MakeFixture();
+  const Run former{ { "j", 0 }, 1 };
+  Start(fixture.mState, kUpstream, former, nullptr, fixture.mNow, fixture.mActions);
+  AnswerStart(fixture, former, OrderStatus::Done);
+  AnswerPoll(fixture, { { former, 0 } });
+  fixture.mClockMs = 10;
+  fixture.mBornMs = 8;
+  AnswerPoll(fixture);
+  const Run next{ { "k", 0 }, 1 };
+  const auto order =
+    Start(fixture.mState, kUpstream, next, nullptr, fixture.mNow, fixture.mActions);
+  const auto longest = fixture.mClockMs + fixture.mState.mOptions.mLease.count();
+  if (order) {
+    std::cerr << "lease end " << order->mLeaseEndMs << ", at most " << longest << "\n";
+  }
+  return Expect(order && order->mLeaseEndMs <= longest, "the lease is no longer than mLease");
+}
+
+/// Guards against a lease that is renewed for a run that should have ended: its stop was lost with
+/// the former process, and a late copy of its start has begun it in the new one.
+bool UnconfirmedStopRenewsNoLeaseAfterARestart()
+{
+  auto fixture = MakeFixture();
+  const auto run = StartTwice(fixture);
+  AnswerStart(fixture, run, OrderStatus::Done);
+  AnswerPoll(fixture, { { run, 0 } });
+  Stop(fixture.mState, kUpstream, run.mTask, fixture.mNow, fixture.mActions);
+  fixture.mClockMs = 10;
+  fixture.mBornMs = 8;
+  AnswerPoll(fixture, { { run, 0 } });
+  const auto stoppedAt = fixture.mClockMs;
+  AdvanceBy(fixture, milliseconds(1));
+  const auto polls = All<SendPoll>(fixture);
+  bool ok = Expect(polls.size() == 1, "a poll is sent");
+  const auto leaseEnd = polls.empty() ? 0 : polls[0].mLeaseEndMs.value_or(0);
+  const auto longest = stoppedAt + fixture.mState.mOptions.mLease.count();
+  std::cerr << "lease end " << leaseEnd << ", at most " << longest << "\n";
+  return Expect(leaseEnd <= longest, "the poll gives no longer lease than mLease") && ok;
+}
+
+/// Guards against runs of another holder that are counted as lapsed while they live: the first poll
+/// with a raised token may be the one that takes the upstream from a holder that has claimed the
+/// new process meanwhile, and must not extend the lease of its runs.
+bool FirstPollWithARaisedTokenRenewsNoLease()
+{
+  auto fixture = MakeFixture();
+  const auto run = StartTwice(fixture);
+  AnswerStart(fixture, run, OrderStatus::Done);
+  AnswerPoll(fixture, { { run, 0 } });
+  fixture.mClockMs = 10;
+  fixture.mBornMs = 8;
+  AnswerPoll(fixture, { { run, 0 } });
+  AdvanceBy(fixture, milliseconds(1));
+  const auto polls = All<SendPoll>(fixture);
+  if (!polls.empty()) {
+    std::cerr << "lease end of the first poll with the new token: "
+              << polls[0].mLeaseEndMs.value_or(0) << "\n";
+  }
+  return Expect(polls.size() == 1 && !polls[0].mLeaseEndMs, "the poll renews no lease");
+}
+
+/// Guards against a hold that is given up because an order was fenced that was decided with the
+/// former token and sent after the token had been raised, as orders of one batch of events are.
+bool OrderDecidedBeforeTheTokenWasRaisedShowsNoOtherHolder()
+{
+  auto fixture = MakeFixture();
+  const Run run{ { "j", 0 }, 1 };
+  const auto order = Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  fixture.mClockMs = 10;
+  fixture.mBornMs = 8;
+  AnswerPoll(fixture);
+  Pass(fixture, milliseconds(1));
+  const auto sentAt = fixture.mNow.mTime;
+  Pass(fixture, milliseconds(2));
+  Handle(fixture.mState,
+         StartAnswered{
+           kUpstream, SessionOf(fixture), run, OrderStatus::Fenced, fixture.mClockMs, sentAt },
+         fixture.mNow,
+         fixture.mActions);
+  return Expect(order && order->mToken < TokenOf(fixture.mState, kUpstream), "the token has risen") &&
+         Expect(Holds(fixture.mState, kUpstream), "the hold is kept");
+}
+
+/// Guards against a run that is counted as lapsed while it lives: a late poll with a lease end on the
+/// former clock has given the new process the longest lease while nothing ran, and a lease never
+/// shortens.
+bool LeaseOfAnIdleRestartedUpstreamLasts()
+{
+  auto fixture = MakeFixture();
+  fixture.mClockMs = 10;
+  fixture.mBornMs = 8;
+  const auto longest = fixture.mClockMs + fixture.mState.mOptions.mMaxLease.count();
+  AnswerPoll(fixture);
+  const Run run{ { "j", 0 }, 1 };
+  Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  AnswerStart(fixture, run, OrderStatus::Done);
+  for (std::uint32_t n = 0; n < fixture.mState.mOptions.mMaxLostPolls; ++n) {
+    RefusePoll(fixture);
+  }
+  bool ok = true;
+  while (fixture.mClockMs < longest) {
+    AdvanceBy(fixture, milliseconds(10));
+    if (ok && !All<Ended>(fixture).empty()) {
+      std::cerr << "ended at clock " << fixture.mClockMs << ", lease until " << longest << "\n";
+      ok = false;
+    }
+  }
+  return Expect(ok, "the run does not end before its lease");
+}
+
+/// Guards against an entry that takes an upstream back although it has lost it: a poll that was
+/// pending when the hold was lost is answered by a process that has restarted since, and the stops
+/// that follow must not carry a token above that of the present holder.
+bool LostHoldRaisesNoToken()
+{
+  auto fixture = MakeFixture();
+  const auto run = StartTwice(fixture);
+  AnswerStart(fixture, run, OrderStatus::Done);
+  AnswerPoll(fixture, { { run, 0 } });
+  AdvanceBy(fixture, milliseconds(1));
+  Stop(fixture.mState, kUpstream, run.mTask, fixture.mNow, fixture.mActions);
+  const auto token = TokenOf(fixture.mState, kUpstream);
+  const auto pollSentAt = fixture.mNow.mTime;
+  Pass(fixture, milliseconds(1));
+  Handle(fixture.mState,
+         StopAnswered{ kUpstream,
+                       SessionOf(fixture),
+                       run,
+                       OrderStatus::Fenced,
+                       fixture.mClockMs,
+                       fixture.mNow.mTime },
+         fixture.mNow,
+         fixture.mActions);
+  bool ok = Expect(!Holds(fixture.mState, kUpstream), "the hold is lost");
+  Pass(fixture, milliseconds(1));
+  Handle(fixture.mState,
+         PollAnswered{ kUpstream, SessionOf(fixture), OrderStatus::Done, 10, 8, pollSentAt, {} },
+         fixture.mNow,
+         fixture.mActions);
+  for (const auto& stop : All<SendStop>(fixture)) {
+    ok = Expect(stop.mToken <= token, "a lost hold sends no stop with a higher token") && ok;
+  }
+  return Expect(TokenOf(fixture.mState, kUpstream) == token, "the token stays") && ok;
+}
+
 /// Makes an answer to a poll that was sent at aSentAt.
 PollAnswered AnswerTo(const Fixture& aFixture, OrderStatus aStatus, Time aSentAt)
 {
@@ -655,6 +805,12 @@
   ok = LeaseAllowsForASlowClock() && ok;
   ok = OrdersBeforeARestartAreFenced() && ok;
   ok = AnswerOfAFormerAddressBeforeTheFirstOfThePresentOne() && ok;
+  ok = Expect(OrdersAfterARestartGiveNoLongerLease(), "OrdersAfterARestartGiveNoLongerLease") && ok;
+  ok = Expect(UnconfirmedStopRenewsNoLeaseAfterARestart(), "UnconfirmedStopRenewsNoLeaseAfterARestart") && ok;
+  ok = Expect(FirstPollWithARaisedTokenRenewsNoLease(), "FirstPollWithARaisedTokenRenewsNoLease") && ok;
+  ok = Expect(OrderDecidedBeforeTheTokenWasRaisedShowsNoOtherHolder(), "OrderDecidedBeforeTheTokenWasRaisedShowsNoOtherHolder") && ok;
+  ok = Expect(LeaseOfAnIdleRestartedUpstreamLasts(), "LeaseOfAnIdleRestartedUpstreamLasts") && ok;
+  ok = Expect(LostHoldRaisesNoToken(), "LostHoldRaisesNoToken") && ok;
   ok = UnansweredPollsAreRepeated(OrderStatus::Unknown) && ok;
   ok = UnansweredPollsAreRepeated(OrderStatus::Done) && ok;
   ok = RepeatedPollsAreBounded() && ok;
