Claim an upstream anew after it has restarted under its id

After such a restart the hold went on at once. What is sent and what is assumed are now two values. - The first poll with the raised token renewed the lease. Another entry may have claimed the new process meanwhile, whose runs would then outlive their lapse. The upstream now takes no task, and no lease is renewed, until it has answered an order with the present token. - If nothing ran when the restart was noticed, no earlier lease was assumed; and late orders went on extending the lease until the raised token arrived. The longest lease is assumed at both moments. - A hold that was lost raised its token as well. The time of an order in its answer is now that of the decision. The time of sending is later than other events of the same batch, so that an order with the former token seemed to have the present one.

Tests that start a run just after a restart now let the process answer a poll first.

--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -140,7 +140,7 @@
   Run mRun;
   OrderStatus mStatus = OrderStatus::Unknown;
   std::optional<std::int64_t> mClockMs; ///< The upstream's clock.
-  Time mSentAt{};
+  Time mSentAt{};                       ///< SendStart::mSentAt.
 };
 
 struct StopAnswered
@@ -176,6 +176,7 @@
   std::uint64_t mToken = 0;
   std::int64_t mLeaseEndMs = 0; ///< On the upstream's clock, which refuses the start after it.
   std::shared_ptr<const std::string> mPayload;
+  Time mSentAt{}; ///< When the order was decided; the answer's mSentAt.
 };
 
 struct SendStop
@@ -184,6 +185,7 @@
   std::uint64_t mSession = 0;
   Run mRun;
   std::uint64_t mToken = 0;
+  Time mSentAt{}; ///< As in SendStart.
 };
 
 /// Polls the lists of running and ended runs, and acknowledges ended runs.
@@ -196,6 +198,7 @@
     0; ///< The upstream may delete ends up to this number from its list.
   std::optional<std::int64_t> mLeaseEndMs; ///< Renews the lease if set.
   std::chrono::milliseconds mWait{ 0 };    ///< Longest time to wait for the end of a run.
+  Time mSentAt{};                          ///< As in SendStart.
 };
 
 /// What shows that a run is over or will never begin.
@@ -336,7 +339,9 @@
 enum class SessionPhase
 {
   Claiming, ///< The first poll with the token is not answered yet.
-  Clearing, ///< Runs of an earlier holder are being stopped.
+  /// Runs of an earlier holder are being stopped, or no order with the present token has been
+  /// answered. No lease is renewed: it would keep the runs of another holder alive.
+  Clearing,
   Ready,
   Silent, ///< Polls are not answered; the lease is not renewed.
   Lost, ///< Another entry holds it; Ended is sent for this entry's runs once the lease has lapsed.
@@ -347,7 +352,9 @@
 {
   std::uint64_t mNumber = 0;
   std::uint64_t mToken = 0;
-  Time mTokenSince{}; ///< Orders sent before have lower tokens; that one is fenced shows nothing.
+  /// Orders sent before have lower tokens; that one of them is fenced shows no other holder.
+  Time mTokenSince{};
+  bool mTokenAccepted = true; ///< The latest answered poll had mToken. Not used while claiming.
   SessionPhase mPhase = SessionPhase::Claiming;
   bool mReleasing = false;            ///< Takes no new tasks; the session ends once nothing runs.
   bool mUsable = false;               ///< As last reported.
@@ -376,8 +383,10 @@
   Time mClockReadBefore{};
   /// The latest time at which an order was sent that the upstream itself has answered.
   Time mAnsweredSentAt{};
-  Time mAddressSince{};         ///< When the upstream's address last changed.
-  std::int64_t mLeaseEndMs = 0; ///< Latest in any order sent; on the upstream's clock.
+  Time mAddressSince{};             ///< When the upstream's address last changed.
+  std::int64_t mSentLeaseEndMs = 0; ///< Latest in any order sent; on the upstream's clock.
+  /// Latest that the upstream may have: also of orders sent to a former process.
+  std::int64_t mLeaseEndMs = 0;
 };
 
 struct State
--- a/src/libentry/world_test.cpp
+++ b/src/libentry/world_test.cpp
@@ -525,7 +525,7 @@
   {
     const auto order = aAction.mOrder;
     const auto run = std::stoll(*aAction.mOrder.mPayload);
-    const auto sentAt = mWorld.mNow.mTime;
+    const auto sentAt = order.mSentAt;
     Order(
       mWorld,
       mNode,
@@ -542,7 +542,7 @@
   void operator()(const StopRun& aAction) const
   {
     const auto order = aAction.mOrder;
-    const auto sentAt = mWorld.mNow.mTime;
+    const auto sentAt = order.mSentAt;
     Order(
       mWorld,
       mNode,
@@ -558,7 +558,7 @@
   {
     const auto order = aAction.mOrder;
     const auto generation = mWorld.mNodes[mNode].mGeneration;
-    const auto sentAt = mWorld.mNow.mTime;
+    const auto sentAt = order.mSentAt;
     const auto self = mWorld.mNodes[mNode].mOptions.mIncarnation;
     const auto& user =
       mWorld.mTokenUsers.emplace(std::pair(aAction.mTo.mId, order.mToken), self).first->second;
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -146,11 +146,21 @@
 std::int64_t NextLeaseEnd(const State& aState, Session& aSession, const Now& aNow)
 {
   if (HasUnconfirmedStop(aSession)) {
-    return aSession.mLeaseEndMs;
+    return aSession.mSentLeaseEndMs;
   }
-  const auto clock = static_cast<std::int64_t>(EarliestClock(aState, aSession, aNow));
-  aSession.mLeaseEndMs = std::max(aSession.mLeaseEndMs, clock + aState.mOptions.mLease.count());
-  return aSession.mLeaseEndMs;
+  const auto end = static_cast<std::int64_t>(EarliestClock(aState, aSession, aNow)) +
+                   aState.mOptions.mLease.count();
+  aSession.mSentLeaseEndMs = std::max(aSession.mSentLeaseEndMs, end);
+  aSession.mLeaseEndMs = std::max(aSession.mLeaseEndMs, aSession.mSentLeaseEndMs);
+  return aSession.mSentLeaseEndMs;
+}
+
+/// Takes the longest lease for granted: late orders with a lease end on the clock of a former
+/// process give it to the present one.
+void AssumeLongestLease(const State& aState, Session& aSession)
+{
+  aSession.mLeaseEndMs = std::max(
+    aSession.mLeaseEndMs, aSession.mClockMs.value_or(0) + aState.mOptions.mMaxLease.count());
 }
 
 /// Whether every lease of this session has ended even if the upstream's clock runs as slow as
@@ -161,7 +171,7 @@
          static_cast<double>(aSession.mLeaseEndMs + aState.mOptions.mLapseMargin.count());
 }
 
-/// Handles that an order was fenced.
+/// Ends the hold after an order sent at aSentAt was fenced, unless its token was an earlier one.
 void MarkLost(std::string_view aUpstream, Session& aSession, Time aSentAt, Actions& aActions)
 {
   if (aSession.mPhase == SessionPhase::Lost || aSentAt < aSession.mTokenSince) {
@@ -232,7 +242,7 @@
   aSession.mTokenSince = aNow.mTime;
 }
 
-/// Raises the token and ignores the answers to all earlier orders.
+/// Raises the token, and starts a new session, so that answers to earlier orders are ignored.
 void FenceEarlierOrders(State& aState, Session& aSession, const Now& aNow)
 {
   aSession.mNumber = ++aState.mLastSession;
@@ -244,10 +254,11 @@
 void SendStopOf(std::string_view aUpstream,
                 const Session& aSession,
                 const Run& aRun,
+                const Now& aNow,
                 Actions& aActions)
 {
   aActions.emplace_back(
-    SendStop{ std::string(aUpstream), aSession.mNumber, aRun, aSession.mToken });
+    SendStop{ std::string(aUpstream), aSession.mNumber, aRun, aSession.mToken, aNow.mTime });
 }
 
 void SendOwnStop(std::string_view aUpstream,
@@ -258,7 +269,7 @@
                  Actions& aActions)
 {
   aOwn.mStopSentAt = aNow.mTime;
-  SendStopOf(aUpstream, aSession, aRun, aActions);
+  SendStopOf(aUpstream, aSession, aRun, aNow, aActions);
 }
 
 void SendNextPoll(State& aState,
@@ -268,13 +279,17 @@
                   Actions& aActions)
 {
   const auto& options = aState.mOptions;
-  SendPoll poll{
-    std::string(aUpstream), aSession.mNumber, aSession.mToken, aSession.mAcknowledgedEnd, {}, {}
-  };
+  SendPoll poll{ std::string(aUpstream),
+                 aSession.mNumber,
+                 aSession.mToken,
+                 aSession.mAcknowledgedEnd,
+                 {},
+                 {},
+                 aNow.mTime };
   if (aSession.mPhase == SessionPhase::Ready && !aSession.mRuns.empty()) {
     poll.mLeaseEndMs = NextLeaseEnd(aState, aSession, aNow);
     poll.mWait = options.mPollWait;
-  } else if (aSession.mPhase == SessionPhase::Clearing) {
+  } else if (aSession.mPhase == SessionPhase::Clearing && !aSession.mForeignRuns.empty()) {
     poll.mWait = kClearingPollWait;
   }
   if (aSession.mPollsSent > 0) {
@@ -405,7 +420,8 @@
                                      run,
                                      aSession.mToken,
                                      NextLeaseEnd(aState, aSession, aNow),
-                                     own.mPayload });
+                                     own.mPayload,
+                                     aNow.mTime });
   }
 }
 
@@ -430,7 +446,9 @@
       continue;
     }
     foreign.push_back(run);
-    SendStopOf(aUpstream, aSession, run, aActions);
+    if (aSession.mPhase != SessionPhase::Lost) {
+      SendStopOf(aUpstream, aSession, run, aNow, aActions);
+    }
   }
   aSession.mForeignRuns = std::move(foreign);
   std::vector<Run> gone;
@@ -561,7 +579,8 @@
                     aRun,
                     session.mToken,
                     NextLeaseEnd(aState, session, aNow),
-                    std::move(aPayload) };
+                    std::move(aPayload),
+                    aNow.mTime };
 }
 
 void ChangeAddress(State& aState, std::string_view aUpstream, const Now& aNow)
@@ -712,7 +731,9 @@
         return;
       }
       session->mNextPollAt = aNow.mTime + kPollRetryDelay;
-      if (session->mPhase == SessionPhase::Ready) {
+      // Runs can be left in phase Clearing too, when the upstream has restarted.
+      if (session->mPhase == SessionPhase::Ready ||
+          (session->mPhase == SessionPhase::Clearing && !session->mRuns.empty())) {
         AddNote(aActions, "upstream_silent", aEvent.mUpstream, "polls were not answered");
         SetPhase(aEvent.mUpstream, *session, SessionPhase::Silent, aActions);
       }
@@ -730,19 +751,21 @@
       // would execute late copies of orders whose runs its predecessor has ended.
       ReportCrash(aState, aEvent.mUpstream, *session, CrashState::Confirmed, aActions);
       AddNote(aActions, "upstream_restarted", aEvent.mUpstream, "");
+      const bool isLost = session->mPhase == SessionPhase::Lost;
       session->mAcknowledgedEnd = 0;
-      RaiseToken(aState, *session, aNow);
+      session->mSentLeaseEndMs = 0;
+      session->mLeaseEndMs = 0;
+      if (!isLost) {
+        RaiseToken(aState, *session, aNow);
+      }
       for (auto& [run, own] : session->mRuns) {
         own.mProcessEnded = true;
         own.mStopConfirmed = false; // The present process knows no stop.
-        if (own.mStopSentAt) {
+        if (own.mStopSentAt && !isLost) {
           SendOwnStop(aEvent.mUpstream, *session, run, own, aNow, aActions);
         }
       }
-      // Orders with a lease end on the former clock have given its runs the longest lease.
-      session->mLeaseEndMs = session->mRuns.empty()
-                               ? 0
-                               : session->mClockMs.value_or(0) + aState.mOptions.mMaxLease.count();
+      AssumeLongestLease(aState, *session);
     }
     session->mBornMs = aEvent.mBornMs;
     session->mProcessAskedAt = session->mProcessAskedAt.value_or(aEvent.mSentAt);
@@ -759,15 +782,22 @@
     }
   }
   HandleRunning(aEvent.mUpstream, *session, aEvent, aNow, aActions);
-  const auto phase = session->mForeignRuns.empty() ? SessionPhase::Ready : SessionPhase::Clearing;
+  const bool isTokenAccepted = aEvent.mSentAt >= session->mTokenSince;
+  if (!session->mTokenAccepted && isTokenAccepted) {
+    AssumeLongestLease(aState, *session); // Late orders were carried out until now.
+  }
+  session->mTokenAccepted = isTokenAccepted;
+  const auto phase = session->mForeignRuns.empty() && session->mTokenAccepted
+                       ? SessionPhase::Ready
+                       : SessionPhase::Clearing;
   if (session->mPhase != SessionPhase::Lost && session->mPhase != phase) {
     if (phase == SessionPhase::Ready) {
       AddNote(aActions, "upstream_held", aEvent.mUpstream, "");
     }
     SetPhase(aEvent.mUpstream, *session, phase, aActions);
   }
-  const bool isTokenUnknown = session->mTokenSince >= aEvent.mSentAt;
-  const bool busy = isTokenUnknown || !session->mRuns.empty() || !session->mForeignRuns.empty();
+  const bool busy =
+    !session->mTokenAccepted || !session->mRuns.empty() || !session->mForeignRuns.empty();
   session->mNextPollAt =
     aNow.mTime + (busy ? Duration{ 0 } : Duration(aState.mOptions.mIdlePollInterval));
 }
--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -198,6 +198,7 @@
   fixture.mClockMs = 10;
   fixture.mBornMs = 8;
   AnswerPoll(fixture);
+  AnswerPoll(fixture); // The process has accepted the raised token.
   const Run run{ { "j", 1 }, 1 };
   const auto order = Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
   AnswerStart(fixture, run, OrderStatus::Done);
@@ -318,6 +319,7 @@
   fixture.mClockMs = 100;
   fixture.mBornMs = 8;
   AnswerPoll(fixture);
+  AnswerPoll(fixture); // The process has accepted the raised token.
   Handle(fixture.mState,
          StartAnswered{ kUpstream,
                         SessionOf(fixture),
@@ -413,6 +415,7 @@
   fixture.mClockMs = 100;
   fixture.mBornMs = 8;
   AnswerPoll(fixture);
+  AnswerPoll(fixture); // The process has accepted the raised token.
   Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
   AnswerStart(fixture, run, OrderStatus::Done);
   Pass(fixture, milliseconds(1));
@@ -576,13 +579,11 @@
   fixture.mClockMs = 10;
   fixture.mBornMs = 8;
   AnswerPoll(fixture);
+  AnswerPoll(fixture); // The process has accepted the raised token.
   const Run next{ { "k", 0 }, 1 };
   const auto order =
     Start(fixture.mState, kUpstream, next, nullptr, fixture.mNow, fixture.mActions);
   const auto longest = fixture.mClockMs + fixture.mState.mOptions.mLease.count();
-  if (order) {
-    std::cerr << "lease end " << order->mLeaseEndMs << ", at most " << longest << "\n";
-  }
   return Expect(order && order->mLeaseEndMs <= longest, "the lease is no longer than mLease");
 }
 
@@ -604,7 +605,6 @@
   bool ok = Expect(polls.size() == 1, "a poll is sent");
   const auto leaseEnd = polls.empty() ? 0 : polls[0].mLeaseEndMs.value_or(0);
   const auto longest = stoppedAt + fixture.mState.mOptions.mLease.count();
-  std::cerr << "lease end " << leaseEnd << ", at most " << longest << "\n";
   return Expect(leaseEnd <= longest, "the poll gives no longer lease than mLease") && ok;
 }
 
@@ -622,15 +622,12 @@
   AnswerPoll(fixture, { { run, 0 } });
   AdvanceBy(fixture, milliseconds(1));
   const auto polls = All<SendPoll>(fixture);
-  if (!polls.empty()) {
-    std::cerr << "lease end of the first poll with the new token: "
-              << polls[0].mLeaseEndMs.value_or(0) << "\n";
-  }
   return Expect(polls.size() == 1 && !polls[0].mLeaseEndMs, "the poll renews no lease");
 }
 
 /// Guards against a hold that is given up because an order was fenced that was decided with the
-/// former token and sent after the token had been raised, as orders of one batch of events are.
+/// former token and sent after the token had been raised, as orders of one batch of events are: the
+/// answer has the time of the decision.
 bool OrderDecidedBeforeTheTokenWasRaisedShowsNoOtherHolder()
 {
   auto fixture = MakeFixture();
@@ -639,21 +636,24 @@
   fixture.mClockMs = 10;
   fixture.mBornMs = 8;
   AnswerPoll(fixture);
-  Pass(fixture, milliseconds(1));
-  const auto sentAt = fixture.mNow.mTime;
-  Pass(fixture, milliseconds(2));
+  Pass(fixture, milliseconds(3));
   Handle(fixture.mState,
-         StartAnswered{
-           kUpstream, SessionOf(fixture), run, OrderStatus::Fenced, fixture.mClockMs, sentAt },
+         StartAnswered{ kUpstream,
+                        SessionOf(fixture),
+                        run,
+                        OrderStatus::Fenced,
+                        fixture.mClockMs,
+                        order ? order->mSentAt : Time{} },
          fixture.mNow,
          fixture.mActions);
-  return Expect(order && order->mToken < TokenOf(fixture.mState, kUpstream), "the token has risen") &&
+  return Expect(order && order->mToken < TokenOf(fixture.mState, kUpstream),
+                "the token has risen") &&
          Expect(Holds(fixture.mState, kUpstream), "the hold is kept");
 }
 
-/// Guards against a run that is counted as lapsed while it lives: a late poll with a lease end on the
-/// former clock has given the new process the longest lease while nothing ran, and a lease never
-/// shortens.
+/// Guards against a run that is counted as lapsed while it lives: a late poll with a lease end on
+/// the former clock has given the new process the longest lease while nothing ran, and a lease
+/// never shortens.
 bool LeaseOfAnIdleRestartedUpstreamLasts()
 {
   auto fixture = MakeFixture();
@@ -661,6 +661,7 @@
   fixture.mBornMs = 8;
   const auto longest = fixture.mClockMs + fixture.mState.mOptions.mMaxLease.count();
   AnswerPoll(fixture);
+  AnswerPoll(fixture); // The process has accepted the raised token.
   const Run run{ { "j", 0 }, 1 };
   Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
   AnswerStart(fixture, run, OrderStatus::Done);
@@ -671,7 +672,6 @@
   while (fixture.mClockMs < longest) {
     AdvanceBy(fixture, milliseconds(10));
     if (ok && !All<Ended>(fixture).empty()) {
-      std::cerr << "ended at clock " << fixture.mClockMs << ", lease until " << longest << "\n";
       ok = false;
     }
   }
@@ -805,12 +805,12 @@
   ok = LeaseAllowsForASlowClock() && ok;
   ok = OrdersBeforeARestartAreFenced() && ok;
   ok = AnswerOfAFormerAddressBeforeTheFirstOfThePresentOne() && ok;
-  ok = Expect(OrdersAfterARestartGiveNoLongerLease(), "OrdersAfterARestartGiveNoLongerLease") && ok;
-  ok = Expect(UnconfirmedStopRenewsNoLeaseAfterARestart(), "UnconfirmedStopRenewsNoLeaseAfterARestart") && ok;
-  ok = Expect(FirstPollWithARaisedTokenRenewsNoLease(), "FirstPollWithARaisedTokenRenewsNoLease") && ok;
-  ok = Expect(OrderDecidedBeforeTheTokenWasRaisedShowsNoOtherHolder(), "OrderDecidedBeforeTheTokenWasRaisedShowsNoOtherHolder") && ok;
-  ok = Expect(LeaseOfAnIdleRestartedUpstreamLasts(), "LeaseOfAnIdleRestartedUpstreamLasts") && ok;
-  ok = Expect(LostHoldRaisesNoToken(), "LostHoldRaisesNoToken") && ok;
+  ok = OrdersAfterARestartGiveNoLongerLease() && ok;
+  ok = UnconfirmedStopRenewsNoLeaseAfterARestart() && ok;
+  ok = FirstPollWithARaisedTokenRenewsNoLease() && ok;
+  ok = OrderDecidedBeforeTheTokenWasRaisedShowsNoOtherHolder() && ok;
+  ok = LeaseOfAnIdleRestartedUpstreamLasts() && ok;
+  ok = LostHoldRaisesNoToken() && ok;
   ok = UnansweredPollsAreRepeated(OrderStatus::Unknown) && ok;
   ok = UnansweredPollsAreRepeated(OrderStatus::Done) && ok;
   ok = RepeatedPollsAreBounded() && ok;
