Decide an event with the time read before the check of callers

A process that was stopped between the check and the reading of the clocks could renew the leases of its own callers' jobs on the strength of an older check. An interrupted poll(2) is repeated; it counted as a failed check.

--- a/src/libnet/stream.cpp
+++ b/src/libnet/stream.cpp
@@ -86,13 +86,17 @@
   for (const auto socket : aSockets) {
     polled.push_back({ socket, POLLRDHUP, 0 });
   }
-  if (::poll(polled.data(), polled.size(), 0) < 0) {
+  int n = 0;
+  do {
+    n = ::poll(polled.data(), polled.size(), 0);
+  } while (n < 0 && errno == EINTR);
+  if (n < 0) {
     aEc.assign(errno, boost::system::system_category());
     return closed;
   }
-  for (std::size_t n = 0; n < polled.size(); ++n) {
-    if (polled[n].revents != 0) {
-      closed.push_back(n);
+  for (std::size_t index = 0; index < polled.size(); ++index) {
+    if (polled[index].revents != 0) {
+      closed.push_back(index);
     }
   }
   return closed;
--- a/src/pollenwalld/core_loop.h
+++ b/src/pollenwalld/core_loop.h
@@ -67,7 +67,7 @@
 /// Called before each event is passed to the core. An overload for a loop may pass other events
 /// first.
 template<typename Loop, typename Event, typename Actions>
-void BeforeEvent(Loop& /*aLoop*/, const Event& /*aEvent*/, Actions& /*aActions*/)
+void BeforeEvent(Loop& /*aLoop*/, const Event& /*aEvent*/, const Now& /*aNow*/, Actions&)
 {
 }
 
@@ -90,8 +90,10 @@
       const auto decided = static_cast<std::ptrdiff_t>(actions.size());
       const auto name = "event " + std::to_string(event.index());
       if (!RunLogged(aLoop.mDaemon, "core_failed", name, [&] {
-            BeforeEvent(aLoop, event, actions);
-            Handle(*aLoop.mState, event, ReadClocks(), actions);
+            // Read before the check, so that no decision is later than what it has found.
+            const auto now = ReadClocks();
+            BeforeEvent(aLoop, event, now, actions);
+            Handle(*aLoop.mState, event, now, actions);
           })) {
         aLoop.mFailed = true;
         actions.erase(actions.begin() + decided, actions.end());
--- a/src/pollenwalld/entry_loop.cpp
+++ b/src/pollenwalld/entry_loop.cpp
@@ -70,11 +70,13 @@
 
 } // namespace
 
-void BeforeEvent(EntryLoop& aLoop, const entry::Event& aEvent, entry::Actions& aActions)
+void BeforeEvent(EntryLoop& aLoop,
+                 const entry::Event& aEvent,
+                 const Now& aNow,
+                 entry::Actions& aActions)
 {
-  const auto now = ReadClocks();
   if (aLoop.mCallersCheckedAt) {
-    const auto passed = now.mTime - *aLoop.mCallersCheckedAt;
+    const auto passed = aNow.mTime - *aLoop.mCallersCheckedAt;
     if (passed < Duration(entry::kCallerCheckInterval) && !entry::NeedsCallerCheck(aEvent)) {
       return;
     }
@@ -88,11 +90,11 @@
       return; // Tried again before the next event; what was known of the callers grows old.
     }
     for (const auto request : *gone) {
-      Handle(*aLoop.mState, entry::CallerDisconnected{ request }, now, aActions);
+      Handle(*aLoop.mState, entry::CallerDisconnected{ request }, aNow, aActions);
     }
   }
-  aLoop.mCallersCheckedAt = now.mTime;
-  Handle(*aLoop.mState, entry::CallersChecked{}, now, aActions);
+  aLoop.mCallersCheckedAt = aNow.mTime;
+  Handle(*aLoop.mState, entry::CallersChecked{}, aNow, aActions);
 }
 
 EntryLoop::EntryLoop(DaemonContext& aDaemon, const entry::Options& aOptions)
--- a/src/pollenwalld/entry_loop.h
+++ b/src/pollenwalld/entry_loop.h
@@ -53,7 +53,10 @@
 };
 
 /// Looks for callers that are gone; see entry::CallersChecked.
-void BeforeEvent(EntryLoop& aLoop, const entry::Event& aEvent, entry::Actions& aActions);
+void BeforeEvent(EntryLoop& aLoop,
+                 const entry::Event& aEvent,
+                 const Now& aNow,
+                 entry::Actions& aActions);
 
 /// Queues an event, which is handled once the calling fiber has suspended.
 void Post(EntryLoop& aLoop, entry::Event aEvent);
