--- a/src/pollenwalld/core_loop_test.cpp
+++ b/src/pollenwalld/core_loop_test.cpp
@@ -1,5 +1,6 @@
 #include "core_loop.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 #include "daemon_test.h"
@@ -113,6 +114,36 @@
   return Expect(started && failed, "the entry has to stop and is not ready");
 }
 
+/// Guards against a job that is accepted although its caller left before the core handled the
+/// submission, and against a loop that does not look for such callers, or goes on as if it had when
+/// that was not possible.
+bool CallersAreCheckedBeforeEvents(boost::asio::io_context& aContext)
+{
+  auto& daemonContext = *new DaemonContext(aContext);
+  entry::Options options;
+  options.mDataCentre = "north";
+  EntryLoop loop(daemonContext, options);
+  bool isPossible = false;
+  loop.mHandlers.mFindGoneCallers = [&isPossible] {
+    return isPossible ? std::optional(std::vector<dispatch::RequestId>{ 1 }) : std::nullopt;
+  };
+  const auto handle = [&loop](const entry::Event& aEvent) {
+    entry::Actions actions;
+    const auto now = ReadClocks();
+    BeforeEvent(loop, aEvent, now, actions);
+    Handle(*loop.mState, aEvent, now, actions);
+    return std::any_of(actions.begin(), actions.end(), [](const auto& aAction) {
+      return std::holds_alternative<entry::AnswerCaller>(aAction);
+    });
+  };
+  handle(entry::Tick{});
+  bool passed = Expect(!loop.mCallersCheckedAt, "a check that failed does not count");
+  isPossible = true;
+  passed &= Expect(!handle(entry::CallerSubmit{ 1, JobSpec{}, "" }), "caller 1 is gone");
+  passed &= Expect(loop.mCallersCheckedAt.has_value(), "the callers are checked");
+  return Expect(handle(entry::CallerSubmit{ 2, JobSpec{}, "" }), "caller 2 is answered") && passed;
+}
+
 } // namespace
 
 bool CoreLoopTests(boost::asio::io_context& aContext)
@@ -120,6 +151,7 @@
   bool passed = FailedCoreStopsTheProcess(aContext);
   passed &= FailedActionStopsTheProcess(aContext);
   passed &= EntryStopsAfterAFailure(aContext);
+  passed &= CallersAreCheckedBeforeEvents(aContext);
   return passed;
 }
 
