--- a/src/include/pollenwall/entry.h
+++ b/src/include/pollenwall/entry.h
@@ -63,9 +63,10 @@
   /// A peer is treated as gone when the latest timestamp of this entry that it has echoed is older
   /// than this. An echo is up to two intervals old, so three presences may be lost or late.
   std::chrono::milliseconds mSilentAfter{ 500 };
-  /// Time from an owner's decision that a holder has failed until the runs there are certainly
-  /// over: by then the holder has stopped the owner's jobs (mSilentAfter), and the leases of runs
-  /// that it could not stop have lapsed. Callers whose connection broke retry no earlier.
+  /// Time from an owner's decision that a holder has failed, or from the end of a caller's
+  /// connection, until the runs concerned are certainly over: by then the holder has stopped the
+  /// jobs (mSilentAfter), and the leases of runs that it could not stop have lapsed. Callers whose
+  /// connection broke retry no earlier.
   std::chrono::milliseconds mRunsOverAfter{ 1300 };
   /// An upstream that is missing from the platform's list is kept for this long. Records that
   /// expired while the platform's store was unavailable reappear in the list within 2 s.
