--- a/src/libentry/entry.cpp
+++ b/src/libentry/entry.cpp
@@ -18,7 +18,8 @@
 /// processor time. Sending a presence and handling its echo each wait for up to two rounds of the
 /// event loop, so with 100 ms a round the echo is about as old as mSilentAfter.
 constexpr milliseconds kLateTick{ 100 };
-/// After a pause, the ends of callers' connections during the pause are handled within this time.
+/// After a pause no task starts for this long. Callers that left during the pause are found before
+/// the first event, requests that waited in the sockets are read within this time.
 constexpr milliseconds kStartHoldTime{ 100 };
 /// A drain lasts at least this long, also when no job is left, so that the balancer has detected
 /// that this entry is not ready and sends new calls elsewhere.
