--- a/review/standins-2/standin.py
+++ b/review/common_2.py
@@ -20,7 +20,7 @@
 import time
 import urllib.parse
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 HOST = "review.example"
 PREFIX = "/queue/"
 SERVICE = "dispatch"
