net: free a request while its job waits

Seen by callers: while hostile requests with thousands of short fields or trailers waited for their jobs, an ordinary caller's connection was closed without an answer, for as long as they waited (trailers_of_waiting_jobs); the entry's memory exceeded its machine's (fields_of_waiting_jobs, VmHWM 48.3 and 49.1 MiB of 48).

Cause: only the body of a decoded job was freed. Its fields, about 100 bytes for one of three characters, stayed until the answer, and the body and fields of a lookup, a cancel or a status call as well. They count in the budget, but a connection whose request is being handled is never closed, so new ones had to go.

Change: ReleaseRequest frees the whole request, and a read buffer that has grown, as soon as the handler has decoded it. It takes the place of ReleaseBody; the unit test of it is as before.

Why it works: a request that is being handled then holds no input, so the budget goes to unfinished requests again, which may be closed.

--- a/src/include/pollenwall/net/http_server.h
+++ b/src/include/pollenwall/net/http_server.h
@@ -77,8 +77,9 @@
   std::shared_ptr<std::function<void()>> mFunction;
 };
 
-/// Frees the body of a request whose handler no longer needs it, before the handler waits.
-void ReleaseBody(HttpRequest& aRequest, HttpConnection& aConnection);
+/// Frees a request that its handler no longer needs, before the handler waits. Until the response
+/// is written, the bytes of a request count in the budget and its connection cannot be closed.
+void ReleaseRequest(HttpRequest& aRequest, HttpConnection& aConnection);
 
 /// Runs in the connection's fiber and may suspend it.
 using HttpHandler = std::function<HttpResponse(HttpRequest&, HttpConnection&)>;
--- a/src/libnet/http_limits_test.cpp
+++ b/src/libnet/http_limits_test.cpp
@@ -44,7 +44,7 @@
         [this](net::HttpRequest& aRequest, net::HttpConnection& aConnection) {
           ++mRequests;
           if (aRequest.target() == "/wait") {
-            net::ReleaseBody(aRequest, aConnection);
+            net::ReleaseRequest(aRequest, aConnection);
             mBytesWhileWaiting = mOptions.mBudget->mBytes;
             mWaiting.Set(true);
             return net::JsonResponse(http::status::ok, mRelease.Wait());
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -516,10 +516,13 @@
   return aConnection.mStream.mSocket.native_handle();
 }
 
-void ReleaseBody(HttpRequest& aRequest, HttpConnection& aConnection)
+void ReleaseRequest(HttpRequest& aRequest, HttpConnection& aConnection)
 {
-  std::string().swap(aRequest.body());
-  ChargeConnection(aConnection, FieldMemory(aRequest));
+  aRequest = HttpRequest{};
+  if (aConnection.mBuffer.capacity() > kReadBytes) {
+    aConnection.mBuffer.shrink_to_fit();
+  }
+  ChargeConnection(aConnection, 0);
 }
 
 DisconnectWatch::DisconnectWatch(HttpConnection& aConnection,
--- a/src/pollenwalld/callers.cpp
+++ b/src/pollenwalld/callers.cpp
@@ -101,7 +101,7 @@
     metrics::Add(aCallers.mDaemon.mMetrics, "jobs_malformed_total");
     return net::ErrorResponse(error);
   }
-  net::ReleaseBody(aRequest, aConnection);
+  net::ReleaseRequest(aRequest, aConnection);
   const auto start = std::chrono::steady_clock::now();
   const bool wait = submission->mWait;
   const auto request = ++aCallers.mLoop.mLastRequestId;
@@ -157,7 +157,7 @@
 }
 
 net::HttpResponse QueryOrCancelJob(Callers& aCallers,
-                                   const net::HttpRequest& aRequest,
+                                   net::HttpRequest& aRequest,
                                    net::HttpConnection& aConnection)
 {
   auto query = ParseJobQuery({ aRequest.target().data(), aRequest.target().size() });
@@ -169,6 +169,7 @@
     // The requested job may have run.
     return net::ErrorResponse({ ErrorCode::BadRequest, Verdict::MayHaveRun, query.mProblem, {} });
   }
+  net::ReleaseRequest(aRequest, aConnection);
   const auto request = ++aCallers.mLoop.mLastRequestId;
   node::Event event;
   if (cancel) {
