net: end connections that are always busy when others are refused

Seen by callers: beside 400 connections (all that are allowed) that send one request after another, an ordinary caller got 503 "too many connections", 16 times of 16.

Cause: at the limit, only a connection that waits for its caller makes room. One with a request at all times never waits, so its caller keeps its place for good.

Change: for each connection that is refused at the limit, one other ends with its next response (Connection: close). Callers inside the limits connect again; nothing happens below the limit.

Tests: the crowd was committed as stalled_readers. A look at its queues showed that its connections do not stall: the kernel takes over 2 MiB of responses for each.

Why it works: a refused caller that comes back, after the 500 ms that it was told, finds a place; before, none was ever freed.

--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -92,6 +92,7 @@
   std::string mLabel; ///< Label of this listener's metrics.
   std::list<HttpConnection*> mConnections;
   Clock::time_point mLastArrival; ///< Time of the last new connection or request.
+  std::size_t mReleasesDue = 0; ///< Connections that are to end with their next response.
   bool mSweeping = false;
   bool mKeepAliveDisabled = false;
 };
@@ -349,6 +350,19 @@
                 : n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
 }
 
+/// Whether a connection has to end with its response, because others were refused at the limit.
+/// Otherwise connections with a request at all times would keep others out for good.
+bool TakeRelease(HttpServer& aServer)
+{
+  if (aServer.mReleasesDue == 0 ||
+      aServer.mConnections.size() < aServer.mOptions.mMaxConnections) {
+    return false;
+  }
+  --aServer.mReleasesDue;
+  CountClosed(aServer, "connections");
+  return true;
+}
+
 void Serve(HttpServer& aServer, HttpConnection& aConnection)
 {
   if (aServer.mOptions.mTls) {
@@ -389,7 +403,7 @@
       log::LogError("request_failed", { { "message", std::string(error.what()) } });
       response = ErrorResponse({ ErrorCode::Internal, Verdict::MayHaveRun, "internal error", {} });
     }
-    response.keep_alive(keep && !aServer.mKeepAliveDisabled);
+    response.keep_alive(keep && !aServer.mKeepAliveDisabled && !TakeRelease(aServer));
     if (!Write(aServer, aConnection, response)) {
       return;
     }
@@ -490,6 +504,8 @@
     aServer->mLastArrival = Clock::now();
     if (aServer->mConnections.size() >= aServer->mOptions.mMaxConnections && !MakeRoom(*aServer)) {
       metrics::Add(aServer->mMetrics, "http_connections_refused_total" + aServer->mLabel);
+      aServer->mReleasesDue =
+        std::min(aServer->mReleasesDue + 1, aServer->mOptions.mMaxConnections);
       if (!aServer->mOptions.mTls) {
         Refuse(std::move(socket));
       }
--- a/testsuite/untrusted_clients/crowds.py
+++ b/testsuite/untrusted_clients/crowds.py
@@ -275,9 +275,9 @@
         check()
 
 
-def stalled_readers(ports, check):
-    """As many connections as are allowed request without reading the responses. They stay open
-    during the check."""
+def busy_connections(ports, check):
+    """As many connections as are allowed send requests all the time and don't read the responses.
+    They stay open during the check."""
     request = f"GET /jobs/0123456789abcdef HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode()
     sockets = []
     for _ in range(400):
@@ -296,6 +296,15 @@
             it.close()
 
 
+def stalled_readers(ports, check):
+    """As many connections as are allowed to operators request without reading the responses."""
+    request = b"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"
+    with crowd(ports.operators, 16) as sockets:
+        send_all(sockets, [request * 4000] * len(sockets), limit=3.0)
+        time.sleep(SETTLE_S)
+        check()
+
+
 def node_submission(payload, run_ms, **others):
     """A submission to an entry without the platform. Its caller does not wait for the answer."""
     body = json.dumps({"service": "dispatch", "team": "team", "kind": "k", "idempotent": False,
@@ -370,7 +379,7 @@
     entries: int = 1 # On the platform.
     worker_millicores: int = 8000
     worker_memory_mb: int = 16384
-    # Whether the ordinary job is submitted while the crowd is connected.
+    # Whether the ordinary job and a call of the operators are made while the crowd is connected.
     serves_beside: bool = False
 
 
@@ -393,6 +402,7 @@
                                 settings="dispatch:\n  answer_retention_ms: 100\n"),
     "many_needs": Kind(many_needs, settings="dispatch:\n  look_ahead: true\n",
                        worker_millicores=64000, worker_memory_mb=1048576),
+    "busy_connections": Kind(busy_connections, serves_beside=True),
     "stalled_readers": Kind(stalled_readers, serves_beside=True),
     "queued_payloads": Kind(queued_payloads, role="node"),
     "large_results": Kind(large_results, role="node"),
--- a/testsuite/untrusted_clients/run_kind.py
+++ b/testsuite/untrusted_clients/run_kind.py
@@ -133,6 +133,14 @@
     return entries
 
 
+def answers_operators(ports, attempts):
+    for _ in range(attempts):
+        if call(ports.operators, "GET", "/metrics")[0] == 200:
+            return True
+        time.sleep(0.25)
+    return False
+
+
 def memory_kib(process, name):
     """Returns VmHWM or VmRSS."""
     with open(f"/proc/{process.pid}/status", encoding="ascii") as file:
@@ -175,6 +183,8 @@
                 descriptors.append(len(os.listdir(f"/proc/{it.pid}/fd")))
         if kind.serves_beside and not runs_a_job(ports, kind.role, JOB_ATTEMPTS_BESIDE):
             failures.append("an ordinary job is not run beside the hostile input")
+        if kind.serves_beside and not answers_operators(ports, JOB_ATTEMPTS_BESIDE):
+            failures.append("an operator is not answered beside the hostile input")
 
     idle = max(memory_kib(it, "VmRSS") for it in entries)
     if not runs_a_job(ports, kind.role, JOB_ATTEMPTS):
