net: connections that do not read their responses make room

Seen by callers: beside 16 connections to the operators' port that did not read the metrics they asked for, an operator was refused 16 times of 16, until the write timeout of 10 s.

Cause: at the limit, MakeRoom considered only connections that wait for a request or the rest of one. A response that nobody reads, or a closing connection whose caller does not close, kept its place.

Change: both make room after mMinWaitToReplace (1 s), closing ones first and unread responses last.

Why it works: each phase in which the next step is the caller's now makes room; only a request that is being handled does not, and its handler bounds its time.

--- a/src/include/pollenwall/net/http_server.h
+++ b/src/include/pollenwall/net/http_server.h
@@ -37,8 +37,8 @@
   std::size_t mMaxBodyBytes = 4 * 1024 * 1024;
   std::size_t mMaxTrailerBytes = 16 * 1024; ///< Trailers and chunk extensions of one request.
   std::size_t mMaxConnections = 2000;
-  /// At the limit, the connection that has waited longest for a request, or for the rest of its
-  /// header, makes room for a new one if it has waited for this time.
+  /// At the limit, a connection that has waited for its caller for this time makes room for a new
+  /// one: for a request or the rest of one, or for the response to be read.
   std::chrono::milliseconds mMinWaitToReplace{ 1000 };
   std::chrono::milliseconds mIdleTimeout{ 75000 }; ///< Between two requests.
   /// From a request's first byte to the end of its header.
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -16,6 +16,7 @@
 #include <pollenwall/net/fiber.h>
 
 #include "http_reader.h"
+#include "tcp_progress.h"
 
 namespace pollenwall::net {
 
@@ -59,7 +60,9 @@
   beast::flat_buffer mBuffer;
   BufferAccount mAccount;
   Phase mPhase = Phase::Idle;
-  Clock::time_point mPhaseStart = Clock::now();
+  /// Start of the phase or, if that is later, the last time that the caller read of a response.
+  Clock::time_point mWaitStart = Clock::now();
+  std::uint64_t mAcknowledgedBytes = 0;
   Clock::time_point mCloseAt = Clock::time_point::max(); ///< The sweep cancels I/O after this.
   const char* mAbortReason = nullptr; ///< Set when the server ends the connection.
 };
@@ -116,8 +119,8 @@
 void SetPhase(HttpConnection& aConnection, Phase aPhase, std::chrono::milliseconds aTimeout)
 {
   aConnection.mPhase = aPhase;
-  aConnection.mPhaseStart = Clock::now();
-  aConnection.mCloseAt = aConnection.mPhaseStart + aTimeout;
+  aConnection.mWaitStart = Clock::now();
+  aConnection.mCloseAt = aConnection.mWaitStart + aTimeout;
   aConnection.mAccount.mUse.mClosable = aPhase != Phase::Handling;
 }
 
@@ -198,6 +201,18 @@
   return ::ioctl(aSocket.native_handle(), FIONREAD, &n) == 0 && n > 0;
 }
 
+/// Records whether the caller has read more of the response since the last call.
+void UpdateProgress(HttpConnection& aConnection, Clock::time_point aNow)
+{
+  if (aConnection.mPhase != Phase::Writing) {
+    return;
+  }
+  const auto bytes = AcknowledgedBytes(aConnection.mStream.mSocket.native_handle());
+  if (std::exchange(aConnection.mAcknowledgedBytes, bytes) != bytes) {
+    aConnection.mWaitStart = aNow;
+  }
+}
+
 void Sweep(const std::shared_ptr<HttpServer>& aServer)
 {
   aServer->mSweeping = !aServer->mConnections.empty();
@@ -208,6 +223,7 @@
   aServer->mSweep.async_wait([aServer](const boost::system::error_code&) {
     const auto now = Clock::now();
     for (auto* connection : aServer->mConnections) {
+      UpdateProgress(*connection, now);
       // A request that has arrived in time is read, even if the process was too slow to see it.
       if (connection->mCloseAt > now ||
           (connection->mPhase == Phase::Idle && HasInput(connection->mStream.mSocket))) {
@@ -426,29 +442,55 @@
   aSocket.shutdown(Socket::shutdown_send, ec);
 }
 
-/// Whether one connection is replaced rather than another. A body may take some time, so
-/// connections in one come last; otherwise the one that has waited longest is replaced.
+/// The order in which connections are replaced by new ones, lowest first; nothing while a request
+/// is being handled.
+std::optional<int> ReplacementRank(Phase aPhase)
+{
+  switch (aPhase) {
+    case Phase::Lingering:
+      return 0; // Its last response has been written.
+    case Phase::Idle:
+    case Phase::Header:
+      return 1;
+    case Phase::Body:
+      return 2; // May take some time.
+    case Phase::Writing:
+      return 3; // Without the rest of the response, the caller has to assume that the job ran.
+    case Phase::Handling:
+      break;
+  }
+  return std::nullopt;
+}
+
+/// Whether one connection is replaced rather than another. Both must have a rank.
 bool IsReplacedFirst(const HttpConnection& aOne, const HttpConnection& aOther)
 {
-  const bool isInBody = aOne.mPhase == Phase::Body;
-  return isInBody != (aOther.mPhase == Phase::Body) ? !isInBody
-                                                    : aOne.mPhaseStart < aOther.mPhaseStart;
+  return std::pair(ReplacementRank(aOne.mPhase), aOne.mWaitStart) <
+         std::pair(ReplacementRank(aOther.mPhase), aOther.mWaitStart);
+}
+
+/// Whether the next step is the caller's: it has sent nothing that could be read, does not read the
+/// response, or does not close.
+bool WaitsForCaller(HttpConnection& aConnection)
+{
+  return aConnection.mPhase == Phase::Writing || aConnection.mPhase == Phase::Lingering ||
+         !HasInput(aConnection.mStream.mSocket);
 }
 
-/// Closes the connection that has waited longest for a request or for the rest of one, so that
-/// connections without complete requests cannot keep callers out. Returns false if there is none.
+/// Closes a connection that has waited for its caller for some time, so that callers that neither
+/// complete their requests nor read the responses cannot keep others out. Returns false if there is
+/// none.
 bool MakeRoom(HttpServer& aServer)
 {
   HttpConnection* chosen = nullptr;
   const auto latest = Clock::now() - aServer.mOptions.mMinWaitToReplace;
   for (auto* connection : aServer.mConnections) {
-    const bool waits = connection->mPhase == Phase::Idle || connection->mPhase == Phase::Header ||
-                       connection->mPhase == Phase::Body;
-    if (!waits || connection->mAbortReason != nullptr || connection->mPhaseStart > latest) {
+    if (!ReplacementRank(connection->mPhase) || connection->mAbortReason != nullptr ||
+        connection->mWaitStart > latest) {
       continue;
     }
     const bool isFirst = chosen == nullptr || IsReplacedFirst(*connection, *chosen);
-    if (isFirst && !HasInput(connection->mStream.mSocket)) {
+    if (isFirst && WaitsForCaller(*connection)) {
       chosen = connection;
     }
   }
