dispatch: free the tasks of ended jobs

Cause: `vector = {}` assigns an empty initializer list and keeps the vector's memory. Each ended job kept the array of its tasks, 20 KB for 190 of them, for as long as its answer was kept; likewise slices, waiters and racks.

Change: FreeMemory swaps with an empty container.

Why it works: the memory goes back with the job's end, as ReleaseTasks meant.

--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include <pollenwall/free_memory.h>
+
 #include "state.h"
 
 namespace pollenwall::dispatch {
@@ -133,7 +135,7 @@
 void ReleaseTasks(Job& aJob)
 {
   if (aJob.mState != JobState::Running && aJob.mOutstanding == 0) {
-    aJob.mTasks = {};
+    FreeMemory(aJob.mTasks);
   }
 }
 
@@ -144,7 +146,7 @@
   for (const auto slice : aJob.mSlices) {
     queue::DropSlice(queue, slice);
   }
-  aJob.mSlices = {};
+  FreeMemory(aJob.mSlices);
   AdjustQueuedWork(aState, aJob, false, -aJob.mQueuedWork[0]);
   AdjustQueuedWork(aState, aJob, true, -aJob.mQueuedWork[1]);
   AdjustQueuedTasks(aState, aJob, 0, aJob.mQueued + aJob.mDelayed);
@@ -220,7 +222,7 @@
     answer.mVerdict = Combine(answer.mVerdict, task.mAnswer.mVerdict);
     answer.mTasks.push_back(std::move(task.mAnswer));
     if (aEndState != JobState::Complete) {
-      answer.mTasks.back().mResult = {};
+      FreeMemory(answer.mTasks.back().mResult);
     }
   }
   if (aError) {
@@ -232,10 +234,10 @@
     aState.mJobByRequest.erase(request);
     aActions.emplace_back(Answer{ request, answer });
   }
-  job.mWaiters = {};
+  FreeMemory(job.mWaiters);
   aActions.emplace_back(Finished{ answer.mId, aEndState, answer.mVerdict });
   job.mSpec.reset();
-  job.mRacks = {};
+  FreeMemory(job.mRacks);
   RetainAnswer(aState, aIndex, aNow);
   ReleaseTasks(job);
 }
--- a/src/libdispatch/task_queue.cpp
+++ b/src/libdispatch/task_queue.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <pollenwall/free_memory.h>
+
 namespace pollenwall::queue {
 namespace {
 
@@ -179,7 +181,7 @@
   auto& slice = aQueue.mSlices[aSlice];
   RemoveFromHeaps(aQueue, aSlice);
   CountTasks(aQueue, slice, 0, slice.mTasks.size());
-  slice.mTasks = {};
+  FreeMemory(slice.mTasks);
   aQueue.mFreeSlices.push_back(aSlice);
 }
 
