entry: answers on the platform say how a job ended, not how each task did

Seen by callers: an entry held 97 MiB after 7,200 refused jobs of 190 tasks, and one of two entries 108 MiB (of 48) after it had answered for the other: at 120 MB a client ends the process this way.

Cause: an answer has 48 bytes for each task, 9 KB for 190. Three places keep it: the dispatcher for answer_retention_ms, the reply to the other entry for 10 s, and the message itself. On the platform nobody reads it.

Change: dispatch::Options::mTaskAnswers, off on the platform. Without it the answer has the state, the verdict and the error. The caller API of the entry without the platform is unchanged.

Why it works: what is kept for an ended job no longer depends on the number of its tasks.

--- a/src/include/pollenwall/dispatch.h
+++ b/src/include/pollenwall/dispatch.h
@@ -46,6 +46,8 @@
   /// Slot seconds of remaining work that are discounted for each second of waiting when jobs are
   /// ordered; bounds the wait of large jobs behind small ones.
   double mAgeingRate = 4;
+  /// Whether answers have an outcome for each task. Without, they say only how the job ended.
+  bool mTaskAnswers = true;
   /// Limit on the results of ended jobs that are retained for resubmissions. Beyond it the oldest
   /// results are dropped, and a resubmission is answered that the job ran, without results.
   std::size_t mMaxRetainedResultBytes = std::size_t{ 256 } << 20;
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -201,7 +201,9 @@
   auto& answer = job.mAnswer;
   answer.mId = *job.mId;
   answer.mState = aEndState;
-  answer.mTasks.reserve(job.mTasks.size());
+  if (aState.mOptions.mTaskAnswers) {
+    answer.mTasks.reserve(job.mTasks.size());
+  }
   // When one task fails the job, its other tasks are reported as cancelled.
   const auto code =
     aError && aError->mCode != ErrorCode::Expired && aError->mCode != ErrorCode::DeadlineUnreachable
@@ -220,6 +222,9 @@
     }
     task.mPhase = Phase::Ended;
     answer.mVerdict = Combine(answer.mVerdict, task.mAnswer.mVerdict);
+    if (!aState.mOptions.mTaskAnswers) {
+      continue;
+    }
     answer.mTasks.push_back(std::move(task.mAnswer));
     if (aEndState != JobState::Complete) {
       FreeMemory(answer.mTasks.back().mResult);
@@ -771,15 +776,20 @@
 }
 
 /// Answers a submission whose job was given up, maybe by another entry, for crashing upstreams.
-void AnswerDeadlyJob(const Submit& aEvent, std::uint32_t aTask, Actions& aActions)
+void AnswerDeadlyJob(const State& aState,
+                     const Submit& aEvent,
+                     std::uint32_t aTask,
+                     Actions& aActions)
 {
   if (aEvent.mRequest == 0) {
     return;
   }
   JobAnswer answer{ aEvent.mJob.mId, JobState::Failed, Verdict::MayHaveRun, {}, {} };
-  answer.mTasks.assign(aEvent.mJob.mTasks.size(),
-                       { Verdict::MayHaveRun, ErrorCode::Cancelled, "" });
-  answer.mTasks[aTask].mCode = ErrorCode::TaskFailed;
+  if (aState.mOptions.mTaskAnswers) {
+    answer.mTasks.assign(aEvent.mJob.mTasks.size(),
+                         { Verdict::MayHaveRun, ErrorCode::Cancelled, "" });
+    answer.mTasks[aTask].mCode = ErrorCode::TaskFailed;
+  }
   answer.mError = DeadlyTaskError(aTask);
   aActions.emplace_back(Answer{ aEvent.mRequest, std::move(answer) });
 }
@@ -789,7 +799,7 @@
   const auto& spec = aEvent.mJob;
   const auto deadly = crashes::FindDeadlyTask(aState.mCrashes, spec.mId);
   if (deadly && *deadly < spec.mTasks.size()) { // Otherwise the id now names another job.
-    return AnswerDeadlyJob(aEvent, *deadly, aActions);
+    return AnswerDeadlyJob(aState, aEvent, *deadly, aActions);
   }
   const auto refuse = [&](Error aError) {
     ++aState.mCounts.mJobsRefused;
--- a/src/libentry/entry.cpp
+++ b/src/libentry/entry.cpp
@@ -298,6 +298,7 @@
   auto options = aOptions;
   options.mDispatch.mDataCentre = aOptions.mDataCentre;
   options.mDispatch.mExclusiveUpstreams = true;
+  options.mDispatch.mTaskAnswers = false; // Callers are told only how their job ended.
   options.mHolding.mTokenSalt = static_cast<std::uint16_t>(aOptions.mIncarnation.mValue);
   auto state = std::unique_ptr<State, void (*)(State*)>(
     new State{ .mOptions = options,
