dispatch: forget needs that no job has any more

Seen by callers: after 40 connections had sent jobs of which no two need the same cores and memory, the entry held 88 MiB of its 48, for good. It also slowed down: the crowd, which ends with its last answer, took 40 s and was cut off by the test's limit; each decision looks through all groups.

Cause: the queue has a group with two lanes for each combination of rounded needs. A group was added for each new one, also for jobs that were refused, and none was ever removed. A machine of 64 cores and 128 GB has over 50,000 combinations.

Change: from 512 groups on, one without jobs is used for the new needs. A group counts the slices of its lanes, so one with a waiting or running job is kept; one that a reservation names or that the job being built uses is not taken either.

Why it works: the number of groups is at most 512 or that of the jobs that are there.

--- a/src/libdispatch/accept.cpp
+++ b/src/libdispatch/accept.cpp
@@ -23,26 +23,60 @@
 /// Fraction of a worker's millicores that is in use when it is full. This is about the value for
 /// tasks that need a third to a half of a worker.
 constexpr double kPackingEfficiency = 0.85;
+/// Groups of needs that a service keeps without jobs; more than the needs of ordinary callers have
+/// distinct values.
+constexpr std::uint32_t kMaxUnusedGroups = 512;
 
-/// The index of the group with these rounded needs, which a configured worker must meet.
+/// Whether the group can stand for other needs: no job refers to it, not even the one that is being
+/// built.
+bool IsUnused(const State& aState, const Service& aService, std::uint32_t aGroup)
+{
+  const auto& group = aService.mGroups[aGroup];
+  return group.mSlices == 0 && group.mUsedFor != aState.mBuiltJobs &&
+         std::none_of(aService.mReservations.begin(),
+                      aService.mReservations.end(),
+                      [aGroup](const auto& aRecord) { return aRecord.mLane / 2 == aGroup; });
+}
+
+/// The index of a group to be filled: an unused one if there are many, otherwise a new one.
+std::uint32_t TakeGroup(const State& aState, Service& aService)
+{
+  const auto count = static_cast<std::uint32_t>(aService.mGroups.size());
+  for (std::uint32_t n = 0; count >= kMaxUnusedGroups && n < count; ++n) {
+    if (!IsUnused(aState, aService, n)) {
+      continue;
+    }
+    aService.mNoReservationBefore.erase(2 * n);
+    aService.mNoReservationBefore.erase(2 * n + 1);
+    return n;
+  }
+  aService.mGroups.emplace_back();
+  return count;
+}
+
+/// The index of the group with these rounded needs, which a configured worker must meet. Callers
+/// choose the needs, so groups without jobs are used again.
 std::uint32_t FindOrAddGroup(State& aState, ServiceIndex aService, const Needs& aRounded)
 {
-  auto& groups = aState.mServices[aService].mGroups;
+  auto& service = aState.mServices[aService];
+  auto& groups = service.mGroups;
   const auto it = std::find_if(groups.begin(), groups.end(), [&](const NeedsGroup& aGroup) {
     return aGroup.mNeeds == aRounded;
   });
   if (it != groups.end()) {
+    it->mUsedFor = aState.mBuiltJobs;
     return static_cast<std::uint32_t>(it - groups.begin());
   }
-  NeedsGroup group{ aRounded, {} };
+  NeedsGroup group{ aRounded, {}, 0, aState.mBuiltJobs };
   const auto& shapes = aState.mPlacement.mPools[aService].mShapes;
   for (placement::ShapeIndex n = 0; n < shapes.size(); ++n) {
     if (placement::MeetsNeeds(shapes[n].mCapacity, aRounded)) {
       group.mShapes.push_back(n);
     }
   }
-  groups.push_back(std::move(group));
-  return static_cast<std::uint32_t>(groups.size() - 1);
+  const auto n = TakeGroup(aState, service);
+  groups[n] = std::move(group);
+  return n;
 }
 
 /// Inflow of work that is served before the job, in seconds of run time per second.
@@ -190,6 +224,7 @@
 std::optional<Job> BuildJob(State& aState, const Submit& aEvent, const Now& aNow)
 {
   const auto& spec = aEvent.mJob;
+  ++aState.mBuiltJobs;
   Job job;
   job.mService = aState.mPlacement.mServices.find(spec.mService)->second;
   job.mTeam = aState.mTeamByName.find(spec.mTeam)->second;
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -142,8 +142,10 @@
 /// Removes all queued and delayed tasks of the job.
 void RemoveFromQueue(State& aState, Job& aJob)
 {
-  auto& queue = aState.mServices[aJob.mService].mQueue;
+  auto& service = aState.mServices[aJob.mService];
+  auto& queue = service.mQueue;
   for (const auto slice : aJob.mSlices) {
+    --service.mGroups[queue.mSlices[slice].mLane / 2].mSlices;
     queue::DropSlice(queue, slice);
   }
   FreeMemory(aJob.mSlices);
@@ -154,6 +156,17 @@
   aJob.mDelayed = 0;
 }
 
+void ForgetJob(State& aState, JobIndex aIndex)
+{
+  auto& job = aState.mJobs[aIndex];
+  aState.mRetainedResultBytes -= job.mResultBytes;
+  aState.mJobByName.erase(aState.mJobByName.find(*job.mId));
+  const auto generation = job.mGeneration + 1;
+  job = Job{};
+  job.mGeneration = generation;
+  aState.mFreeJobs.push_back(aIndex);
+}
+
 void RetainAnswer(State& aState, JobIndex aIndex, const Now& aNow)
 {
   auto& job = aState.mJobs[aIndex];
@@ -262,17 +275,6 @@
          aActions);
 }
 
-void ForgetJob(State& aState, JobIndex aIndex)
-{
-  auto& job = aState.mJobs[aIndex];
-  aState.mRetainedResultBytes -= job.mResultBytes;
-  aState.mJobByName.erase(aState.mJobByName.find(*job.mId));
-  const auto generation = job.mGeneration + 1;
-  job = Job{};
-  job.mGeneration = generation;
-  aState.mFreeJobs.push_back(aIndex);
-}
-
 // Starts.
 
 void Start(State& aState,
@@ -713,6 +715,7 @@
     it->second.push_back(n);
   }
   for (auto& [lane, tasks] : lanes) {
+    ++aState.mServices[job.mService].mGroups[lane / 2].mSlices;
     job.mSlices.push_back(queue::AddSlice(queue, lane, job.mTeam, aIndex, key, std::move(tasks)));
   }
 }
--- a/src/libdispatch/dispatch_test.cpp
+++ b/src/libdispatch/dispatch_test.cpp
@@ -120,6 +120,7 @@
   using namespace pollenwall::test;
   bool passed = QueueTests();
   passed &= PolicyTests();
+  passed &= MemoryTests();
   passed &= ShortageTests();
   passed &= InvariantTests();
   passed &= LookAheadTests();
--- a/src/libdispatch/dispatch_test.h
+++ b/src/libdispatch/dispatch_test.h
@@ -92,6 +92,7 @@
 // The tests of each file; true when they pass.
 bool InvariantTests();
 bool LookAheadTests();
+bool MemoryTests();
 bool PolicyTests();
 bool QueueTests();
 bool ShortageTests();
--- a/src/libdispatch/queries.cpp
+++ b/src/libdispatch/queries.cpp
@@ -388,6 +388,7 @@
     const auto& pool = aState.mPlacement.mPools[n];
     services.push_back({ { "name", pool.mName },
                          { "queued", service.mQueue.mTasks },
+                         { "needs_groups", service.mGroups.size() },
                          { "queued_work_ms", service.mQueue.mWork[0] / 1000 },
                          { "queued_long_work_ms", service.mQueue.mWork[1] / 1000 },
                          { "running_short", service.mRunning[0] },
--- a/src/libdispatch/state.h
+++ b/src/libdispatch/state.h
@@ -120,6 +120,8 @@
   bool mEverStarted = false;
   JobAnswer mAnswer; ///< Once the job has ended.
   std::size_t mResultBytes = 0;
+  std::size_t mBytes =
+    0; ///< Counted in State::mJobBytes, or after the job's end in mEndedJobBytes.
 };
 
 /// Tasks whose needs are equal after rounding.
@@ -127,6 +129,8 @@
 {
   Needs mNeeds;
   std::vector<placement::ShapeIndex> mShapes;
+  std::uint32_t mSlices = 0;  ///< Slices of jobs in its two lanes, also those without queued tasks.
+  std::uint64_t mUsedFor = 0; ///< State::mBuiltJobs when a job was last built with it.
 };
 
 /// The most significant parts of queue::JobKey.
@@ -260,6 +264,7 @@
   std::unordered_map<std::string, JobIndex, IdHash, std::equal_to<>> mJobByName;
   std::unordered_map<RequestId, JobIndex> mJobByRequest;
   std::uint64_t mNextSequence = 0;
+  std::uint64_t mBuiltJobs = 0; ///< By BuildJob, also those that are refused afterwards.
   std::vector<Attempt> mAttempts;
   std::vector<std::uint32_t> mFreeAttempts;
   std::vector<std::vector<std::uint32_t>> mAttemptsByUpstream; ///< Only with mLookAhead.
@@ -273,7 +278,7 @@
   std::deque<JobTimer> mEndedJobs;       ///< In the order in which they ended.
   std::deque<JobTimer> mRetainedResults; ///< The ended jobs that hold results.
   std::size_t mRetainedResultBytes = 0;
-  std::size_t mQueuedTasks = 0; ///< Including delayed ones.
+  std::size_t mQueuedTasks = 0;        ///< Including delayed ones.
   std::size_t mRunningTasks = 0;
   admission::RetryBudget mRetryBudget;
   crashes::State mCrashes;
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -95,7 +95,7 @@
   std::string mLabel; ///< Label of this listener's metrics.
   std::list<HttpConnection*> mConnections;
   Clock::time_point mLastArrival; ///< Time of the last new connection or request.
-  std::size_t mReleasesDue = 0; ///< Connections that are to end with their next response.
+  std::size_t mReleasesDue = 0;   ///< Connections that are to end with their next response.
   bool mSweeping = false;
   bool mKeepAliveDisabled = false;
 };
@@ -370,8 +370,7 @@
 /// Otherwise connections with a request at all times would keep others out for good.
 bool TakeRelease(HttpServer& aServer)
 {
-  if (aServer.mReleasesDue == 0 ||
-      aServer.mConnections.size() < aServer.mOptions.mMaxConnections) {
+  if (aServer.mReleasesDue == 0 || aServer.mConnections.size() < aServer.mOptions.mMaxConnections) {
     return false;
   }
   --aServer.mReleasesDue;
