dispatch: results that are dropped free their memory, and their limit follows from the machine's

Seen by callers: an entry without the platform held 87 MiB of its 48 after 64 jobs with results of 1 MiB.

The limit was 256 MiB whatever http.memory_mb said. Beyond it, results were dropped by `string = {}`, which keeps their memory, so even a lower limit would have freed nothing.

Change: FreeMemory; SetMemoryLimits sets the limit to a sixteenth of http.memory_mb. With the default of 1024 that is 64 MiB, at 3,000 jobs a second and 60 s of retention 370 bytes of results for each job.

Why it works: beyond the limit the oldest results go, and a status call says that the job ran and that its results are not kept, as before.

--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -196,7 +196,7 @@
     old.mAnswer.mError =
       MakeError(ErrorCode::UnknownJob, Verdict::Ran, "The job ran; its results are not kept.");
     for (auto& task : old.mAnswer.mTasks) {
-      task.mResult = {};
+      FreeMemory(task.mResult);
     }
   }
 }
--- a/src/pollenwalld/resource_limits.cpp
+++ b/src/pollenwalld/resource_limits.cpp
@@ -3,6 +3,11 @@
 #include <sys/resource.h>
 
 namespace pollenwall::daemon {
+namespace {
+
+constexpr std::size_t kMebibyte = 1024 * 1024;
+
+} // namespace
 
 void SetResourceLimits(DaemonContext& aDaemon)
 {
@@ -19,6 +24,12 @@
   aDaemon.mPeerBudget->mMaxBytes = aDaemon.mLimits.mPeerBufferBytes;
 }
 
+void SetMemoryLimits(dispatch::Options& aOptions, std::size_t aMemoryMb)
+{
+  const auto memory = aMemoryMb * kMebibyte;
+  aOptions.mMaxRetainedResultBytes = memory / 16;
+}
+
 net::HttpServerOptions MakeHttpOptions(const DaemonContext& aDaemon,
                                        std::string aName,
                                        const settings::Endpoint& aListen)
--- a/src/pollenwalld/resource_limits.h
+++ b/src/pollenwalld/resource_limits.h
@@ -10,6 +10,9 @@
 /// Derives the bounds from the settings and the descriptor limit of the process.
 void SetResourceLimits(DaemonContext& aDaemon);
 
+/// Sets the limits of memory of the decision core from the memory of the machine.
+void SetMemoryLimits(dispatch::Options& aOptions, std::size_t aMemoryMb);
+
 /// Options of an HTTP server with the timeouts, the limit of trailers and the budget of the
 /// process.
 net::HttpServerOptions MakeHttpOptions(const DaemonContext& aDaemon,
