node: the limit of remembered refusals follows from the memory of the machine

Seen by callers: an entry without the platform held 78 MiB of its 48 after 100,000 refused jobs with ids of 124 characters chosen by the caller.

Cause: a refusal of such an id is remembered so that a later copy does not run. The limit of 200,000 was not derived from the memory; they take 640 bytes each.

Change: node::Options::mMaxRefusals, a sixteenth of http.memory_mb and at most 200,000 (104,857 with the default of 1024). Beyond it a refusal says that the job may have run, as before.

Why it works: the refusal that can't be remembered makes no promise that would have to be kept.

--- a/src/include/pollenwall/node.h
+++ b/src/include/pollenwall/node.h
@@ -43,6 +43,9 @@
   /// Maximum number of submissions in each list that the journal keeps in memory: those to be
   /// appended, those that ended here, and those of other entries.
   std::size_t mJournalBufferRecords = 100000;
+  /// Maximum number of remembered refusals. Beyond it a refusal reports "may have run", because a
+  /// later copy of the submission could run.
+  std::size_t mMaxRefusals = 200000;
   dispatch::Options mDispatch;
 };
 
--- a/src/libnode/routing.cpp
+++ b/src/libnode/routing.cpp
@@ -15,10 +15,6 @@
 /// Callers that the load balancer still sends after a planned stop began are served for this long.
 constexpr std::chrono::milliseconds kDrainGracePeriod{ 1000 };
 
-/// Maximum number of remembered refusals. Beyond it a refusal reports "may have run", because a
-/// later copy of the submission could run.
-constexpr std::size_t kMaxRefusals = 200000;
-
 enum class JobRequestKind
 {
   Status,
@@ -221,7 +217,7 @@
                        const Now& aNow,
                        Actions& aActions)
 {
-  if (aState.mRefusals.size() >= kMaxRefusals) {
+  if (aState.mRefusals.size() >= aState.mOptions.mMaxRefusals) {
     aError.mVerdict = Verdict::MayHaveRun;
     return AnswerOrigin(aState, aOrigin, std::move(aError), aActions);
   }
--- a/src/pollenwalld/main.cpp
+++ b/src/pollenwalld/main.cpp
@@ -115,7 +115,7 @@
 node::Options MakeNodeOptions(const settings::Settings& aSettings)
 {
   auto options = aSettings.mNode;
-  SetMemoryLimits(options.mDispatch, aSettings.mHttp.mMemoryMb);
+  SetMemoryLimits(options, aSettings.mHttp.mMemoryMb);
   std::random_device random;
   options.mIncarnation = MakeIncarnation(ReadClocks().mUnixMs, random());
   options.mSeed = (std::uint64_t{ random() } << 32) | random();
--- a/src/pollenwalld/resource_limits.cpp
+++ b/src/pollenwalld/resource_limits.cpp
@@ -1,11 +1,15 @@
 #include "resource_limits.h"
 
+#include <algorithm>
+
 #include <sys/resource.h>
 
 namespace pollenwall::daemon {
 namespace {
 
 constexpr std::size_t kMebibyte = 1024 * 1024;
+/// Memory of a remembered refusal with an id of 128 characters, which is stored twice.
+constexpr std::size_t kRefusalBytes = 640;
 
 } // namespace
 
@@ -30,6 +34,13 @@
   aOptions.mMaxRetainedResultBytes = memory / 16;
 }
 
+void SetMemoryLimits(node::Options& aOptions, std::size_t aMemoryMb)
+{
+  SetMemoryLimits(aOptions.mDispatch, aMemoryMb);
+  aOptions.mMaxRefusals =
+    std::min(aOptions.mMaxRefusals, aMemoryMb * kMebibyte / 16 / kRefusalBytes);
+}
+
 net::HttpServerOptions MakeHttpOptions(const DaemonContext& aDaemon,
                                        std::string aName,
                                        const settings::Endpoint& aListen)
--- a/src/pollenwalld/resource_limits.h
+++ b/src/pollenwalld/resource_limits.h
@@ -12,6 +12,7 @@
 
 /// Sets the limits of memory of the decision core from the memory of the machine.
 void SetMemoryLimits(dispatch::Options& aOptions, std::size_t aMemoryMb);
+void SetMemoryLimits(node::Options& aOptions, std::size_t aMemoryMb);
 
 /// Options of an HTTP server with the timeouts, the limit of trailers and the budget of the
 /// process.
