dispatch: bound the memory of accepted jobs

Seen by callers: an entry without the platform held 79 MiB of its 48 with 64 queued jobs of 1 MiB, whose callers do not wait; dispatch.max_queued_tasks allows 200,000 of them.

Cause: the limit on queued jobs counts tasks, not bytes.

Change: the dispatcher estimates the memory of each accepted job until its end: its record, its tasks, its payloads, of which equal ones of a job count once. Beyond an eighth of http.memory_mb submissions are refused (overloaded, not run, with Retry-After); a job that alone exceeds it gets too_large at once.

Why it works: what callers can queue is bounded by bytes, whatever the shape of their jobs. With 120 MB a holder has room for about 3,000 jobs of 8 tasks, or 400 of 190.

--- a/src/include/pollenwall/dispatch.h
+++ b/src/include/pollenwall/dispatch.h
@@ -51,6 +51,9 @@
   /// Limit on the results of ended jobs that are retained for resubmissions. Beyond it the oldest
   /// results are dropped, and a resubmission is answered that the job ran, without results.
   std::size_t mMaxRetainedResultBytes = std::size_t{ 256 } << 20;
+  /// Limit on the estimated memory of accepted jobs that have not ended. Submissions beyond it are
+  /// refused.
+  std::size_t mMaxJobBytes = std::size_t{ 256 } << 20;
   /// Initial capacity of the job table: the jobs in it at 3,000 jobs a second and the default
   /// retention of answers, rounded up.
   std::size_t mExpectedJobs = std::size_t{ 1 } << 18;
--- a/src/libdispatch/accept.cpp
+++ b/src/libdispatch/accept.cpp
@@ -26,6 +26,10 @@
 /// Groups of needs that a service keeps without jobs; more than the needs of ordinary callers have
 /// distinct values.
 constexpr std::uint32_t kMaxUnusedGroups = 512;
+/// Memory of a job beside its record and its tasks: its id, nodes of tables, slices, timers.
+constexpr std::size_t kJobOverheadBytes = 512;
+/// The memory for jobs is freed by jobs that end, which are short.
+constexpr std::chrono::milliseconds kMemoryRetryAfter{ 200 };
 
 /// Whether the group can stand for other needs: no job refers to it, not even the one that is being
 /// built.
@@ -221,6 +225,35 @@
   return std::nullopt;
 }
 
+std::size_t JobBytes(const JobSpec& aSpec)
+{
+  std::size_t bytes = sizeof(Job) + sizeof(JobSpec) + kJobOverheadBytes +
+                      aSpec.mTasks.size() * (sizeof(Task) + sizeof(TaskSpec));
+  const std::string* last = nullptr;
+  for (const auto& task : aSpec.mTasks) {
+    const auto* text = &task.mPayload.Text();
+    bytes += text == last ? 0 : text->size();
+    last = text;
+  }
+  return bytes;
+}
+
+std::optional<Error> CheckMemory(State& aState, const Submit& aEvent)
+{
+  const auto& options = aState.mOptions;
+  const auto bytes = JobBytes(aEvent.mJob);
+  if (bytes > options.mMaxJobBytes) {
+    return MakeError(
+      ErrorCode::TooLarge, Verdict::NotRun, "The job exceeds the memory for all jobs.");
+  }
+  if (aState.mJobBytes + bytes <= options.mMaxJobBytes) {
+    return std::nullopt;
+  }
+  auto error = MakeError(ErrorCode::Overloaded, Verdict::NotRun, "The memory for jobs is used up.");
+  error.mRetryAfter = admission::RetryAfter(kMemoryRetryAfter, aState.mRandom);
+  return error;
+}
+
 std::optional<Job> BuildJob(State& aState, const Submit& aEvent, const Now& aNow)
 {
   const auto& spec = aEvent.mJob;
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -160,6 +160,7 @@
 {
   auto& job = aState.mJobs[aIndex];
   aState.mRetainedResultBytes -= job.mResultBytes;
+  aState.mJobBytes -= job.mBytes;
   aState.mJobByName.erase(aState.mJobByName.find(*job.mId));
   const auto generation = job.mGeneration + 1;
   job = Job{};
@@ -172,6 +173,7 @@
   auto& job = aState.mJobs[aIndex];
   const JobTimer timer{ aNow.mTime + aState.mOptions.mAnswerRetention, aIndex, job.mGeneration, 0 };
   aState.mEndedJobs.push_back(timer);
+  aState.mJobBytes -= std::exchange(job.mBytes, 0);
   for (const auto& task : job.mAnswer.mTasks) {
     job.mResultBytes += task.mResult.size();
   }
@@ -848,6 +850,9 @@
   if (auto error = CheckSpec(aState, spec)) {
     return refuse(std::move(*error));
   }
+  if (auto error = CheckMemory(aState, aEvent)) {
+    return refuse(std::move(*error));
+  }
   CountDemand(aState.mTeams[aState.mTeamByName.find(spec.mTeam)->second], spec.mTasks.size(), aNow);
   auto job = BuildJob(aState, aEvent, aNow);
   if (!job) {
@@ -874,6 +879,8 @@
   job->mId = &aState.mJobByName.emplace(spec.mId, index).first->first;
   job->mSequence = aState.mNextSequence++;
   job->mSpec = std::make_shared<const JobSpec>(spec);
+  job->mBytes = JobBytes(spec);
+  aState.mJobBytes += job->mBytes;
   aState.mJobs[index] = std::move(*job);
   aState.mDeadlineTimers.push(
     { aState.mJobs[index].mDeadline, index, aState.mJobs[index].mGeneration, 0 });
--- a/src/libdispatch/memory_test.cpp
+++ b/src/libdispatch/memory_test.cpp
@@ -37,6 +37,39 @@
   return refusals.empty() ? std::nullopt : std::optional(refusals[0].mError);
 }
 
+bool IsRetryLater(const std::optional<Error>& aError)
+{
+  return aError && aError->mCode == ErrorCode::Overloaded && aError->mVerdict == Verdict::NotRun &&
+         aError->mRetryAfter;
+}
+
+/// Guards against queued jobs whose payloads exceed the memory, although their number is small.
+bool JobsShareMemory()
+{
+  auto fixture = MakeFixture({ .mWorkers = 1, .mSlots = 1 },
+                             { .mDataCentre = "dc", .mMaxJobBytes = 4 * kMebibyte });
+  std::vector<StartTask> starts;
+  std::optional<Error> refusal;
+  std::size_t accepted = 0;
+  while (!refusal && accepted < 100) {
+    refusal = Submit(fixture, MakeJob(fixture, std::string(kMebibyte, 'p')));
+    accepted += refusal ? 0 : 1;
+    const auto started = ActionsOf<StartTask>(fixture.mActions);
+    starts.insert(starts.end(), started.begin(), started.end());
+  }
+  bool passed = Expect(accepted == 3 && IsRetryLater(refusal), "beyond the limit jobs are refused");
+  passed &= Expect(!Submit(fixture, MakeJob(fixture, "p")), "a small job is accepted beside them");
+  Handle(fixture, Ended(starts.at(0), RanWell()));
+  passed &= Expect(!Submit(fixture, MakeJob(fixture, std::string(kMebibyte, 'p'))),
+                   "the end of a job makes room for another one");
+  const auto large = Submit(fixture, MakeJob(fixture, std::string(5 * kMebibyte, 'p')));
+  passed &= Expect(large && large->mCode == ErrorCode::TooLarge && !large->mRetryAfter,
+                   "a job that can never fit is not asked to come back");
+  auto shared = MakeJob(fixture, std::string(kMebibyte / 2, 'p'));
+  shared.mTasks.resize(100, shared.mTasks[0]);
+  return passed && Expect(!Submit(fixture, std::move(shared)), "a shared payload counts once");
+}
+
 std::size_t GroupsIn(const Fixture& aFixture)
 {
   const std::string key = "\"needs_groups\":";
@@ -104,7 +137,9 @@
 
 bool MemoryTests()
 {
-  return NeedsAreForgotten();
+  bool passed = JobsShareMemory();
+  passed &= NeedsAreForgotten();
+  return passed;
 }
 
 } // namespace pollenwall::test
--- a/src/libdispatch/state.h
+++ b/src/libdispatch/state.h
@@ -278,6 +278,7 @@
   std::deque<JobTimer> mEndedJobs;       ///< In the order in which they ended.
   std::deque<JobTimer> mRetainedResults; ///< The ended jobs that hold results.
   std::size_t mRetainedResultBytes = 0;
+  std::size_t mJobBytes = 0; ///< Of accepted jobs that have not ended.
   std::size_t mQueuedTasks = 0;        ///< Including delayed ones.
   std::size_t mRunningTasks = 0;
   admission::RetryBudget mRetryBudget;
@@ -301,6 +302,13 @@
 /// Checks a job regardless of load. Returns the reason for a refusal.
 std::optional<Error> CheckSpec(const State& aState, const JobSpec& aSpec);
 
+/// Estimated memory of an accepted job until its end, with its payloads. Equal payloads of a job
+/// that follow each other share their memory.
+std::size_t JobBytes(const JobSpec& aSpec);
+
+/// Checks a submission against the limits of memory. Returns the reason for a refusal.
+std::optional<Error> CheckMemory(State& aState, const Submit& aEvent);
+
 /// Builds the job with the run time estimates of its tasks; nothing when a task needs more than any
 /// worker of the service has.
 std::optional<Job> BuildJob(State& aState, const Submit& aEvent, const Now& aNow);
--- a/src/pollenwalld/resource_limits.cpp
+++ b/src/pollenwalld/resource_limits.cpp
@@ -31,6 +31,7 @@
 void SetMemoryLimits(dispatch::Options& aOptions, std::size_t aMemoryMb)
 {
   const auto memory = aMemoryMb * kMebibyte;
+  aOptions.mMaxJobBytes = memory / 8;
   aOptions.mMaxRetainedResultBytes = memory / 16;
 }
 
