--- a/src/include/pollenwall/dispatch.h
+++ b/src/include/pollenwall/dispatch.h
@@ -51,6 +51,9 @@
   /// Limit on the results of ended jobs that are retained for resubmissions. Beyond it the oldest
   /// results are dropped, and a resubmission is answered that the job ran, without results.
   std::size_t mMaxRetainedResultBytes = std::size_t{ 256 } << 20;
+  /// Limit on the records of ended jobs. Beyond it, records of jobs of which no copy can arrive are
+  /// dropped early, the oldest first, and submissions of which copies can arrive are refused.
+  std::size_t mMaxEndedJobBytes = std::size_t{ 256 } << 20;
   /// Limit on the estimated memory of accepted jobs that have not ended. Submissions beyond it are
   /// refused.
   std::size_t mMaxJobBytes = std::size_t{ 256 } << 20;
@@ -78,6 +81,9 @@
 {
   RequestId mRequest = 0;
   JobSpec mJob;
+  /// Whether copies of the submission can arrive after the job's end, so that the job must be known
+  /// until Options::mAnswerRetention has passed.
+  bool mCanRepeat = true;
 };
 
 /// Waits for the answer of a known job; answered immediately when the job has ended.
--- a/src/libdispatch/accept.cpp
+++ b/src/libdispatch/accept.cpp
@@ -238,7 +238,12 @@
   return bytes;
 }
 
-std::optional<Error> CheckMemory(State& aState, const Submit& aEvent)
+std::size_t EndedJobBytes(const Job& aJob)
+{
+  return sizeof(Job) + kJobOverheadBytes + aJob.mAnswer.mTasks.size() * sizeof(TaskAnswer);
+}
+
+std::optional<Error> CheckMemory(State& aState, const Submit& aEvent, const Now& aNow)
 {
   const auto& options = aState.mOptions;
   const auto bytes = JobBytes(aEvent.mJob);
@@ -246,11 +251,17 @@
     return MakeError(
       ErrorCode::TooLarge, Verdict::NotRun, "The job exceeds the memory for all jobs.");
   }
-  if (aState.mJobBytes + bytes <= options.mMaxJobBytes) {
-    return std::nullopt;
+  std::optional<Error> error;
+  if (aState.mJobBytes + bytes > options.mMaxJobBytes) {
+    error = MakeError(ErrorCode::Overloaded, Verdict::NotRun, "The memory for jobs is used up.");
+    error->mRetryAfter = admission::RetryAfter(kMemoryRetryAfter, aState.mRandom);
+  } else if (aEvent.mCanRepeat && !aState.mEndedJobs.empty() &&
+             aState.mEndedJobBytes >= options.mMaxEndedJobBytes) {
+    error = MakeError(
+      ErrorCode::Overloaded, Verdict::NotRun, "The memory for answers of ended jobs is used up.");
+    error->mRetryAfter =
+      admission::RetryAfter(aState.mEndedJobs.front().mAt - aNow.mTime, aState.mRandom);
   }
-  auto error = MakeError(ErrorCode::Overloaded, Verdict::NotRun, "The memory for jobs is used up.");
-  error.mRetryAfter = admission::RetryAfter(kMemoryRetryAfter, aState.mRandom);
   return error;
 }
 
@@ -262,6 +273,7 @@
   job.mService = aState.mPlacement.mServices.find(spec.mService)->second;
   job.mTeam = aState.mTeamByName.find(spec.mTeam)->second;
   job.mBodyHash = spec.mBodyHash;
+  job.mCanRepeat = aEvent.mCanRepeat;
   job.mPriority = spec.mPriority;
   job.mMaxFailures = spec.mMaxFailures;
   job.mRestartable = spec.mRestartable;
--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -160,7 +160,7 @@
 {
   auto& job = aState.mJobs[aIndex];
   aState.mRetainedResultBytes -= job.mResultBytes;
-  aState.mJobBytes -= job.mBytes;
+  (job.mState == JobState::Running ? aState.mJobBytes : aState.mEndedJobBytes) -= job.mBytes;
   aState.mJobByName.erase(aState.mJobByName.find(*job.mId));
   const auto generation = job.mGeneration + 1;
   job = Job{};
@@ -168,12 +168,36 @@
   aState.mFreeJobs.push_back(aIndex);
 }
 
+/// Counts the record of an ended job. Forgets older ones while the limit is exceeded, as far as no
+/// copy of them can arrive.
+void RetainRecord(State& aState, JobIndex aIndex, const JobTimer& aTimer)
+{
+  auto& job = aState.mJobs[aIndex];
+  aState.mJobBytes -= job.mBytes;
+  job.mBytes = EndedJobBytes(job);
+  aState.mEndedJobBytes += job.mBytes;
+  if (!job.mCanRepeat) {
+    aState.mDroppableJobs.push_back(aTimer);
+  }
+  while (aState.mEndedJobBytes > aState.mOptions.mMaxEndedJobBytes &&
+         aState.mDroppableJobs.size() > 1) {
+    const auto oldest = aState.mDroppableJobs.front();
+    aState.mDroppableJobs.pop_front();
+    const auto& old = aState.mJobs[oldest.mJob];
+    if (old.mGeneration != oldest.mGeneration || old.mOutstanding > 0) {
+      continue;
+    }
+    ++aState.mCounts.mDroppedRecords;
+    ForgetJob(aState, oldest.mJob);
+  }
+}
+
 void RetainAnswer(State& aState, JobIndex aIndex, const Now& aNow)
 {
   auto& job = aState.mJobs[aIndex];
   const JobTimer timer{ aNow.mTime + aState.mOptions.mAnswerRetention, aIndex, job.mGeneration, 0 };
   aState.mEndedJobs.push_back(timer);
-  aState.mJobBytes -= std::exchange(job.mBytes, 0);
+  RetainRecord(aState, aIndex, timer);
   for (const auto& task : job.mAnswer.mTasks) {
     job.mResultBytes += task.mResult.size();
   }
@@ -650,8 +674,10 @@
     }
     ForgetJob(aState, timer.mJob);
   }
-  while (!aState.mRetainedResults.empty() && aState.mRetainedResults.front().mAt <= aNow.mTime) {
-    aState.mRetainedResults.pop_front();
+  for (auto* timers : { &aState.mRetainedResults, &aState.mDroppableJobs }) {
+    while (!timers->empty() && timers->front().mAt <= aNow.mTime) {
+      timers->pop_front();
+    }
   }
 }
 
@@ -850,7 +876,7 @@
   if (auto error = CheckSpec(aState, spec)) {
     return refuse(std::move(*error));
   }
-  if (auto error = CheckMemory(aState, aEvent)) {
+  if (auto error = CheckMemory(aState, aEvent, aNow)) {
     return refuse(std::move(*error));
   }
   CountDemand(aState.mTeams[aState.mTeamByName.find(spec.mTeam)->second], spec.mTasks.size(), aNow);
--- a/src/libdispatch/memory_test.cpp
+++ b/src/libdispatch/memory_test.cpp
@@ -30,9 +30,9 @@
 }
 
 /// Submits the job and returns the error of its refusal, if it is refused.
-std::optional<Error> Submit(Fixture& aFixture, JobSpec aJob)
+std::optional<Error> Submit(Fixture& aFixture, JobSpec aJob, bool aCanRepeat = true)
 {
-  Handle(aFixture, dispatch::Submit{ aFixture.mNextJob, std::move(aJob) });
+  Handle(aFixture, dispatch::Submit{ aFixture.mNextJob, std::move(aJob), aCanRepeat });
   const auto refusals = ActionsOf<Refuse>(aFixture.mActions);
   return refusals.empty() ? std::nullopt : std::optional(refusals[0].mError);
 }
@@ -70,6 +70,41 @@
   return passed && Expect(!Submit(fixture, std::move(shared)), "a shared payload counts once");
 }
 
+/// Guards against records of ended jobs without a bound, and against a second run of a job whose
+/// record was dropped while a copy of it could arrive.
+bool RecordsOfEndedJobsAreBounded()
+{
+  constexpr std::size_t kMaxRecords = 50;
+  auto fixture = MakeFixture({ .mWorkers = 1 },
+                             { .mDataCentre = "dc", .mMaxEndedJobBytes = kMaxRecords * 1024 });
+  const auto run = [&fixture](bool aCanRepeat) {
+    const auto refusal = Submit(fixture, MakeJob(fixture, "p"), aCanRepeat);
+    if (!refusal) {
+      Handle(fixture, Ended(ActionsOf<StartTask>(fixture.mActions).at(0), RanWell()));
+    }
+    return refusal;
+  };
+  const auto isKnown = [&fixture](std::size_t aJob) {
+    return FindJobAnswer(*fixture.mState, "j" + std::to_string(aJob)).has_value();
+  };
+  bool passed = true;
+  for (std::size_t n = 0; n < 2 * kMaxRecords; ++n) {
+    passed &= Expect(!run(false), "jobs without copies are always accepted");
+  }
+  passed &= Expect(!isKnown(1) && isKnown(2 * kMaxRecords), "their oldest records are dropped");
+  const auto first = fixture.mNextJob + 1;
+  std::optional<Error> refusal;
+  while (!refusal && fixture.mNextJob < first + 4 * kMaxRecords) {
+    refusal = run(true);
+  }
+  passed &= Expect(IsRetryLater(refusal) && isKnown(first),
+                   "records of jobs with copies are kept, and further ones are refused");
+  passed &= Expect(!run(false), "a job without copies is accepted beside them");
+  Advance(fixture, seconds(61));
+  Handle(fixture, dispatch::Tick{});
+  return passed && Expect(!run(true), "after the retention time they are accepted again");
+}
+
 std::size_t GroupsIn(const Fixture& aFixture)
 {
   const std::string key = "\"needs_groups\":";
@@ -138,6 +173,7 @@
 bool MemoryTests()
 {
   bool passed = JobsShareMemory();
+  passed &= RecordsOfEndedJobsAreBounded();
   passed &= NeedsAreForgotten();
   return passed;
 }
--- a/src/libdispatch/queries.cpp
+++ b/src/libdispatch/queries.cpp
@@ -348,6 +348,7 @@
     { "leaving_signs_held_total", aState.mPlacement.mHeldSigns },
     { "probes_total", aState.mPlacement.mProbes },
     { "queue_moves_total", moves },
+    { "records_dropped_total", counts.mDroppedRecords },
     { "results_dropped_total", counts.mDroppedResults },
     { "retries_deferred_total", counts.mRetriesDeferred },
     { "service_faults_total", aState.mPlacement.mServiceFaults },
--- a/src/libdispatch/state.h
+++ b/src/libdispatch/state.h
@@ -118,7 +118,8 @@
   std::uint32_t mCompletedTasks = 0;
   std::uint32_t mOutstanding = 0;
   bool mEverStarted = false;
-  JobAnswer mAnswer; ///< Once the job has ended.
+  bool mCanRepeat = true; ///< See Submit::mCanRepeat.
+  JobAnswer mAnswer;      ///< Once the job has ended.
   std::size_t mResultBytes = 0;
   std::size_t mBytes =
     0; ///< Counted in State::mJobBytes, or after the job's end in mEndedJobBytes.
@@ -239,6 +240,7 @@
   std::uint64_t mUnknownOutcomes = 0;
   std::uint64_t mReclassified = 0;
   std::uint64_t mDroppedResults = 0;
+  std::uint64_t mDroppedRecords = 0; ///< Ended jobs that were forgotten early.
   /// By kind, with Options::mShortageShares; see admission::KindName.
   std::map<std::string, std::uint64_t> mAdmittedByKind;
   std::map<std::pair<std::string, ErrorCode>, std::uint64_t> mRefusedByKind;
@@ -278,7 +280,9 @@
   std::deque<JobTimer> mEndedJobs;       ///< In the order in which they ended.
   std::deque<JobTimer> mRetainedResults; ///< The ended jobs that hold results.
   std::size_t mRetainedResultBytes = 0;
-  std::size_t mJobBytes = 0; ///< Of accepted jobs that have not ended.
+  std::deque<JobTimer> mDroppableJobs; ///< The ended jobs that may be forgotten early.
+  std::size_t mEndedJobBytes = 0;      ///< Of the records of ended jobs.
+  std::size_t mJobBytes = 0;           ///< Of accepted jobs that have not ended.
   std::size_t mQueuedTasks = 0;        ///< Including delayed ones.
   std::size_t mRunningTasks = 0;
   admission::RetryBudget mRetryBudget;
@@ -306,8 +310,11 @@
 /// that follow each other share their memory.
 std::size_t JobBytes(const JobSpec& aSpec);
 
+/// Estimated memory of the record of an ended job, without the results of its tasks.
+std::size_t EndedJobBytes(const Job& aJob);
+
 /// Checks a submission against the limits of memory. Returns the reason for a refusal.
-std::optional<Error> CheckMemory(State& aState, const Submit& aEvent);
+std::optional<Error> CheckMemory(State& aState, const Submit& aEvent, const Now& aNow);
 
 /// Builds the job with the run time estimates of its tasks; nothing when a task needs more than any
 /// worker of the service has.
--- a/src/libnode/routing.cpp
+++ b/src/libnode/routing.cpp
@@ -237,7 +237,7 @@
                       const Now& aNow,
                       Actions& aActions)
 {
-  dispatch::Submit submit{ 0, std::move(aJob) };
+  dispatch::Submit submit{ 0, std::move(aJob), aCallerChosen };
   submit.mRequest = AddWaiter(
     aState,
     { aOrigin, !aWait, aCallerChosen, submit.mJob.mId, submit.mJob.mBodyHash, std::nullopt });
--- a/src/pollenwalld/resource_limits.cpp
+++ b/src/pollenwalld/resource_limits.cpp
@@ -10,6 +10,9 @@
 constexpr std::size_t kMebibyte = 1024 * 1024;
 /// Memory of a remembered refusal with an id of 128 characters, which is stored twice.
 constexpr std::size_t kRefusalBytes = 640;
+/// Memory of a record in a list of the journal.
+constexpr std::size_t kJournalRecordBytes = 384;
+constexpr std::size_t kJournalLists = 3;
 
 } // namespace
 
@@ -32,12 +35,18 @@
 {
   const auto memory = aMemoryMb * kMebibyte;
   aOptions.mMaxJobBytes = memory / 8;
+  aOptions.mMaxEndedJobBytes = memory / 8;
   aOptions.mMaxRetainedResultBytes = memory / 16;
 }
 
 void SetMemoryLimits(node::Options& aOptions, std::size_t aMemoryMb)
 {
   SetMemoryLimits(aOptions.mDispatch, aMemoryMb);
+  // Answers are kept for a minute, so that 3,000 jobs a second need 200 MiB for records.
+  aOptions.mDispatch.mMaxEndedJobBytes = aMemoryMb * kMebibyte / 4;
+  aOptions.mJournalBufferRecords =
+    std::min(aOptions.mJournalBufferRecords,
+             aMemoryMb * kMebibyte / 8 / kJournalLists / kJournalRecordBytes);
   aOptions.mMaxRefusals =
     std::min(aOptions.mMaxRefusals, aMemoryMb * kMebibyte / 16 / kRefusalBytes);
 }
