net: bound what the kernel holds for a caller's connection

Seen: 300 connections whose jobs wait and that go on sending, 64 or 400 that do not read: with the kernel's queues the entry used 56, 57 and 105 MiB of its 48. The users' platform counts bytes that have not been read against the process.

Cause: the kernel gives a connection about 115 KB of input, and lets unread responses grow beyond 2 MB. The budget of the HTTP servers counts only what the process has read.

Change: listening sockets set the buffers of both directions: http.memory_mb divided by 8,192, from 16 to 256 KiB. http.socket_buffer_bytes sets another value. run_kind.py adds the kernel's queues to VmRSS for every kind, with the same bound.

Why it works: a sender stops when the window is full, and a response that nobody reads makes the entry's write wait, where write timeout and MakeRoom apply.

--- a/src/include/pollenwall/net/buffer_budget.h
+++ b/src/include/pollenwall/net/buffer_budget.h
@@ -78,6 +78,7 @@
   std::size_t mPeerBufferBytes = kUnlimited; ///< Unfinished frames of other entries.
   std::size_t mMaxConnections = kUnlimited;  ///< Of callers.
   std::size_t mMaxPeerLinks = kUnlimited;    ///< Accepted from other entries.
+  std::size_t mSocketBufferBytes = 0;        ///< Of the kernel for each direction; 0: its default.
 
   friend auto operator<=>(const ResourceLimits&, const ResourceLimits&) = default;
 };
--- a/src/include/pollenwall/net/http_server.h
+++ b/src/include/pollenwall/net/http_server.h
@@ -37,6 +37,8 @@
   std::size_t mMaxBodyBytes = 4 * 1024 * 1024;
   std::size_t mMaxTrailerBytes = 16 * 1024; ///< Trailers and chunk extensions of one request.
   std::size_t mMaxConnections = 2000;
+  /// Of the kernel for each direction of a connection; 0: as the system decides.
+  std::size_t mSocketBufferBytes = 0;
   /// At the limit, a connection that has waited for its caller for this time makes room for a new
   /// one: for a request or the rest of one, or for the response to be read.
   std::chrono::milliseconds mMinWaitToReplace{ 1000 };
--- a/src/include/pollenwall/settings.h
+++ b/src/include/pollenwall/settings.h
@@ -50,6 +50,8 @@
   std::size_t mMaxHeaderBytes = 16 * 1024;
   std::size_t mMaxTrailerBytes = 16 * 1024; ///< Trailers and chunk extensions of one request.
   std::size_t mMaxConnections = 10000;      ///< Per listening port.
+  /// Of the kernel for each direction of a connection; 0: derived from mMemoryMb.
+  std::size_t mSocketBufferBytes = 0;
   std::chrono::milliseconds mReadTimeout{ 10000 };  ///< Limit for receiving one complete request.
   std::chrono::milliseconds mHeaderTimeout{ 3000 }; ///< Limit for receiving its header.
   std::chrono::milliseconds mIdleTimeout{ 15000 };  ///< Between two requests.
--- a/src/libdispatch/memory_test.cpp
+++ b/src/libdispatch/memory_test.cpp
@@ -78,7 +78,7 @@
   auto fixture = MakeFixture({ .mWorkers = 1 },
                              { .mDataCentre = "dc", .mMaxEndedJobBytes = kMaxRecords * 1024 });
   const auto run = [&fixture](bool aCanRepeat) {
-    const auto refusal = Submit(fixture, MakeJob(fixture, "p"), aCanRepeat);
+    auto refusal = Submit(fixture, MakeJob(fixture, "p"), aCanRepeat);
     if (!refusal) {
       Handle(fixture, Ended(ActionsOf<StartTask>(fixture.mActions).at(0), RanWell()));
     }
--- a/src/libnet/buffer_budget.cpp
+++ b/src/libnet/buffer_budget.cpp
@@ -11,6 +11,11 @@
 /// stack, the read buffer and the socket's objects. Measured: 10.4 KB for one that has sent a byte.
 constexpr std::size_t kConnectionBytes = 16 * 1024;
 constexpr std::size_t kMebibyte = 1024 * 1024;
+/// Of the memory, for each direction of a connection. The least takes a request of ordinary size;
+/// the largest is enough for a body of megabytes within tens of milliseconds.
+constexpr std::size_t kSocketBufferShare = 8192;
+constexpr std::size_t kMinSocketBuffer = 16 * 1024;
+constexpr std::size_t kMaxSocketBuffer = 256 * 1024;
 /// Descriptors for files.
 constexpr std::size_t kReservedDescriptors = 200;
 
@@ -91,7 +96,9 @@
            .mPeerBufferBytes = memory / 8,
            .mMaxConnections =
              std::max<std::size_t>(1, std::min(memory / 3 / kConnectionBytes, descriptors / 2)),
-           .mMaxPeerLinks = std::max<std::size_t>(1, descriptors / 4) };
+           .mMaxPeerLinks = std::max<std::size_t>(1, descriptors / 4),
+           .mSocketBufferBytes =
+             std::clamp(memory / kSocketBufferShare, kMinSocketBuffer, kMaxSocketBuffer) };
 }
 
 } // namespace pollenwall::net
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -566,6 +566,20 @@
   }
 }
 
+/// Limits what the kernel holds for a connection: input during the handling of a request, and
+/// responses that nobody reads. Accepted sockets inherit the options.
+void SetSocketBuffers(HttpServer& aServer, boost::system::error_code& aEc)
+{
+  const auto bytes = static_cast<int>(aServer.mOptions.mSocketBufferBytes);
+  if (bytes == 0) {
+    return;
+  }
+  aServer.mAcceptor.set_option(asio::socket_base::receive_buffer_size(bytes), aEc);
+  if (!aEc) {
+    aServer.mAcceptor.set_option(asio::socket_base::send_buffer_size(bytes), aEc);
+  }
+}
+
 } // namespace
 
 int NativeSocket(HttpConnection& aConnection)
@@ -627,6 +641,9 @@
   if (!ec) {
     server->mAcceptor.set_option(asio::socket_base::reuse_address(true), ec);
   }
+  if (!ec) {
+    SetSocketBuffers(*server, ec);
+  }
   if (!ec) {
     server->mAcceptor.bind(listen, ec);
   }
--- a/src/libsettings/settings.cpp
+++ b/src/libsettings/settings.cpp
@@ -330,6 +330,7 @@
   ReadSize(http, "max_header_bytes", kKibibyte, kMebibyte, aSettings.mHttp.mMaxHeaderBytes);
   ReadSize(http, "max_connections", 1, 1'000'000, aSettings.mHttp.mMaxConnections);
   ReadSize(http, "max_trailer_bytes", kKibibyte, kMebibyte, aSettings.mHttp.mMaxTrailerBytes);
+  ReadSize(http, "socket_buffer_bytes", 0, 256 * kMebibyte, aSettings.mHttp.mSocketBufferBytes);
   ReadMilliseconds(http, "read_timeout_ms", 10, kHourMs, aSettings.mHttp.mReadTimeout);
   ReadMilliseconds(http, "header_timeout_ms", 10, kHourMs, aSettings.mHttp.mHeaderTimeout);
   ReadMilliseconds(http, "idle_timeout_ms", 10, kHourMs, aSettings.mHttp.mIdleTimeout);
--- a/src/pollenwalld/resource_limits.cpp
+++ b/src/pollenwalld/resource_limits.cpp
@@ -60,6 +60,8 @@
   options.mName = std::move(aName);
   options.mListen = *net::ParseEndpoint(settings::ToString(aListen));
   options.mMaxTrailerBytes = http.mMaxTrailerBytes;
+  options.mSocketBufferBytes =
+    http.mSocketBufferBytes != 0 ? http.mSocketBufferBytes : aDaemon.mLimits.mSocketBufferBytes;
   options.mIdleTimeout = http.mIdleTimeout;
   options.mHeaderTimeout = http.mHeaderTimeout;
   options.mRequestTimeout = http.mReadTimeout;
--- a/testsuite/untrusted_clients/crowds.py
+++ b/testsuite/untrusted_clients/crowds.py
@@ -210,6 +210,15 @@
     send_waiting_jobs(ports, check, chunked_trailers=SHORT_FIELDS)
 
 
+def unread_input(ports, check):
+    """Jobs that wait, on connections that go on sending."""
+    with full_memory(ports, 16), crowd(ports.callers, 300) as sockets:
+        send_all(sockets, [job_request((6 << 32) + n, WAITING_STEP) + b"P" * MIB
+                           for n in range(len(sockets))], limit=4.0)
+        time.sleep(SETTLE_S)
+        check()
+
+
 def read_and_drop(sockets, count, limit):
     """Reads until each connection has had that many responses, or the limit has passed."""
     until = time.monotonic() + limit
@@ -397,6 +406,7 @@
     "bad_frames": Kind(bad_frames),
     "fields_of_waiting_jobs": Kind(fields_of_waiting_jobs, serves_beside=True),
     "trailers_of_waiting_jobs": Kind(trailers_of_waiting_jobs, serves_beside=True),
+    "unread_input": Kind(unread_input),
     "ended_jobs": Kind(ended_jobs, settings="dispatch:\n  answer_retention_ms: 60000\n"),
     "ended_jobs_of_peers": Kind(ended_jobs_of_peers, entries=2,
                                 settings="dispatch:\n  answer_retention_ms: 100\n"),
--- a/testsuite/untrusted_clients/run_kind.py
+++ b/testsuite/untrusted_clients/run_kind.py
@@ -155,6 +155,18 @@
     return call(ports.callers, "POST", "/v1/jobs", body)
 
 
+def kernel_queue_bytes(ports):
+    """Bytes in the kernel's queues of the entry's connections: not yet read by it or its callers."""
+    local = {ports.callers, ports.operators, ports.peers, ports.readiness}
+    total = 0
+    with open("/proc/net/tcp", encoding="ascii") as file:
+        for line in file.readlines()[1:]:
+            fields = line.split()
+            if int(fields[1].split(":")[1], 16) in local:
+                total += sum(int(it, 16) for it in fields[4].split(":"))
+    return total
+
+
 def runs_a_job(ports, role, attempts):
     """Submits an ordinary job until it is run; a caller that is refused repeats its request."""
     body = json.dumps({"spec": json.dumps({"work_ms": 20, "millicores": 1000}), "bestEffort": True,
@@ -176,11 +188,14 @@
 def check_kind(kind, ports, entries):
     failures = []
     descriptors = [0]
+    with_queues = [0]
 
     def check():
         for it in entries:
             if it.running():
                 descriptors.append(len(os.listdir(f"/proc/{it.pid}/fd")))
+        if entries[0].running():
+            with_queues.append(memory_kib(entries[0], "VmRSS") + kernel_queue_bytes(ports) // 1024)
         if kind.serves_beside and not runs_a_job(ports, kind.role, JOB_ATTEMPTS_BESIDE):
             failures.append("an ordinary job is not run beside the hostile input")
         if kind.serves_beside and not answers_operators(ports, JOB_ATTEMPTS_BESIDE):
@@ -197,7 +212,10 @@
         failures.append("an ordinary job is not run")
     peak = max(memory_kib(it, "VmHWM") for it in entries)
     print(f"idle VmRSS {idle / 1024:.1f} MiB, VmHWM {peak / 1024:.1f} MiB of "
-          f"{MAX_RESIDENT_MIB}, descriptors {max(descriptors)} of {kind.max_descriptors}")
+          f"{MAX_RESIDENT_MIB}, VmRSS with the kernel's queues {max(with_queues) / 1024:.1f} MiB, "
+          f"descriptors {max(descriptors)} of {kind.max_descriptors}")
+    if max(with_queues) > MAX_RESIDENT_MIB * 1024:
+        failures.append("VmRSS with the kernel's queues exceeds the bound")
     if peak > MAX_RESIDENT_MIB * 1024:
         failures.append("VmHWM exceeds its bound")
     if max(descriptors) > kind.max_descriptors:
