pollenwalld: bound connections of peers that have not said who they are

Seen: 450 connections each to the ports of peers and of operators with TLS, stopped in the handshake, took an entry without the platform to 53.9 MiB of its 48. At the cap of links they also keep real peers out until they time out.

Cause: a link counted nothing for its TLS session, and up to 400 were accepted before the first message; the HTTP servers counted 48 KiB for a session, which takes up to 140 KB. At the cap, a further link was closed whoever it was.

Change: at most 64 accepted links without a first message in the entry without the platform, where links have TLS; there and on the platform, at the cap the oldest link without one makes room once it has been open for a second. A TLS session counts 140 KB.

Why it works: the links of peers that have said who they are, and those that this entry opened, are never chosen; a peer says so within milliseconds of its connection.

Also here: the crowds that read while they send share a function.

--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -95,7 +95,7 @@
   std::string mLabel; ///< Label of this listener's metrics.
   std::list<HttpConnection*> mConnections;
   Clock::time_point mLastArrival; ///< Time of the last new connection or request.
-  std::size_t mReleasesDue = 0;   ///< Connections that are to end with their next response.
+  std::size_t mClosesDue = 0;   ///< Connections that are to close with their next response.
   bool mSweeping = false;
   bool mKeepAliveDisabled = false;
 };
@@ -113,8 +113,8 @@
 constexpr std::chrono::hours kUnlimited{ 24 * 365 };
 /// A delay within which a refused caller finds that unfinished requests have been closed.
 constexpr std::chrono::milliseconds kRetryAfter{ 500 };
-/// Memory of a TLS session with its buffers.
-constexpr std::size_t kTlsBytes = 48 * 1024;
+/// Memory of a TLS session during its handshake, with a message of the largest size.
+constexpr std::size_t kTlsBytes = 140 * 1024;
 
 void SetPhase(HttpConnection& aConnection, Phase aPhase, std::chrono::milliseconds aTimeout)
 {
@@ -366,14 +366,14 @@
                 : n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
 }
 
-/// Whether a connection has to end with its response, because others were refused at the limit.
+/// Whether the connection has to close with its response, because others were refused at the limit.
 /// Otherwise connections with a request at all times would keep others out for good.
-bool TakeRelease(HttpServer& aServer)
+bool TakeDueClose(HttpServer& aServer)
 {
-  if (aServer.mReleasesDue == 0 || aServer.mConnections.size() < aServer.mOptions.mMaxConnections) {
+  if (aServer.mClosesDue == 0 || aServer.mConnections.size() < aServer.mOptions.mMaxConnections) {
     return false;
   }
-  --aServer.mReleasesDue;
+  --aServer.mClosesDue;
   CountClosed(aServer, "connections");
   return true;
 }
@@ -418,7 +418,7 @@
       log::LogError("request_failed", { { "message", std::string(error.what()) } });
       response = ErrorResponse({ ErrorCode::Internal, Verdict::MayHaveRun, "internal error", {} });
     }
-    response.keep_alive(keep && !aServer.mKeepAliveDisabled && !TakeRelease(aServer));
+    response.keep_alive(keep && !aServer.mKeepAliveDisabled && !TakeDueClose(aServer));
     if (!Write(aServer, aConnection, response)) {
       return;
     }
@@ -545,8 +545,8 @@
     aServer->mLastArrival = Clock::now();
     if (aServer->mConnections.size() >= aServer->mOptions.mMaxConnections && !MakeRoom(*aServer)) {
       metrics::Add(aServer->mMetrics, "http_connections_refused_total" + aServer->mLabel);
-      aServer->mReleasesDue =
-        std::min(aServer->mReleasesDue + 1, aServer->mOptions.mMaxConnections);
+      aServer->mClosesDue =
+        std::min(aServer->mClosesDue + 1, aServer->mOptions.mMaxConnections);
       if (!aServer->mOptions.mTls) {
         Refuse(std::move(socket));
       }
--- a/src/pollenwalld/entry_links.cpp
+++ b/src/pollenwalld/entry_links.cpp
@@ -191,11 +191,10 @@
 {
   InboundSender from;
   auto end = LinkCloseReason::Closed;
-  const auto named = std::make_shared<bool>(false);
   boost::asio::steady_timer timer(aLinks.mDaemon.mContext,
                                   kHelloTimeout + kHelloIntervals * PresenceInterval(aLinks));
-  timer.async_wait([&aLinks, aLink, named](const boost::system::error_code& aEc) {
-    if (!aEc && !*named) {
+  timer.async_wait([&aLinks, aLink](const boost::system::error_code& aEc) {
+    if (!aEc && !aLink->mNamed) {
       CountClosed(aLinks, "hello_timeout");
       CloseLink(*aLink);
     }
@@ -203,7 +202,7 @@
   RunLogged(aLinks.mDaemon, "peer_read_failed", from.mAddress, [&] {
     end = ReadPayloads(*aLink, aLinks.mLimits, [&](std::string_view aPayload) {
       HandleFrame(aLinks, from, aPayload);
-      *named = !from.mAddress.empty();
+      aLink->mNamed = !from.mAddress.empty();
       return true;
     });
   });
@@ -229,7 +228,8 @@
       }
       continue;
     }
-    if (aLinks.mInbound.size() >= aLinks.mDaemon.mLimits.mMaxPeerLinks) {
+    if (aLinks.mInbound.size() >= aLinks.mDaemon.mLimits.mMaxPeerLinks &&
+        !ReplaceUnnamed(aLinks.mInbound)) {
       CountClosed(aLinks, "connections");
       continue;
     }
--- a/src/pollenwalld/entry_links.h
+++ b/src/pollenwalld/entry_links.h
@@ -2,7 +2,6 @@
 
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 #include <boost/asio/basic_socket_acceptor.hpp>
@@ -40,7 +39,7 @@
   PeerLimits mLimits;
   boost::asio::basic_socket_acceptor<net::Tcp, net::Executor> mAcceptor;
   std::map<std::string, std::shared_ptr<OutboundLink>, std::less<>> mOutbound; ///< By address.
-  std::set<std::shared_ptr<PeerLink>> mInbound;
+  PeerLinks mInbound;
   bool mStopped = false;
 };
 
--- a/src/pollenwalld/entry_links_test.cpp
+++ b/src/pollenwalld/entry_links_test.cpp
@@ -238,6 +238,34 @@
   return passed;
 }
 
+/// Guards against connections without messages that keep peers out, and against the loss of a peer
+/// that has said who it is or has just connected.
+bool UnnamedLinksMakeRoom(boost::asio::io_context& aContext)
+{
+  const auto now = std::chrono::steady_clock::now();
+  PeerLinks links;
+  const auto add = [&](std::chrono::milliseconds aAge) {
+    const auto link = std::make_shared<PeerLink>(net::Socket(aContext));
+    link->mOpenedAt = now - aAge;
+    links.insert(link);
+    return link;
+  };
+  const auto named = add(milliseconds(9000));
+  named->mNamed = true;
+  const auto dialled = add(milliseconds(9000));
+  dialled->mDialled = true;
+  const auto fresh = add(milliseconds(0));
+  bool passed = Expect(!ReplaceUnnamed(links) && CountUnnamed(links) == 1,
+                       "named, dialled and fresh links are kept");
+  const auto old = add(milliseconds(1500));
+  const auto oldest = add(milliseconds(3000));
+  passed &= Expect(ReplaceUnnamed(links) && oldest->mClosed && !old->mClosed, "the oldest first");
+  passed &= Expect(ReplaceUnnamed(links) && old->mClosed, "then the other one");
+  return passed && Expect(!ReplaceUnnamed(links) && !fresh->mClosed && !named->mClosed &&
+                            !dialled->mClosed && CountUnnamed(links) == 1,
+                          "closed links do not count");
+}
+
 } // namespace
 
 bool EntryLinksTests(boost::asio::io_context& aContext)
@@ -245,6 +273,7 @@
   bool passed = ReconnectsAtOnceOnRequest(aContext);
   passed &= FailedReadersAreReplaced(aContext);
   passed &= FramesAreAttributedToTheirSender(aContext);
+  passed &= UnnamedLinksMakeRoom(aContext);
   return passed;
 }
 
--- a/src/pollenwalld/peer_link.cpp
+++ b/src/pollenwalld/peer_link.cpp
@@ -1,5 +1,7 @@
 #include "peer_link.h"
 
+#include <algorithm>
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
@@ -12,6 +14,13 @@
 constexpr std::size_t kReadBytes = 16 * 1024;
 /// An empty buffer larger than this is freed.
 constexpr std::size_t kKeptBufferBytes = kReadBytes;
+/// Several times what a handshake and the first message take between entries that are busy.
+constexpr std::chrono::seconds kMinTimeToReplace{ 1 };
+
+bool IsUnnamed(const std::shared_ptr<PeerLink>& aLink)
+{
+  return !aLink->mDialled && !aLink->mNamed && !aLink->mClosed;
+}
 
 /// Writes all queued frames at once. Frames queued during a write are sent by the next one.
 void Write(const std::shared_ptr<PeerLink>& aLink)
@@ -42,6 +51,29 @@
 
 } // namespace
 
+std::size_t CountUnnamed(const PeerLinks& aLinks)
+{
+  return static_cast<std::size_t>(std::count_if(aLinks.begin(), aLinks.end(), IsUnnamed));
+}
+
+bool ReplaceUnnamed(const PeerLinks& aLinks)
+{
+  auto oldest = std::chrono::steady_clock::now() - kMinTimeToReplace;
+  PeerLink* chosen = nullptr;
+  for (const auto& link : aLinks) {
+    if (!IsUnnamed(link) || link->mOpenedAt > oldest) {
+      continue;
+    }
+    oldest = link->mOpenedAt;
+    chosen = link.get();
+  }
+  if (chosen == nullptr) {
+    return false;
+  }
+  CloseLink(*chosen);
+  return true;
+}
+
 bool QueuePayload(PeerLink& aLink, std::string_view aPayload, const PeerLimits& aLimits)
 {
   if (aLink.mClosed || aLink.mClosing) {
--- a/src/pollenwalld/peer_link.h
+++ b/src/pollenwalld/peer_link.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include <pollenwall/messages.h>
@@ -29,7 +31,9 @@
   }
 
   net::Stream mStream;
+  std::chrono::steady_clock::time_point mOpenedAt = std::chrono::steady_clock::now();
   bool mDialled = false;                ///< Opened by this entry.
+  bool mNamed = false;                  ///< The peer has said who it is.
   std::optional<message::Hello> mHello; ///< Received from the peer.
   std::string mSendQueue;               ///< Frames not yet passed to the socket.
   std::string mWriteBuffer;             ///< Frames being written.
@@ -47,6 +51,15 @@
   Memory,   ///< The budget of all links was used up, and this link used most.
 };
 
+using PeerLinks = std::set<std::shared_ptr<PeerLink>>;
+
+/// The number of accepted links whose peers have not said who they are.
+std::size_t CountUnnamed(const PeerLinks& aLinks);
+
+/// Closes the one of them that has been open longest, if it has been open for a second. Connections
+/// that send nothing then cannot keep peers out. Returns false if there is none.
+bool ReplaceUnnamed(const PeerLinks& aLinks);
+
 /// Queues a payload; never suspends. Returns false if the queue was full; the link is then closed.
 bool QueuePayload(PeerLink& aLink, std::string_view aPayload, const PeerLimits& aLimits);
 
--- a/src/pollenwalld/peers.cpp
+++ b/src/pollenwalld/peers.cpp
@@ -23,6 +23,8 @@
 constexpr std::chrono::milliseconds kStopTimeout{ 1000 };
 /// A flood of connections from one misconfigured host must not exhaust the file descriptors.
 constexpr std::size_t kMaxLinks = 400;
+/// Accepted links before the first message. With TLS each takes up to 140 KB.
+constexpr std::size_t kMaxUnnamedLinks = 64;
 
 void Count(Peers& aPeers, std::string_view aName)
 {
@@ -82,6 +84,7 @@
     return;
   }
   aLink->mHello = std::move(*hello);
+  aLink->mNamed = true;
   if (!ActivateLink(aPeers, aLink)) {
     CloseAfterWrites(*aLink);
   }
@@ -205,7 +208,10 @@
       net::SleepFor(aPeers.mDaemon.mContext, std::chrono::milliseconds(100));
       continue;
     }
-    if (aPeers.mLinks.size() >= std::min(kMaxLinks, aPeers.mDaemon.mLimits.mMaxPeerLinks)) {
+    const bool isFull =
+      aPeers.mLinks.size() >= std::min(kMaxLinks, aPeers.mDaemon.mLimits.mMaxPeerLinks) ||
+      CountUnnamed(aPeers.mLinks) >= kMaxUnnamedLinks;
+    if (isFull && !ReplaceUnnamed(aPeers.mLinks)) {
       Count(aPeers, "peer_connections_refused_total");
       continue;
     }
--- a/src/pollenwalld/peers.h
+++ b/src/pollenwalld/peers.h
@@ -3,7 +3,6 @@
 #include <map>
 #include <memory>
 #include <random>
-#include <set>
 #include <string>
 
 #include <pollenwall/net/tls.h>
@@ -24,9 +23,9 @@
   PeerLimits mLimits;
   std::shared_ptr<net::TlsKeys> mTls; ///< Null: no TLS.
   boost::asio::basic_socket_acceptor<net::Tcp, net::Executor> mAcceptor;
-  std::set<std::string> mDesiredAddresses;    ///< Addresses to stay connected to.
-  std::set<std::string> mDiallingAddresses;   ///< Addresses with a running connect fiber.
-  std::set<std::shared_ptr<PeerLink>> mLinks; ///< All connections.
+  std::set<std::string> mDesiredAddresses;  ///< Addresses to stay connected to.
+  std::set<std::string> mDiallingAddresses; ///< Addresses with a running connect fiber.
+  PeerLinks mLinks;                         ///< All connections.
   std::map<std::uint64_t, std::shared_ptr<PeerLink>> mActiveLinks; ///< In use, by incarnation.
   std::mt19937_64 mRandom; ///< For the jitter of reconnect delays.
   bool mStopped = false;
--- a/testsuite/untrusted_clients/crowds.py
+++ b/testsuite/untrusted_clients/crowds.py
@@ -6,6 +6,7 @@
 import json
 import select
 import socket
+import ssl
 import threading
 import time
 import typing
@@ -235,6 +236,14 @@
                 del left[it]
 
 
+def send_and_read(sockets, contents, count, limit):
+    """Sends as send_all does while reading that many responses of each connection."""
+    sender = threading.Thread(target=send_all, args=(sockets, contents, 0.0, limit))
+    sender.start()
+    read_and_drop(sockets, count, limit)
+    sender.join()
+
+
 def ended_jobs(ports, check):
     """Jobs of 190 tasks that wait for memory until they are refused."""
     steps = {"count": 190, "cpu": 1, "memMb": 512, "estimateMs": 1}
@@ -242,10 +251,7 @@
     with full_memory(ports, 25), crowd(ports.callers, 300) as sockets:
         contents = [b"".join(job_request(((3 << 32) + n * count + m), steps) for m in range(count))
                     for n in range(len(sockets))]
-        sender = threading.Thread(target=send_all, args=(sockets, contents, 0.0, 20.0))
-        sender.start()
-        read_and_drop(sockets, count, 20.0)
-        sender.join()
+        send_and_read(sockets, contents, count, 20.0)
         check()
 
 
@@ -258,10 +264,7 @@
         sockets = first + second
         contents = [b"".join(job_request(((4 << 32) + n * count + m), steps) for m in range(count))
                     for n in range(len(sockets))]
-        sender = threading.Thread(target=send_all, args=(sockets, contents, 0.0, 20.0))
-        sender.start()
-        read_and_drop(sockets, count, 20.0)
-        sender.join()
+        send_and_read(sockets, contents, count, 20.0)
         check()
 
 
@@ -277,10 +280,7 @@
                             {"count": 1, "cpu": 250 * (cores + 1), "memMb": 256 * (memory + 2),
                              "estimateMs": 1}, deadline_ms=21)
                 for m, (cores, memory) in enumerate(needs)))
-        sender = threading.Thread(target=send_all, args=(sockets, contents, 0.0, 40.0))
-        sender.start()
-        read_and_drop(sockets, count, 40.0)
-        sender.join()
+        send_and_read(sockets, contents, count, 40.0)
         check()
 
 
@@ -352,10 +352,7 @@
     count = 2000
     content = node_submission(json.dumps({"run_ms": 0, "key": "k"}), 1, wait=True) * count
     with crowd(ports.callers, 40) as sockets:
-        sender = threading.Thread(target=send_all, args=(sockets, [content] * len(sockets), 0.0, 40.0))
-        sender.start()
-        read_and_drop(sockets, count, 40.0)
-        sender.join()
+        send_and_read(sockets, [content] * len(sockets), count, 40.0)
         check()
 
 
@@ -368,10 +365,31 @@
             node_submission("p", 1, service="unknown", born_ms=born, wait=True,
                             id=f"north:{n:010}{'i' * 100}{m:010}") for m in range(count))
             for n in range(len(sockets))]
-        sender = threading.Thread(target=send_all, args=(sockets, contents, 0.0, 40.0))
-        sender.start()
-        read_and_drop(sockets, count, 40.0)
-        sender.join()
+        send_and_read(sockets, contents, count, 40.0)
+        check()
+
+
+def client_hello():
+    """The first message of a TLS handshake."""
+    context = ssl.create_default_context()
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_NONE
+    sent = ssl.MemoryBIO()
+    try:
+        context.wrap_bio(ssl.MemoryBIO(), sent).do_handshake()
+    except ssl.SSLWantReadError:
+        pass
+    return sent.read()
+
+
+def tls_handshakes(ports, check):
+    """Handshakes that stop after the first message and the start of another one, at both ports
+    with TLS."""
+    content = client_hello() + b"\x17\x03\x03\x40\x00" + b"x" * 16000
+    with crowd(ports.peers, 450) as first, crowd(ports.operators, 450) as second:
+        sockets = first + second
+        send_all(sockets, [content] * len(sockets), limit=3.0)
+        time.sleep(SETTLE_S)
         check()
 
 
@@ -384,6 +402,7 @@
     # With "node", the entry runs without the platform.
     role: str = "platform"
     slots: int = 2  # Of the worker, without the platform.
+    tls: bool = False  # Of an entry without the platform.
     settings: str = ""
     entries: int = 1 # On the platform.
     worker_millicores: int = 8000
@@ -418,4 +437,5 @@
     "large_results": Kind(large_results, role="node"),
     "small_jobs": Kind(small_jobs, role="node", slots=64),
     "refused_ids": Kind(refused_ids, role="node"),
+    "tls_handshakes": Kind(tls_handshakes, role="node", tls=True),
 }
--- a/testsuite/untrusted_clients/run_kind.py
+++ b/testsuite/untrusted_clients/run_kind.py
@@ -107,8 +107,30 @@
     raise RuntimeError("the settings of the test are refused")
 
 
-def start_node(cluster):
-    cluster.start()
+def make_certificate(directory):
+    """Makes an authority and a certificate of it for the entry."""
+    def openssl(*arguments):
+        subprocess.run(["openssl", *arguments], cwd=directory, capture_output=True, check=True)
+
+    new = ["req", "-newkey", "ec", "-pkeyopt", "ec_paramgen_curve:prime256v1", "-nodes"]
+    openssl(*new, "-x509", "-subj", "/CN=ca", "-keyout", "ca.key", "-out", "ca.pem")
+    openssl(*new, "-subj", "/CN=entry", "-keyout", "entry.key", "-out", "entry.csr")
+    openssl("x509", "-req", "-in", "entry.csr", "-CA", "ca.pem", "-CAkey", "ca.key",
+            "-CAcreateserial", "-out", "entry.pem")
+
+
+def start_node(cluster, tls):
+    if not tls:
+        cluster.start()
+    else:
+        make_certificate(cluster.directory)
+        plain_settings = cluster.settings
+        files = "".join(f"  {key}: {os.path.join(cluster.directory, name)}\n" for key, name in (
+            ("certificate", "entry.pem"), ("key", "entry.key"), ("authority", "ca.pem")))
+        cluster.settings = lambda entry: plain_settings(entry).replace("tls: off\n", "tls:\n" + files)
+        cluster.start_standins()
+        cluster.start_entries()
+        cluster.publish(wait=False)  # The operators' calls need a certificate.
     return [it.process for it in cluster.entries]
 
 
@@ -237,7 +259,7 @@
     cluster = Cluster([("north", 1, 1)], slots=kind.slots, base=BASE,
                       extra_settings=MEMORY_LIMITS + kind.settings)
     try:
-        return check_kind(kind, ports, start_node(cluster))
+        return check_kind(kind, ports, start_node(cluster, kind.tls))
     finally:
         cluster.stop()
 
