pollenwalld: shares of the memory that hold when several are filled, and large blocks returned

Cause: each limit was a share of the whole machine, so that they added up to more. And glibc raises the size from which it maps blocks to that of the largest block freed, so bodies and results of 1 MiB then fragment the heap: 14 MB stayed after 64 results.

Why it works: what stays after freed bodies is small, and shares, buffers and the process at rest fit the machine.

--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -95,7 +95,7 @@
   std::string mLabel; ///< Label of this listener's metrics.
   std::list<HttpConnection*> mConnections;
   Clock::time_point mLastArrival; ///< Time of the last new connection or request.
-  std::size_t mClosesDue = 0;   ///< Connections that are to close with their next response.
+  std::size_t mClosesDue = 0;     ///< Connections that are to close with their next response.
   bool mSweeping = false;
   bool mKeepAliveDisabled = false;
 };
@@ -545,8 +545,7 @@
     aServer->mLastArrival = Clock::now();
     if (aServer->mConnections.size() >= aServer->mOptions.mMaxConnections && !MakeRoom(*aServer)) {
       metrics::Add(aServer->mMetrics, "http_connections_refused_total" + aServer->mLabel);
-      aServer->mClosesDue =
-        std::min(aServer->mClosesDue + 1, aServer->mOptions.mMaxConnections);
+      aServer->mClosesDue = std::min(aServer->mClosesDue + 1, aServer->mOptions.mMaxConnections);
       if (!aServer->mOptions.mTls) {
         Refuse(std::move(socket));
       }
--- a/src/pollenwalld/main.cpp
+++ b/src/pollenwalld/main.cpp
@@ -181,6 +181,7 @@
 /// Runs the entry until a graceful stop is complete. Returns the exit code.
 int Run(settings::Settings aSettings, std::shared_ptr<net::TlsKeys> aTls)
 {
+  ReturnLargeBlocks();
   RaiseDescriptorLimit();
   // Writes to a connection closed by the other side then return an error instead of raising
   // SIGPIPE.
--- a/src/pollenwalld/resource_limits.cpp
+++ b/src/pollenwalld/resource_limits.cpp
@@ -2,12 +2,18 @@
 
 #include <algorithm>
 
+#include <malloc.h>
 #include <sys/resource.h>
 
 namespace pollenwall::daemon {
 namespace {
 
 constexpr std::size_t kMebibyte = 1024 * 1024;
+/// The initial value of glibc. Without a set value it grows to the largest block that is freed, and
+/// request bodies and results of that size then fragment the heap.
+constexpr int kLargeBlockBytes = 128 * 1024;
+/// Memory of the process at rest.
+constexpr std::size_t kIdleMb = 16;
 /// Memory of a remembered refusal with an id of 128 characters, which is stored twice.
 constexpr std::size_t kRefusalBytes = 640;
 /// Memory of a record in a list of the journal.
@@ -16,6 +22,13 @@
 
 } // namespace
 
+void ReturnLargeBlocks()
+{
+  // An allocator without these parameters ignores the calls.
+  (void)::mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
+  (void)::mallopt(M_TRIM_THRESHOLD, kLargeBlockBytes);
+}
+
 void SetResourceLimits(DaemonContext& aDaemon)
 {
   const auto& http = aDaemon.mSettings.mHttp;
@@ -41,14 +54,13 @@
 
 void SetMemoryLimits(node::Options& aOptions, std::size_t aMemoryMb)
 {
-  SetMemoryLimits(aOptions.mDispatch, aMemoryMb);
-  // Answers are kept for a minute, so that 3,000 jobs a second need 200 MiB for records.
-  aOptions.mDispatch.mMaxEndedJobBytes = aMemoryMb * kMebibyte / 4;
+  // Answers are kept for a minute, so that callers can fill all of the shares at once.
+  const auto availableMb = std::max(aMemoryMb - std::min(aMemoryMb, kIdleMb), aMemoryMb / 2);
+  SetMemoryLimits(aOptions.mDispatch, availableMb);
+  const auto share = availableMb * kMebibyte / 16;
   aOptions.mJournalBufferRecords =
-    std::min(aOptions.mJournalBufferRecords,
-             aMemoryMb * kMebibyte / 8 / kJournalLists / kJournalRecordBytes);
-  aOptions.mMaxRefusals =
-    std::min(aOptions.mMaxRefusals, aMemoryMb * kMebibyte / 16 / kRefusalBytes);
+    std::min(aOptions.mJournalBufferRecords, share / kJournalLists / kJournalRecordBytes);
+  aOptions.mMaxRefusals = std::min(aOptions.mMaxRefusals, share / kRefusalBytes);
 }
 
 net::HttpServerOptions MakeHttpOptions(const DaemonContext& aDaemon,
--- a/src/pollenwalld/resource_limits.h
+++ b/src/pollenwalld/resource_limits.h
@@ -10,6 +10,10 @@
 /// Derives the bounds from the settings and the descriptor limit of the process.
 void SetResourceLimits(DaemonContext& aDaemon);
 
+/// Makes the allocator return large blocks to the system when they are freed. Must be called before
+/// other threads start.
+void ReturnLargeBlocks();
+
 /// Sets the limits of memory of the decision core from the memory of the machine.
 void SetMemoryLimits(dispatch::Options& aOptions, std::size_t aMemoryMb);
 void SetMemoryLimits(node::Options& aOptions, std::size_t aMemoryMb);
--- a/testsuite/untrusted_clients/crowds.py
+++ b/testsuite/untrusted_clients/crowds.py
@@ -284,6 +284,26 @@
         check()
 
 
+def several_kinds(ports, check):
+    """Waiting jobs on connections that go on sending, unfinished bodies, unread responses and ended
+    jobs of 190 tasks at the same time, on as many connections as are allowed."""
+    many_tasks = {"count": 190, "cpu": 1, "memMb": 512, "estimateMs": 1}
+    lookup = f"GET /jobs/0123456789abcdef HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode()
+    with full_memory(ports, 25), crowd(ports.callers, 100) as ending, \
+            crowd(ports.callers, 100) as waiting, crowd(ports.callers, 60) as unread, \
+            crowd(ports.callers, 139) as unfinished:
+        contents = [b"".join(job_request((7 << 32) + n * 40 + m, many_tasks) for m in range(40))
+                    for n in range(len(ending))]
+        send_and_read(ending, contents, 40, 15.0)
+        send_all(waiting + unread + unfinished,
+                 [job_request((8 << 32) + n, WAITING_STEP) + b"P" * MIB
+                  for n in range(len(waiting))] +
+                 [lookup * 2000] * len(unread) +
+                 [HEADER + b"Content-Length: 262144\r\n\r\n" + b"b" * 200_000] * len(unfinished),
+                 limit=1.5)
+        check()
+
+
 def busy_connections(ports, check):
     """As many connections as are allowed send requests all the time and don't read the responses.
     They stay open during the check."""
@@ -369,6 +389,24 @@
         check()
 
 
+def several_kinds_node(ports, check):
+    """What outlives a request, one kind after the other within the time for which answers are kept,
+    and unfinished bodies."""
+    for kind in (large_results, refused_ids, small_jobs):
+        kind(ports, lambda: None)
+    blocker = node_submission(json.dumps({"run_ms": 10000, "key": "k"}), 10000)
+    body = f"POST /v1/jobs HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 262144\r\n\r\n".encode()
+    with crowd(ports.callers, 4) as queueing, crowd(ports.callers, 300) as unfinished:
+        send_all(queueing, [blocker * 16] * len(queueing))
+        time.sleep(SETTLE_S)
+        for _ in range(4):
+            send_all(queueing, [node_submission("p" * MIB, 10)] * len(queueing))
+            read_and_drop(queueing, 1, 2.0)
+        send_all(unfinished, [body + b"b" * 200_000] * len(unfinished))
+        time.sleep(SETTLE_S)
+        check()
+
+
 def client_hello():
     """The first message of a TLS handshake."""
     context = ssl.create_default_context()
@@ -426,6 +464,8 @@
     "fields_of_waiting_jobs": Kind(fields_of_waiting_jobs, serves_beside=True),
     "trailers_of_waiting_jobs": Kind(trailers_of_waiting_jobs, serves_beside=True),
     "unread_input": Kind(unread_input),
+    "several_kinds": Kind(several_kinds,
+                          settings="dispatch:\n  answer_retention_ms: 60000\n"),
     "ended_jobs": Kind(ended_jobs, settings="dispatch:\n  answer_retention_ms: 60000\n"),
     "ended_jobs_of_peers": Kind(ended_jobs_of_peers, entries=2,
                                 settings="dispatch:\n  answer_retention_ms: 100\n"),
@@ -437,5 +477,6 @@
     "large_results": Kind(large_results, role="node"),
     "small_jobs": Kind(small_jobs, role="node", slots=64),
     "refused_ids": Kind(refused_ids, role="node"),
+    "several_kinds_node": Kind(several_kinds_node, role="node", slots=64),
     "tls_handshakes": Kind(tls_handshakes, role="node", tls=True),
 }
