dispatch: drop the timers of ended jobs

After 80,000 short jobs with a deadline of 20 s most of the memory was timers.

Cause: each job sets up to three timers of 32 bytes. Those of an ended job are void, but stay until they are due; so do the entries of forgotten jobs in the queues of ended ones. A deadline can be a minute away.

Change: when there are more than 4,096 timers and twice as many as known jobs, void ones are erased. Void entries at the head of the queues of ended jobs go at once.

Why it works: the number of timers follows that of the jobs; the search is made once for as many new timers as it visits.

--- a/src/libdispatch/dispatch.cpp
+++ b/src/libdispatch/dispatch.cpp
@@ -29,6 +29,8 @@
 /// Running attempts checked in each tick for being overdue or long. At 50 ticks a second, 256 cover
 /// 2,000 running tasks in 160 ms.
 constexpr std::size_t kAttemptsPerSweep = 256;
+/// Timers below this number are not worth a search for those of ended jobs.
+constexpr std::size_t kMinTimers = 4096;
 constexpr double kOverdueRatio = 4;
 constexpr milliseconds kMinOverdueTime{ 50 };
 constexpr milliseconds kMinAnswerRetention{ 1000 };
@@ -168,6 +170,29 @@
   aState.mFreeJobs.push_back(aIndex);
 }
 
+bool IsVoid(const State& aState, const JobTimer& aTimer)
+{
+  return aState.mJobs[aTimer.mJob].mGeneration != aTimer.mGeneration;
+}
+
+/// Removes the timers of ended jobs once most timers are of such. Otherwise they stay until they
+/// are due, up to a minute after the end of a short job.
+void DropTimersOfEndedJobs(State& aState)
+{
+  const auto limit = kMinTimers + 2 * (aState.mJobs.size() - aState.mFreeJobs.size());
+  for (auto* timers : { &aState.mDeadlineTimers,
+                        &aState.mUrgencyTimers,
+                        &aState.mLatestStartTimers,
+                        &aState.mTargetTimers }) {
+    if (timers->size() <= limit) {
+      continue;
+    }
+    timers->EraseIf([&aState](const JobTimer& aTimer) {
+      return IsVoid(aState, aTimer) || aState.mJobs[aTimer.mJob].mState != JobState::Running;
+    });
+  }
+}
+
 /// Counts the record of an ended job. Forgets older ones while the limit is exceeded, as far as no
 /// copy of them can arrive.
 void RetainRecord(State& aState, JobIndex aIndex, const JobTimer& aTimer)
@@ -190,6 +215,11 @@
     ++aState.mCounts.mDroppedRecords;
     ForgetJob(aState, oldest.mJob);
   }
+  for (auto* timers : { &aState.mEndedJobs, &aState.mRetainedResults }) {
+    while (!timers->empty() && IsVoid(aState, timers->front())) {
+      timers->pop_front();
+    }
+  }
 }
 
 void RetainAnswer(State& aState, JobIndex aIndex, const Now& aNow)
@@ -284,6 +314,7 @@
   FreeMemory(job.mRacks);
   RetainAnswer(aState, aIndex, aNow);
   ReleaseTasks(job);
+  DropTimersOfEndedJobs(aState);
 }
 
 void FailJob(State& aState,
--- a/src/libdispatch/state.h
+++ b/src/libdispatch/state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <functional>
@@ -211,7 +212,17 @@
   }
 };
 
-using JobTimers = std::priority_queue<JobTimer, std::vector<JobTimer>, std::greater<>>;
+/// Timers of jobs, the earliest on top.
+struct JobTimers : std::priority_queue<JobTimer, std::vector<JobTimer>, std::greater<>>
+{
+  template<typename Predicate>
+  void EraseIf(const Predicate& aPredicate)
+  {
+    std::erase_if(c, aPredicate);
+    c.shrink_to_fit();
+    std::make_heap(c.begin(), c.end(), comp);
+  }
+};
 
 struct IdHash
 {
