--- a/src/libdispatch/state.h
+++ b/src/libdispatch/state.h
@@ -122,8 +122,7 @@
   bool mCanRepeat = true; ///< See Submit::mCanRepeat.
   JobAnswer mAnswer;      ///< Once the job has ended.
   std::size_t mResultBytes = 0;
-  std::size_t mBytes =
-    0; ///< Counted in State::mJobBytes, or after the job's end in mEndedJobBytes.
+  std::size_t mBytes = 0; ///< In State::mJobBytes, after the end in mEndedJobBytes.
 };
 
 /// Tasks whose needs are equal after rounding.
