--- a/src/pollenwalld/entry_links_test.cpp
+++ b/src/pollenwalld/entry_links_test.cpp
@@ -245,7 +245,7 @@
   const auto now = std::chrono::steady_clock::now();
   PeerLinks links;
   const auto add = [&](std::chrono::milliseconds aAge) {
-    const auto link = std::make_shared<PeerLink>(net::Socket(aContext));
+    auto link = std::make_shared<PeerLink>(net::Socket(aContext));
     link->mOpenedAt = now - aAge;
     links.insert(link);
     return link;
