testsuite: workers that do not end their answers, failing

Change: endless_workers registers 60 workers that announce answers of 1 MB and send 990,000 bytes of each. The bound is that of the other kinds.

--- a/testsuite/untrusted_clients/crowds.py
+++ b/testsuite/untrusted_clients/crowds.py
@@ -11,6 +11,8 @@
 import time
 import typing
 
+from workers import endless_workers
+
 MIB = 1 << 20
 HOST = "untrusted.example"
 HEADER = f"POST /jobs/0123456789abcdef HTTP/1.1\r\nHost: {HOST}\r\n".encode()
@@ -477,6 +479,7 @@
     "large_results": Kind(large_results, role="node"),
     "small_jobs": Kind(small_jobs, role="node", slots=64),
     "refused_ids": Kind(refused_ids, role="node"),
+    "endless_workers": Kind(endless_workers),
     "several_kinds_node": Kind(several_kinds_node, role="node", slots=64),
     "tls_handshakes": Kind(tls_handshakes, role="node", tls=True),
 }
