--- a/testsuite/untrusted_clients/run_kind.py
+++ b/testsuite/untrusted_clients/run_kind.py
@@ -1,9 +1,11 @@
 """Guards against memory and descriptors whose amount an untrusted client determines.
 
-Usage: run_kind.py KIND. Starts a store, a worker and an entry on loopback, sends one kind of hostile
-input from crowds.py to the entry, and checks that the entry lives, that its peak of resident memory
-and its open descriptors stay below bounds, and that it runs an ordinary job afterwards. No bound
-depends on the speed of the machine.
+Usage: run_kind.py KIND. Starts a store, a worker and one or two entries on loopback, or an entry without
+the platform, and sends one kind of hostile input from crowds.py. Checks that the entries live, that
+their peak of resident memory, their memory together with the kernel's queues, and their open
+descriptors stay below bounds, and that an ordinary job is run afterwards; for some kinds also beside
+the crowd. The bound of memory is that of the machine in the settings. No bound depends on the speed
+of the machine.
 """
 
 import dataclasses
@@ -23,7 +25,7 @@
 from harness.cluster import Cluster, Process, program_path  # noqa: E402
 
 BASE = 29000
-# An idle entry uses 14 MB; the settings of the test allow 12 MB for buffers.
+# The memory_mb of the settings. An idle entry uses 14 MB.
 MAX_RESIDENT_MIB = 48
 JOB_ATTEMPTS = 40
 # Fewer beside a crowd that the entry's write timeout of 10 s would end anyway.
