--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,7 +1,6 @@
-"""A machine is cut off; a job that was cancelled there starts again on the other side."""
+"""A worker crashes, starts again under its id, gets a task and is cut off: the task runs twice."""
 
 import asyncio
-import json
 import os
 import random
 import sys
@@ -10,72 +9,115 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib-3"))
 import deployment  # noqa: E402
 
-CANCEL_S, STOP_S = 3.0, 0.05  # `cancel_ms` and `stopMs` of the sheet.
-MAX_CUT_S = 12.0  # Of `node_cut` with `meet`.
-JOBS = 8
-ROUTES = [("jobs", "/jobs/", "dispatch")]
+DOWN_S = 0.15  # From the crash to the next life.
+CUT_AFTER_S = 0.03  # From the start of a task to the cut.
+CUT_S = 3.0
+TASK_MS, CPU, COUNT = 1100, 27000, 5
+ROUNDS = 8
+
+
+class Worker(deployment.Worker):
+    """Notes when runs begin and end, and can be cut off while its runs go on."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.begun = {}
+        self.intervals = []  # (task, run, begin, end, how)
+        self.polled_at = 0.0
+        self.on_start = None
+
+    async def handle(self, method, target, headers, body):
+        if target == "/hold":
+            self.polled_at = self.record.now()
+        return await super().handle(method, target, headers, body)
+
+    def start_run(self, order):
+        before = len(self.starts)
+        answer = super().start_run(order)
+        if len(self.starts) > before:
+            self.begun[order["task"]] = self.record.now()
+            if self.on_start is not None:
+                self.on_start()
+        return answer
+
+    def end(self, task, how):
+        run = self.runs[task][0]
+        self.intervals.append((task, run, self.begun.pop(task), self.record.now(), how))
+        super().end(task, how)
+
+    def crash(self):
+        for task in self.runs:
+            self.intervals.append((task, self.runs[task][0], self.begun.pop(task),
+                                   self.record.now(), "crashed"))
+        super().crash()
+
+    async def cut_off(self, seconds):
+        """Refuses connections, while what runs goes on under its lease."""
+        self.record.write(f"worker {self.id} is cut off, runs on with {sorted(self.runs)}")
+        self.server.stop()
+        await asyncio.sleep(seconds)
+        self.server = deployment.HttpServer(self.port, self.handle)
+        await self.server.start()
+        self.record.write(f"worker {self.id} is reachable again")
 
 
 async def main():
-    case = deployment.Deployment(HERE, ["north"], 6, 6, 64000)
+    case = deployment.Deployment(HERE, ["north", "south"], 2, 4, 64000)
+    case.workers = [Worker(case.store, case.record, it.id, it.zone, it.port, it.cpu)
+                    for it in case.workers]
     rng = random.Random(1)
+    played = 0
     try:
-        await case.add_proxies()
         await case.start()
-        # One of the entries that hold no workers; any of them does.
-        cut = None
-        for entry in case.entries:
-            _, text = await case.call(entry.own, "GET", "/dump")
-            if not json.loads(text)["candidate"]:
-                cut = entry
-        if cut is None:
-            return 2
-        others = [it for it in case.entries if it is not cut]
-        began = case.record.now()
-        if case.trouble:
-            case.cut_off(cut, True)
-        await asyncio.sleep(2.0)
-        case.publish(ROUTES)  # `meet`: the configuration changes during the cut, and at its end.
-        await asyncio.sleep(2.0)
-        cancelled = {}
-
-        async def one():
-            job = f"{rng.getrandbits(64):016x}"
-            post = asyncio.ensure_future(case.submit(cut, job, 1, 8000, 900))
-            await asyncio.sleep(0.3)
-            status, text = await case.call(cut.front, "DELETE", "/jobs/" + job, limit=3.0)
-            case.record.write(f"cancel of {job} at {cut.name}: {status} {text[:90]}")
-            if status == 200:
-                cancelled[job] = case.record.now()
-            await post
-            # The submission arrives once more, seconds later, at another entry.
-            await asyncio.sleep(max(0.0, cancelled.get(job, 0) + CANCEL_S + 0.3 -
-                                    case.record.now()))
-            await case.submit(rng.choice(others), job, 1, 8000, 900)
-
-        tasks = []
-        for _ in range(JOBS):
-            tasks.append(asyncio.ensure_future(one()))
-            await asyncio.sleep(0.3)
-        await asyncio.gather(*tasks)
-        if case.trouble:
-            case.cut_off(cut, False)
-        case.publish(ROUTES)
-        if case.record.now() - began > MAX_CUT_S:
-            return 2
-        late = []
+        for number in range(ROUNDS):
+            worker = case.workers[number % len(case.workers)]
+            # Just after a poll, while it is idle: it is polled once a second then.
+            seen = worker.polled_at
+            while worker.polled_at == seen:
+                await asyncio.sleep(0.005)
+            cut = []
+
+            def on_start(worker=worker, cut=cut):
+                worker.on_start = None
+
+                async def cut_soon():
+                    await asyncio.sleep(CUT_AFTER_S)
+                    await worker.cut_off(CUT_S)
+                cut.append(asyncio.ensure_future(cut_soon()))
+
+            if case.trouble:
+                worker.crash()
+                await asyncio.sleep(DOWN_S)
+                await worker.start()
+                worker.on_start = on_start
+            await asyncio.sleep(0.1)
+            jobs = [asyncio.ensure_future(case.submit(
+                rng.choice(case.entries), f"{rng.getrandbits(64):016x}", COUNT, CPU, TASK_MS))
+                for _ in range(2)]
+            await asyncio.gather(*jobs)
+            played += len(cut)
+            worker.on_start = None
+            if cut:
+                await asyncio.gather(*cut)
+            await asyncio.sleep(2.5)
+        by_task = {}
         for worker in case.workers:
-            for at, task, run, _, _, _ in worker.starts:
-                acknowledged = cancelled.get(task.split(".")[0])
-                if acknowledged is not None and at > acknowledged + CANCEL_S + STOP_S:
-                    late.append((at, task, run, worker.id, acknowledged))
-        for at, task, run, worker, acknowledged in late:
-            case.record.write(f"UNASKED: {task} run {run} starts on {worker} at {at:.3f} s, its "
-                              f"cancel was acknowledged at {acknowledged:.3f} s")
-        case.record.write(f"{len(cancelled)} of {JOBS} cancels acknowledged, {len(late)} late starts")
-        if not cancelled:
+            for task, run, begin, end, how in worker.intervals:
+                by_task.setdefault(task, []).append((begin, end, run, worker.id, how))
+        broken = 0
+        for task, runs in by_task.items():
+            runs.sort()
+            for one, other in zip(runs, runs[1:]):
+                if other[0] < one[1] - 0.01:
+                    broken += 1
+                    case.record.write(
+                        f"TWICE: {task} run {one[2]} on {one[3]} from {one[0]:.3f} to {one[1]:.3f} "
+                        f"({one[4]}), run {other[2]} on {other[3]} from {other[0]:.3f} to "
+                        f"{other[1]:.3f} ({other[4]})")
+        case.record.write(f"{played} of {ROUNDS} rounds played, {broken} times two runs at a time")
+        if case.trouble and not played:
             return 2
-        return 1 if late else 0
+        return 1 if broken else 0
     finally:
         await case.stop()
 
