--- a/review/11/case.py
+++ b/review/11/case.py
@@ -6,7 +6,7 @@
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib-3"))
+sys.path.insert(0, HERE)
 import deployment  # noqa: E402
 
 DOWN_S = 0.15  # From the crash to the next life.
