holding: count a lease at an unknown process as the longest one

Cause: a lease end is a time on the upstream's clock. The new process's clock starts anew, so a lease end on the former clock lies far ahead and gives the longest lease (1,000 ms) in place of 700. The holder went on counting on the former clock until a poll showed the new process. The answer to the start carried a clock reading that the former process cannot have shown; it was ignored.

Change: a run's lease counts on the known clock only once it is certain that the process with that clock has carried out its start: by the answer's clock, or by a poll that lists the run or was sent after the order's time-out. Until then the run lapses no earlier than the longest lease, on the entry's own clock, from the last moment at which an order may have been executed. An answer with the clock of a newer process makes the holder ask which process there is, and start and renew nothing until it has answered. Runs at a known process lapse as before; they do not wait for the others.

--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -27,6 +27,10 @@
 /// certain that the run is over or will never begin: the upstream has listed its end, or has
 /// confirmed a stop after which it rejects the run, or the lease has lapsed on the upstream's own
 /// clock.
+///
+/// An upstream's process may restart under the same id with a new clock, on which the lease ends of
+/// earlier orders lie far ahead, so that they give the longest lease. Until it is known which
+/// process has carried out an order, its run therefore counts as under the longest lease.
 namespace pollenwall::holding {
 
 /// The high bits of a token are the wall clock in these units, so that a later claim has a higher
@@ -323,8 +327,11 @@
   std::uint32_t mCopiesSent = 1;    ///< Of the order to start it.
   std::uint32_t mCopiesPending = 1; ///< Of these, without an answer so far.
   bool mCopyUnknown = false;        ///< A copy was not answered; it may be executed at any time.
+  Time mLastCopyAt{};               ///< When the latest copy was sent.
   Time mRunningSince{};             ///< When the upstream first reported it as running.
-  bool mProcessEnded = false;       ///< The process to which it was ordered has ended since.
+  /// Only the process whose clock is known can run it: its lease ends by Session::mLeaseEndMs.
+  bool mLeaseKnown = false;
+  bool mProcessEnded = false; ///< The process to which it was ordered has ended since.
   bool mStopRequested = false;
   std::optional<Time> mStopSentAt;
   bool mStopConfirmed = false;
@@ -388,6 +395,14 @@
   std::int64_t mSentLeaseEndMs = 0; ///< Latest in any order sent; on the upstream's clock.
   /// Latest that the upstream may have: also of orders sent to a former process.
   std::int64_t mLeaseEndMs = 0;
+  /// Latest end, on this entry's clock, of a lease given by a process whose clock is not known.
+  Time mLongestLeaseEnd{};
+  /// When the present process was found. The lease ends of orders sent before are on the clock of
+  /// a former one.
+  Time mProcessSince{};
+  /// If set: another process may have taken the upstream's place. It takes no new tasks until a
+  /// poll that was sent no earlier is answered.
+  std::optional<Time> mProcessDoubtedSince;
 };
 
 struct State
--- a/src/libentry/twice_search_test.cpp
+++ b/src/libentry/twice_search_test.cpp
@@ -616,11 +616,22 @@
                Kind::WorkerCrashes } },
 };
 
+/// Guards against a run on a worker's new process that counts as over before its lease: the worker
+/// has restarted under its id, takes a start, and none of its answers arrives.
+const Kinds kLostRestart{ Kind::LostAnswers, Kind::ReturningWorkers, Kind::Drift, Kind::LongTasks };
+const std::array kUnnoticedRestartPlays{
+  KnownPlay{ 66, 0, kLostRestart },
+  KnownPlay{ 971, 0, kLostRestart },
+  KnownPlay{ 1597, 0, kLostRestart },
+  KnownPlay{ 1996, 0, kLostRestart },
+};
+
 /// Returns how many of the known plays break a rule.
-std::uint64_t FailedKnownPlays()
+template<typename Plays>
+std::uint64_t FailedKnownPlays(const Plays& aPlays)
 {
   std::uint64_t failed = 0;
-  for (const auto& play : kFormerProcessPlays) {
+  for (const auto& play : aPlays) {
     const auto outcome = PlaySeed(play.mSeed, play.mKinds, play.mVariant);
     if (outcome.mViolations.empty()) {
       continue;
@@ -644,7 +655,9 @@
     return 2;
   }
   // The default run also plays the known ones.
-  const auto failedKnown = aCount == 1 ? FailedKnownPlays() : 0;
+  const auto failedKnown =
+    aCount == 1 ? FailedKnownPlays(kFormerProcessPlays) + FailedKnownPlays(kUnnoticedRestartPlays)
+                : 0;
   std::uint64_t failed = 0;
   std::map<std::string, std::uint64_t> causes;
   for (auto seed = arguments->mFirst; seed <= arguments->mLast; ++seed) {
--- a/src/libentry/two_runs_test.cpp
+++ b/src/libentry/two_runs_test.cpp
@@ -328,6 +328,42 @@
                 "the job is given up when its own permission has run out");
 }
 
+/// Guards against a task that runs twice at once: an idle worker restarts under its id, gets the
+/// task before its holder has noticed, and is cut off while its longest lease lasts.
+bool IdleWorkerRestartsAndIsCutOff(std::uint64_t aSeed)
+{
+  WorldOptions options;
+  options.mDataCentres = 1;
+  options.mWorkersEach = 4;
+  options.mCutsReset = true;
+  options.mSeed = aSeed;
+  auto world = MakeWorld(options);
+  auto& w = *world;
+  RunFor(w, seconds(2));
+  std::size_t cuts = 0;
+  for (std::size_t round = 0; round < 8; ++round) {
+    const auto id = "dc0-w" + std::to_string(round % options.mWorkersEach);
+    CrashWorker(w, id);
+    RunFor(w, milliseconds(150));
+    RestartWorker(w, id);
+    RunFor(w, milliseconds(100));
+    for (std::size_t n = 0; n < options.mNodesEach; ++n) {
+      SubmitJob(w, n, 2, milliseconds(1100), seconds(4));
+    }
+    RunFor(w, milliseconds(30));
+    if (!w.mWorkers.at(id).mRunning.empty()) {
+      ++cuts;
+      for (std::size_t n = 0; n < options.mNodesEach; ++n) {
+        w.mCutFromWorkers.insert({ n, id });
+      }
+    }
+    RunFor(w, seconds(3));
+    w.mCutFromWorkers.clear();
+    RunFor(w, milliseconds(1000 + round * 110));
+  }
+  return Expect(cuts > 0, "a worker gets a task after its restart") && NoViolations(w);
+}
+
 } // namespace
 
 int main()
@@ -373,6 +409,11 @@
     }
   }
   ok = LaterEchoIsNoPermissionForAnEarlierSubmission() && ok;
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    ok = Expect(IdleWorkerRestartsAndIsCutOff(seed),
+                "an idle worker restarts and is cut off, seed " + std::to_string(seed)) &&
+         ok;
+  }
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
 }
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -34,8 +34,8 @@
 
 void ReportUsable(std::string_view aUpstream, Session& aSession, Actions& aActions)
 {
-  const bool usable =
-    aSession.mPhase == SessionPhase::Ready && !aSession.mReleasing && aSession.mLostPolls == 0;
+  const bool usable = aSession.mPhase == SessionPhase::Ready && !aSession.mReleasing &&
+                      aSession.mLostPolls == 0 && !aSession.mProcessDoubtedSince;
   if (usable != aSession.mUsable) {
     aSession.mUsable = usable;
     aActions.emplace_back(UsableChanged{ std::string(aUpstream), usable });
@@ -78,8 +78,8 @@
 
 /// Whether a reading of the clock can be of the process that answered the latest poll. The answers
 /// to starts and stops do not name their process.
-bool IsOfSameProcess(const Session& aSession,
-                     double aMaxDrift,
+bool IsOfSameProcess(const State& aState,
+                     const Session& aSession,
                      std::int64_t aClockMs,
                      Time aSentAt,
                      Time aNow)
@@ -87,7 +87,7 @@
   constexpr double kRoundingMs = 1;
   const double known = static_cast<double>(aSession.mClockMs.value_or(0));
   const double passed = static_cast<double>(Milliseconds(aSentAt - aSession.mClockReadBefore));
-  const double earliest = known + passed * (passed > 0 ? 1 - aMaxDrift : 1);
+  const double earliest = known + passed * (passed > 0 ? 1 - aState.mOptions.mMaxClockDrift : 1);
   const double latest = known + static_cast<double>(Milliseconds(aNow - aSession.mClockReadAfter));
   const double reading = static_cast<double>(aClockMs);
   return reading >= earliest - kRoundingMs && reading <= latest + kRoundingMs;
@@ -163,14 +163,52 @@
     aSession.mLeaseEndMs, aSession.mClockMs.value_or(0) + aState.mOptions.mMaxLease.count());
 }
 
-/// Whether every lease of this session has ended even if the upstream's clock runs as slow as
-/// mMaxClockDrift allows.
+/// The latest end, on this entry's clock, of a lease from an order that a process with an unknown
+/// clock executes by aTime.
+Time LongestLeaseEnd(const Options& aOptions, Time aTime)
+{
+  const auto longest =
+    static_cast<double>(aOptions.mMaxLease.count()) / (1 - aOptions.mMaxClockDrift);
+  return aTime + milliseconds(std::llround(std::ceil(longest)));
+}
+
+/// Takes for granted that a process with an unknown clock has executed an order by aTime.
+void AssumeLongestLeaseFrom(const State& aState, Session& aSession, Time aTime)
+{
+  aSession.mLongestLeaseEnd =
+    std::max(aSession.mLongestLeaseEnd, LongestLeaseEnd(aState.mOptions, aTime));
+}
+
+/// Whether a run may be under a lease that ends later than Session::mLeaseEndMs.
+bool HasRunOfUnknownLease(const Session& aSession)
+{
+  return std::any_of(aSession.mRuns.begin(), aSession.mRuns.end(), [](const auto& aRun) {
+    return !aRun.second.mLeaseKnown;
+  });
+}
+
+/// Whether every lease of this session on the known clock has ended even if that clock runs as slow
+/// as mMaxClockDrift allows.
 bool HasLeaseLapsed(const State& aState, const Session& aSession, const Now& aNow)
 {
   return EarliestClock(aState, aSession, aNow) >
          static_cast<double>(aSession.mLeaseEndMs + aState.mOptions.mLapseMargin.count());
 }
 
+/// Whether a run is over, given that HasLeaseLapsed holds.
+bool HasRunLapsed(const State& aState, const Session& aSession, const OwnRun& aOwn, const Now& aNow)
+{
+  if (aOwn.mLeaseKnown) {
+    return true;
+  }
+  const auto& options = aState.mOptions;
+  auto end = aSession.mLongestLeaseEnd;
+  if (aOwn.mCopiesPending > 0) {
+    end = std::max(end, LongestLeaseEnd(options, aOwn.mLastCopyAt + options.mAnswerTimeout));
+  }
+  return aNow.mTime > end + options.mLapseMargin;
+}
+
 /// Ends the hold after an order sent at aSentAt was fenced, unless its token was an earlier one.
 void MarkLost(std::string_view aUpstream, Session& aSession, Time aSentAt, Actions& aActions)
 {
@@ -251,6 +289,70 @@
   aSession.mPollsSent = 0;
 }
 
+/// Asks at once which process has the upstream's place. Until it has answered, no task is started,
+/// no lease is renewed, and no ends are acknowledged, which the new process would delete.
+void DoubtProcess(std::string_view aUpstream,
+                  Session& aSession,
+                  std::string_view aEvidence,
+                  const Now& aNow,
+                  Actions& aActions)
+{
+  if (aSession.mProcessDoubtedSince || aSession.mPhase == SessionPhase::Claiming ||
+      aSession.mPhase == SessionPhase::Lost) {
+    return;
+  }
+  AddNote(aActions, "upstream_restart_suspected", aUpstream, std::string(aEvidence));
+  aSession.mProcessDoubtedSince = aNow.mTime;
+  aSession.mPollPending = false;
+  aSession.mPollsSent = 0;
+  aSession.mNextPollAt = aNow.mTime;
+  ReportUsable(aUpstream, aSession, aActions);
+}
+
+/// Handles an answer that is not of the process whose clock is known. It may be of a former one if
+/// the order was sent before that clock was read.
+void DoubtAnsweringProcess(std::string_view aUpstream,
+                           Session& aSession,
+                           Time aSentAt,
+                           const Now& aNow,
+                           Actions& aActions)
+{
+  if (aSentAt >= aSession.mClockReadBefore) {
+    DoubtProcess(aUpstream, aSession, "clock of an answer", aNow, aActions);
+  }
+}
+
+/// Records the upstream's clock in the answer to a start. Returns whether the order's lease end is
+/// on that clock; otherwise the order may have given the longest lease.
+bool RecordStartClock(const State& aState,
+                      Session& aSession,
+                      const StartAnswered& aEvent,
+                      const Now& aNow,
+                      Actions& aActions)
+{
+  if (aEvent.mStatus == OrderStatus::NotSent || aEvent.mStatus == OrderStatus::ServerGone) {
+    return false;
+  }
+  const bool isSame =
+    aEvent.mClockMs &&
+    IsOfSameProcess(aState, aSession, *aEvent.mClockMs, aEvent.mSentAt, aNow.mTime);
+  if (isSame) {
+    UpdateClock(aSession, aEvent.mClockMs, aEvent.mSentAt, aNow.mTime);
+    if (aEvent.mSentAt >= aSession.mProcessSince) {
+      return true;
+    }
+  }
+  // An order that is executed after its time-out is not allowed for: nothing bounds its delay.
+  AssumeLongestLeaseFrom(
+    aState,
+    aSession,
+    std::min(aNow.mTime, aEvent.mSentAt + Duration(aState.mOptions.mAnswerTimeout)));
+  if (aEvent.mClockMs && !isSame) {
+    DoubtAnsweringProcess(aEvent.mUpstream, aSession, aEvent.mSentAt, aNow, aActions);
+  }
+  return false;
+}
+
 void SendStopOf(std::string_view aUpstream,
                 const Session& aSession,
                 const Run& aRun,
@@ -282,12 +384,18 @@
   SendPoll poll{ std::string(aUpstream),
                  aSession.mNumber,
                  aSession.mToken,
-                 aSession.mAcknowledgedEnd,
+                 aSession.mProcessDoubtedSince ? 0 : aSession.mAcknowledgedEnd,
                  {},
                  {},
                  aNow.mTime };
-  if (aSession.mPhase == SessionPhase::Ready && !aSession.mRuns.empty()) {
-    poll.mLeaseEndMs = NextLeaseEnd(aState, aSession, aNow);
+  if (aSession.mProcessDoubtedSince) {
+    // The process is asked for without a wait.
+  } else if (aSession.mPhase == SessionPhase::Ready && !aSession.mRuns.empty()) {
+    // After an unanswered poll another renewal only delays the lapse of a run of unknown lease.
+    if (aSession.mPollsSent == 0 || !HasRunOfUnknownLease(aSession)) {
+      poll.mLeaseEndMs = NextLeaseEnd(aState, aSession, aNow);
+      AssumeLongestLeaseFrom(aState, aSession, aNow.mTime + options.mAnswerTimeout);
+    }
     poll.mWait = options.mPollWait;
   } else if (aSession.mPhase == SessionPhase::Clearing && !aSession.mForeignRuns.empty()) {
     poll.mWait = kClearingPollWait;
@@ -350,6 +458,13 @@
   aSession.mRuns.erase(it);
 }
 
+/// Whether no copy of the order to start a run can still be executed without its answer being
+/// known.
+bool IsEachCopyAnswered(const OwnRun& aOwn)
+{
+  return aOwn.mCopiesPending == 0 && !aOwn.mCopyUnknown;
+}
+
 /// Handles that no answer tells whether a run has begun, once no copy of its order is pending.
 void MarkUnknown(std::string_view aUpstream,
                  const Session& aSession,
@@ -372,7 +487,7 @@
 /// the others: they may have been executed before it, or may be later.
 bool NeverBegins(const OwnRun& aOwn)
 {
-  return aOwn.mPhase != RunPhase::Running && aOwn.mCopiesPending == 0 && !aOwn.mCopyUnknown;
+  return aOwn.mPhase != RunPhase::Running && IsEachCopyAnswered(aOwn);
 }
 
 /// The code of a run that an upstream refused to start.
@@ -396,6 +511,44 @@
   }
 }
 
+/// Ends the runs of an upstream that does not answer, or is no longer held, whose leases have
+/// lapsed; HasLeaseLapsed holds.
+void EndLapsedRuns(State& aState,
+                   std::string_view aUpstream,
+                   Session& aSession,
+                   const Now& aNow,
+                   Actions& aActions)
+{
+  std::vector<Run> lapsed;
+  for (const auto& [run, own] : aSession.mRuns) {
+    if (HasRunLapsed(aState, aSession, own, aNow)) {
+      lapsed.push_back(run);
+    }
+  }
+  if (lapsed.empty()) {
+    return;
+  }
+  const bool isLost = aSession.mPhase == SessionPhase::Lost;
+  AddNote(aActions, "runs_lapsed", aUpstream, std::to_string(lapsed.size()));
+  if (!isLost) {
+    ReportCrash(aState, aUpstream, aSession, CrashState::Suspected, aActions);
+  }
+  for (const auto& run : lapsed) {
+    const auto it = aSession.mRuns.find(run);
+    aSession.mLapsedRuns.push_back({ run, it->second.mPhase == RunPhase::Running });
+    const auto code = isLost ? ErrorCode::OwnerUnsettled : ErrorCode::UpstreamLost;
+    ReportEnd(
+      aUpstream, run, it->second, EndEvidence::Lapsed, { Verdict::MayHaveRun, code }, aActions);
+    aSession.mRuns.erase(it);
+  }
+  if (isLost) {
+    return;
+  }
+  // Answers to the orders of the other runs still count.
+  aSession.mRuns.empty() ? FenceEarlierOrders(aState, aSession, aNow)
+                         : RaiseToken(aState, aSession, aNow);
+}
+
 /// Sends another copy of each order to start a run that has not been answered for
 /// mStartRepeatDelay since the latest copy. Without it, one lost order costs its job half a second.
 void RepeatStarts(const State& aState,
@@ -416,6 +569,7 @@
     }
     ++own.mCopiesSent;
     ++own.mCopiesPending;
+    own.mLastCopyAt = aNow.mTime;
     aActions.emplace_back(SendStart{ std::string(aUpstream),
                                      aSession.mNumber,
                                      run,
@@ -426,6 +580,21 @@
   }
 }
 
+/// Handles a poll that was answered by the process whose clock is known, under a token with which
+/// it refuses orders for a former one.
+void MarkKnownLeases(const Options& aOptions, Session& aSession, const PollAnswered& aEvent)
+{
+  std::set<Run> listed;
+  for (const auto& running : aEvent.mRunning) {
+    listed.insert(running.mRun);
+  }
+  for (auto& [run, own] : aSession.mRuns) {
+    const bool haveCopiesExpired = aEvent.mSentAt >= own.mLastCopyAt + aOptions.mAnswerTimeout;
+    own.mLeaseKnown =
+      own.mLeaseKnown || haveCopiesExpired || (listed.contains(run) && IsEachCopyAnswered(own));
+  }
+}
+
 /// Compares the upstream's list of running tasks with the runs of the session.
 void HandleRunning(std::string_view aUpstream,
                    Session& aSession,
@@ -573,7 +742,9 @@
     return std::nullopt;
   }
   auto& session = it->second;
-  session.mRuns[aRun] = OwnRun{ RunPhase::Starting, aNow.mTime, aPayload };
+  OwnRun own{ RunPhase::Starting, aNow.mTime, aPayload };
+  own.mLastCopyAt = aNow.mTime;
+  session.mRuns[aRun] = std::move(own);
   session.mNextPollAt = aNow.mTime;
   return SendStart{ std::string(aUpstream),
                     session.mNumber,
@@ -621,11 +792,7 @@
     return;
   }
   const bool isReplaced = IsReplaced(*session, aEvent.mStatus, aEvent.mSentAt);
-  if (aEvent.mClockMs &&
-      IsOfSameProcess(
-        *session, aState.mOptions.mMaxClockDrift, *aEvent.mClockMs, aEvent.mSentAt, aNow.mTime)) {
-    UpdateClock(*session, aEvent.mClockMs, aEvent.mSentAt, aNow.mTime);
-  }
+  const bool isLeaseKnown = RecordStartClock(aState, *session, aEvent, aNow, aActions);
   const auto it = session->mRuns.find(aEvent.mRun);
   if (it == session->mRuns.end()) {
     return; // A poll has already returned its end.
@@ -638,6 +805,7 @@
     }
     own.mPhase = RunPhase::Running;
     own.mRunningSince = aNow.mTime;
+    own.mLeaseKnown = isLeaseKnown && IsEachCopyAnswered(own);
     if (own.mStopRequested) {
       SendOwnStop(aEvent.mUpstream, *session, aEvent.mRun, own, aNow, aActions);
     }
@@ -676,12 +844,15 @@
     DropSession(aState, aEvent.mUpstream, aActions);
     return;
   }
+  const bool isOfSameProcess =
+    aEvent.mClockMs &&
+    IsOfSameProcess(aState, *session, *aEvent.mClockMs, aEvent.mSentAt, aNow.mTime);
+  if (aEvent.mClockMs && !isOfSameProcess) {
+    DoubtAnsweringProcess(aEvent.mUpstream, *session, aEvent.mSentAt, aNow, aActions);
+  }
   // A stop that a former process has confirmed shows nothing about the present one. An unconfirmed
   // stop is sent again.
-  const bool isConfirmed =
-    aEvent.mStatus == OrderStatus::Done && aEvent.mClockMs &&
-    IsOfSameProcess(
-      *session, aState.mOptions.mMaxClockDrift, *aEvent.mClockMs, aEvent.mSentAt, aNow.mTime);
+  const bool isConfirmed = aEvent.mStatus == OrderStatus::Done && isOfSameProcess;
   const auto it = session->mRuns.find(aEvent.mRun);
   if (isConfirmed && it != session->mRuns.end() && !it->second.mStopConfirmed) {
     it->second.mStopConfirmed = true;
@@ -756,6 +927,7 @@
       session->mAcknowledgedEnd = 0;
       session->mSentLeaseEndMs = 0;
       session->mLeaseEndMs = 0;
+      session->mProcessSince = aNow.mTime;
       if (!isLost) {
         RaiseToken(aState, *session, aNow);
       }
@@ -788,6 +960,9 @@
     AssumeLongestLease(aState, *session); // Late orders were carried out until now.
   }
   session->mTokenAccepted = isTokenAccepted;
+  if (isTokenAccepted) {
+    MarkKnownLeases(aState.mOptions, *session, aEvent);
+  }
   const auto phase = session->mForeignRuns.empty() && session->mTokenAccepted
                        ? SessionPhase::Ready
                        : SessionPhase::Clearing;
@@ -797,6 +972,10 @@
     }
     SetPhase(aEvent.mUpstream, *session, phase, aActions);
   }
+  if (session->mProcessDoubtedSince && aEvent.mSentAt >= *session->mProcessDoubtedSince) {
+    session->mProcessDoubtedSince.reset();
+    ReportUsable(aEvent.mUpstream, *session, aActions);
+  }
   const bool busy =
     !session->mTokenAccepted || !session->mRuns.empty() || !session->mForeignRuns.empty();
   session->mNextPollAt =
@@ -810,23 +989,8 @@
     auto& session = it->second;
     const bool unreachable =
       session.mPhase == SessionPhase::Lost || session.mPhase == SessionPhase::Silent;
-    if (unreachable && !session.mRuns.empty() && HasLeaseLapsed(aState, session, aNow)) {
-      const bool lost = session.mPhase == SessionPhase::Lost;
-      AddNote(aActions, "runs_lapsed", upstream, std::to_string(session.mRuns.size()));
-      if (!lost) {
-        ReportCrash(aState, upstream, session, CrashState::Suspected, aActions);
-      }
-      for (const auto& [run, own] : session.mRuns) {
-        session.mLapsedRuns.push_back({ run, own.mPhase == RunPhase::Running });
-      }
-      ReportAllRunsLost(upstream,
-                        session,
-                        EndEvidence::Lapsed,
-                        lost ? ErrorCode::OwnerUnsettled : ErrorCode::UpstreamLost,
-                        aActions);
-      if (!lost) {
-        FenceEarlierOrders(aState, session, aNow);
-      }
+    if (unreachable && HasLeaseLapsed(aState, session, aNow)) {
+      EndLapsedRuns(aState, upstream, session, aNow, aActions);
     }
     if (session.mRuns.empty() && (session.mPhase == SessionPhase::Lost ||
                                   (session.mReleasing && session.mForeignRuns.empty()))) {
--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <iostream>
+#include <map>
 
 #include <pollenwall/holding.h>
 
@@ -783,6 +784,159 @@
          ok;
 }
 
+/// An upstream whose process has restarted under its id since its latest answer.
+Fixture MakeRestartedFixture()
+{
+  auto fixture = MakeFixture();
+  Pass(fixture, milliseconds(500));
+  fixture.mClockMs = 200;
+  fixture.mBornMs = 8;
+  return fixture;
+}
+
+/// Cuts the network to the upstream, so that connections are refused.
+void CutOff(Fixture& aFixture)
+{
+  for (std::uint32_t n = 0; n < aFixture.mState.mOptions.mMaxLostPolls; ++n) {
+    RefusePoll(aFixture);
+  }
+}
+
+/// The runs that have ended after each time, until aEnd.
+std::map<Run, Time> EndsUntil(Fixture& aFixture, Time aEnd)
+{
+  std::map<Run, Time> ends;
+  while (aFixture.mNow.mTime < aEnd) {
+    AdvanceBy(aFixture, milliseconds(10));
+    for (const auto& ended : All<Ended>(aFixture)) {
+      ends.emplace(Run{ ended.mTask, ended.mNumber }, aFixture.mNow.mTime);
+    }
+  }
+  return ends;
+}
+
+/// Latest time at which a lease of the longest kind ends that is given at aTime, on a slow clock.
+Time EndOfLongestLease(const Fixture& aFixture, Time aTime)
+{
+  const auto& options = aFixture.mState.mOptions;
+  return aTime + options.mMaxLease * 100 / 98;
+}
+
+/// Guards against two runs of a task at once: an idle upstream restarts under its id, the new
+/// process takes a start before any poll, which gives it the longest lease, and is cut off.
+bool LeaseOfAStartAtAnUnknownProcessLasts()
+{
+  auto fixture = MakeRestartedFixture();
+  const Run run{ { "j", 0 }, 1 };
+  Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  AnswerStart(fixture, run, OrderStatus::Done);
+  const auto leaseEnd = EndOfLongestLease(fixture, fixture.mNow.mTime);
+  CutOff(fixture);
+  constexpr milliseconds kDetection{ 300 };
+  const auto ends = EndsUntil(fixture, leaseEnd + kDetection);
+  return Expect(ends.contains(run), "the run ends after its lease") &&
+         Expect(ends.at(run) >= leaseEnd, "the run does not end before its lease");
+}
+
+/// The same if the answers to the start are lost. The last copy may be the one that is executed,
+/// just before its time-out.
+bool LeaseOfAnUnansweredStartLasts()
+{
+  auto fixture = MakeRestartedFixture();
+  const Run run{ { "j", 0 }, 1 };
+  Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  const auto lastCopyAt = fixture.mNow.mTime + milliseconds(50);
+  AdvanceBy(fixture, milliseconds(50));
+  const auto timeout = fixture.mState.mOptions.mAnswerTimeout;
+  Pass(fixture, timeout);
+  for (int n = 0; n < 2; ++n) {
+    const StartAnswered lost{ kUpstream, SessionOf(fixture), run, OrderStatus::Unknown,
+                              {},        lastCopyAt };
+    Handle(fixture.mState, lost, fixture.mNow, fixture.mActions);
+  }
+  CutOff(fixture);
+  const auto leaseEnd = EndOfLongestLease(fixture, lastCopyAt + timeout);
+  constexpr milliseconds kDetection{ 300 };
+  const auto ends = EndsUntil(fixture, leaseEnd + kDetection);
+  return Expect(ends.contains(run), "the run ends after its lease") &&
+         Expect(ends.at(run) >= leaseEnd, "the run does not end before its lease");
+}
+
+/// Guards against jobs that wait longer than needed: when an upstream is cut off, the runs that its
+/// known process has listed lapse with their leases, also if another start was not answered.
+bool ListedRunsLapseBeforeUnansweredOnes()
+{
+  auto fixture = MakeFixture();
+  const Run listed{ { "j", 0 }, 1 };
+  Start(fixture.mState, kUpstream, listed, nullptr, fixture.mNow, fixture.mActions);
+  AnswerStart(fixture, listed, OrderStatus::Done);
+  AdvanceBy(fixture, milliseconds(10));
+  AnswerPoll(fixture, { { listed, 0.1 } });
+  const Run unanswered{ { "j", 1 }, 1 };
+  Start(fixture.mState, kUpstream, unanswered, nullptr, fixture.mNow, fixture.mActions);
+  const auto sentAt = fixture.mNow.mTime;
+  AnswerStart(fixture, unanswered, OrderStatus::Unknown);
+  CutOff(fixture);
+  const auto& options = fixture.mState.mOptions;
+  constexpr milliseconds kDetection{ 100 }; // The polls that CutOff sends, and a tick.
+  const auto listedEnd = sentAt + options.mLease * 100 / 98 + options.mLapseMargin + kDetection;
+  const auto ends = EndsUntil(fixture, sentAt + seconds(2));
+  return Expect(ends.size() == 2, "both runs end") &&
+         Expect(ends.at(listed) <= listedEnd, "the listed run ends with its lease") &&
+         Expect(ends.at(unanswered) >= EndOfLongestLease(fixture, sentAt),
+                "the unanswered run does not end before the longest lease");
+}
+
+/// Guards against a run that counts as lapsed while its lease lasts: its order was sent before the
+/// restart of the upstream was noticed, and is executed after the new process has answered a poll.
+bool OrderSentBeforeARestartWasNoticedGivesTheLongestLease()
+{
+  auto fixture = MakeRestartedFixture();
+  const Run run{ { "j", 0 }, 1 };
+  Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  const auto sentAt = fixture.mNow.mTime;
+  AnswerPoll(fixture);
+  Pass(fixture, milliseconds(130));
+  const auto executedAt = fixture.mNow.mTime;
+  const StartAnswered answer{ kUpstream,         SessionOf(fixture), run,
+                              OrderStatus::Done, fixture.mClockMs,   sentAt };
+  Handle(fixture.mState, answer, fixture.mNow, fixture.mActions);
+  CutOff(fixture);
+  const auto ends = EndsUntil(fixture, executedAt + seconds(2));
+  return Expect(ends.contains(run), "the run ends after its lease") &&
+         Expect(ends.at(run) >= EndOfLongestLease(fixture, executedAt),
+                "the run does not end before its lease");
+}
+
+/// Whether the upstream takes no task, and is asked for its process at once, without a wait, a
+/// renewal or acknowledged ends; and whether it takes tasks again once it has answered.
+bool IsAskedForItsProcess(Fixture& aFixture)
+{
+  const Run run{ { "asked", 0 }, 1 };
+  auto order = Start(aFixture.mState, kUpstream, run, nullptr, aFixture.mNow, aFixture.mActions);
+  bool ok = Expect(!order, "an upstream whose process is not known takes no task");
+  AdvanceBy(aFixture, milliseconds(1));
+  const auto polls = All<SendPoll>(aFixture);
+  ok &= Expect(polls.size() == 1 && !polls[0].mLeaseEndMs && polls[0].mWait.count() == 0 &&
+                 polls[0].mAcknowledgedEnd == 0,
+               "one poll asks for the process at once");
+  AnswerPoll(aFixture);
+  AnswerPoll(aFixture); // A new process has accepted the raised token.
+  order = Start(aFixture.mState, kUpstream, run, nullptr, aFixture.mNow, aFixture.mActions);
+  return Expect(order.has_value(), "the process that has answered takes tasks") && ok;
+}
+
+/// Guards against starts with lease ends on the clock of a former process, after an answer to a
+/// start has shown that there is another one.
+bool AnswerWithAnotherClockStopsStarts()
+{
+  auto fixture = MakeRestartedFixture();
+  const Run run{ { "j", 0 }, 1 };
+  Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  AnswerStart(fixture, run, OrderStatus::Superseded);
+  return IsAskedForItsProcess(fixture);
+}
+
 } // namespace
 
 int main()
@@ -814,6 +968,11 @@
   ok = UnansweredPollsAreRepeated(OrderStatus::Unknown) && ok;
   ok = UnansweredPollsAreRepeated(OrderStatus::Done) && ok;
   ok = RepeatedPollsAreBounded() && ok;
+  ok = LeaseOfAStartAtAnUnknownProcessLasts() && ok;
+  ok = LeaseOfAnUnansweredStartLasts() && ok;
+  ok = ListedRunsLapseBeforeUnansweredOnes() && ok;
+  ok = OrderSentBeforeARestartWasNoticedGivesTheLongestLease() && ok;
+  ok = AnswerWithAnotherClockStopsStarts() && ok;
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
 }
