entry: ask for an upstream's process when the platform lists another one

A holder polls an upstream on which nothing runs once a second. A worker that restarts under its id is listed at once, but until the next poll its new process was given starts with lease ends on the former clock: the longest lease, which the next cut makes its jobs wait for.

Change: when the list shows another start time than the latest poll, the holder asks at once which process there is, and starts nothing until that has answered; the starts after it have leases of the usual length. One poll for each restart.

--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -454,6 +454,14 @@
 /// answers an order sent before shows nothing about the upstream.
 void ChangeAddress(State& aState, std::string_view aUpstream, const Now& aNow);
 
+/// Records that the platform lists the process that started at aBornMs under the upstream's id. If
+/// another process answered the latest poll, the upstream takes no tasks until the next answer.
+void ProcessListed(State& aState,
+                   std::string_view aUpstream,
+                   UnixMs aBornMs,
+                   const Now& aNow,
+                   Actions& aActions);
+
 /// Stops a run of this entry. Does nothing if the run is over already.
 void Stop(State& aState,
           std::string_view aUpstream,
--- a/src/libentry/holder.cpp
+++ b/src/libentry/holder.cpp
@@ -701,6 +701,9 @@
     if (upstream.mRecord.mAddress != record.mAddress || upstream.mRecord.mPort != record.mPort) {
       holding::ChangeAddress(aState.mHolding, key, aNow);
     }
+    if (record.mBornMs != 0 && upstream.mRecord.mBornMs != record.mBornMs) {
+      holding::ProcessListed(aState.mHolding, key, record.mBornMs, aNow, aState.mHoldingActions);
+    }
     if (!NamesSameProcess(upstream.mRecord, record)) {
       upstream.mMisdirected = 0;
       upstream.mMisdirectedUntil = {};
--- a/src/libentry/two_runs_test.cpp
+++ b/src/libentry/two_runs_test.cpp
@@ -328,9 +328,17 @@
                 "the job is given up when its own permission has run out");
 }
 
+/// The rest of the lease at a worker, on its own clock.
+milliseconds LeaseLeft(const World& aWorld, const std::string& aId)
+{
+  const auto& worker = aWorld.mWorkers.at(aId);
+  return milliseconds(worker.mLeaseEndMs - (aWorld.mNow.mUnixMs - worker.mBornMs));
+}
+
 /// Guards against a task that runs twice at once: an idle worker restarts under its id, gets the
-/// task before its holder has noticed, and is cut off while its longest lease lasts.
-bool IdleWorkerRestartsAndIsCutOff(std::uint64_t aSeed)
+/// task before its holder has noticed, and is cut off while its longest lease lasts. If the list
+/// shows the new process, the holder reads its clock first and the lease is of the usual length.
+bool IdleWorkerRestartsAndIsCutOff(std::uint64_t aSeed, bool aListed)
 {
   WorldOptions options;
   options.mDataCentres = 1;
@@ -340,12 +348,17 @@
   auto world = MakeWorld(options);
   auto& w = *world;
   RunFor(w, seconds(2));
+  bool ok = true;
   std::size_t cuts = 0;
   for (std::size_t round = 0; round < 8; ++round) {
     const auto id = "dc0-w" + std::to_string(round % options.mWorkersEach);
     CrashWorker(w, id);
     RunFor(w, milliseconds(150));
     RestartWorker(w, id);
+    if (aListed) {
+      w.mWorkers.at(id).mRecord.mBornMs = w.mWorkers.at(id).mBornMs;
+      ListWorkers(w);
+    }
     RunFor(w, milliseconds(100));
     for (std::size_t n = 0; n < options.mNodesEach; ++n) {
       SubmitJob(w, n, 2, milliseconds(1100), seconds(4));
@@ -353,6 +366,8 @@
     RunFor(w, milliseconds(30));
     if (!w.mWorkers.at(id).mRunning.empty()) {
       ++cuts;
+      const auto usual = holding::Options{}.mLease;
+      ok = Expect(!aListed || LeaseLeft(w, id) <= usual, "the lease is of the usual length") && ok;
       for (std::size_t n = 0; n < options.mNodesEach; ++n) {
         w.mCutFromWorkers.insert({ n, id });
       }
@@ -361,7 +376,7 @@
     w.mCutFromWorkers.clear();
     RunFor(w, milliseconds(1000 + round * 110));
   }
-  return Expect(cuts > 0, "a worker gets a task after its restart") && NoViolations(w);
+  return Expect(cuts > 0, "a worker gets a task after its restart") && NoViolations(w) && ok;
 }
 
 } // namespace
@@ -410,9 +425,12 @@
   }
   ok = LaterEchoIsNoPermissionForAnEarlierSubmission() && ok;
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-    ok = Expect(IdleWorkerRestartsAndIsCutOff(seed),
-                "an idle worker restarts and is cut off, seed " + std::to_string(seed)) &&
-         ok;
+    for (const bool listed : { false, true }) {
+      ok = Expect(IdleWorkerRestartsAndIsCutOff(seed, listed),
+                  "an idle worker restarts and is cut off, seed " + std::to_string(seed) +
+                    (listed ? ", listed" : "")) &&
+           ok;
+    }
   }
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -763,6 +763,18 @@
   }
 }
 
+void ProcessListed(State& aState,
+                   std::string_view aUpstream,
+                   UnixMs aBornMs,
+                   const Now& aNow,
+                   Actions& aActions)
+{
+  const auto it = aState.mSessions.find(aUpstream);
+  if (it != aState.mSessions.end() && it->second.mBornMs && it->second.mBornMs != aBornMs) {
+    DoubtProcess(aUpstream, it->second, "record of another process", aNow, aActions);
+  }
+}
+
 void Stop(State& aState,
           std::string_view aUpstream,
           const TaskId& aTask,
--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -937,6 +937,22 @@
   return IsAskedForItsProcess(fixture);
 }
 
+/// The same after the platform has listed another process, and not after it has listed the known
+/// one.
+bool ListedProcessStopsStarts()
+{
+  auto fixture = MakeFixture();
+  ProcessListed(fixture.mState, kUpstream, 7, fixture.mNow, fixture.mActions);
+  const Run run{ { "j", 0 }, 1 };
+  const auto order = Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  bool ok = Expect(order.has_value(), "the known process takes tasks");
+  AnswerStart(fixture, run, OrderStatus::Superseded);
+  fixture.mClockMs = 200;
+  fixture.mBornMs = 8;
+  ProcessListed(fixture.mState, kUpstream, 8, fixture.mNow, fixture.mActions);
+  return IsAskedForItsProcess(fixture) && ok;
+}
+
 } // namespace
 
 int main()
@@ -973,6 +989,7 @@
   ok = ListedRunsLapseBeforeUnansweredOnes() && ok;
   ok = OrderSentBeforeARestartWasNoticedGivesTheLongestLease() && ok;
   ok = AnswerWithAnotherClockStopsStarts() && ok;
+  ok = ListedProcessStopsStarts() && ok;
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
 }
