holding: read an upstream's clock only from answers that show its process

When another holder takes over an upstream that has restarted under its id, the present holder's next poll is refused. The refusal carries the clock of the new process and does not name it. The holder took that clock for the known one, on which the leases of its runs then seemed to last for as long as the former process had been up: its jobs got no answer before their deadlines, and were not started elsewhere.

The clock of a refused poll now counts only if the known process can have shown it, as it did for starts and stops already.

LostHoldOfARestartedUpstreamEnds (holding_test) failed before ("the run ends with its lease" within 2 s) and passes.

--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -885,7 +885,12 @@
     session->mNextPollAt = aNow.mTime;
     return;
   }
-  UpdateClock(*session, aEvent.mClockMs, aEvent.mSentAt, aNow.mTime);
+  // Only the answer to a poll that is carried out names its process.
+  if (aEvent.mStatus == OrderStatus::Done ||
+      (aEvent.mClockMs &&
+       IsOfSameProcess(aState, *session, *aEvent.mClockMs, aEvent.mSentAt, aNow.mTime))) {
+    UpdateClock(*session, aEvent.mClockMs, aEvent.mSentAt, aNow.mTime);
+  }
   switch (aEvent.mStatus) {
     case OrderStatus::Done:
       break;
--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -953,6 +953,25 @@
   return IsAskedForItsProcess(fixture) && ok;
 }
 
+/// Guards against a run that does not end for as long as its upstream's former process was up: the
+/// hold is lost by the answer of a new process, whose clock has only begun.
+bool LostHoldOfARestartedUpstreamEnds()
+{
+  auto fixture = MakeFixture();
+  const Run run{ { "j", 0 }, 1 };
+  Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  AnswerStart(fixture, run, OrderStatus::Done);
+  AnswerPoll(fixture, { { run, 0.1 } });
+  AdvanceBy(fixture, milliseconds(1));
+  auto answer = AnswerTo(fixture, OrderStatus::Fenced, fixture.mNow.mTime);
+  answer.mClockMs = 10;
+  Pass(fixture, milliseconds(1));
+  Handle(fixture.mState, answer, fixture.mNow, fixture.mActions);
+  const bool ok = Expect(!Holds(fixture.mState, kUpstream), "the hold is lost");
+  const auto ends = EndsUntil(fixture, fixture.mNow.mTime + seconds(2));
+  return Expect(ends.contains(run), "the run ends with its lease") && ok;
+}
+
 } // namespace
 
 int main()
@@ -990,6 +1009,7 @@
   ok = OrderSentBeforeARestartWasNoticedGivesTheLongestLease() && ok;
   ok = AnswerWithAnotherClockStopsStarts() && ok;
   ok = ListedProcessStopsStarts() && ok;
+  ok = LostHoldOfARestartedUpstreamEnds() && ok;
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
 }
