holding: acknowledge an end only until a poll that does so is answered

A worker that restarts under its id numbers its ends anew. Each poll acknowledged all ends of the former process, so that a short task that ended on the new process before its first poll was deleted from its list by that poll: the holder took the run for lost and ran the task again. Its caller waited twice as long, and for a job that is kept the second run would break a rule (TWICE).

An end is now acknowledged until a poll that was sent after it had been handled is answered; later polls acknowledge nothing, which changes nothing for the process that has deleted the end. What is left is a restart between the end and the next poll.

EndsAreAcknowledgedOnce (holding_test) failed before ("it is not acknowledged after an answered poll") and passes.

--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -364,10 +364,11 @@
   Time mTokenSince{};
   bool mTokenAccepted = true; ///< The latest answered poll had mToken. Not used while claiming.
   SessionPhase mPhase = SessionPhase::Claiming;
-  bool mReleasing = false;            ///< Takes no new tasks; the session ends once nothing runs.
-  bool mUsable = false;               ///< As last reported.
-  std::uint64_t mAcknowledgedEnd = 0; ///< The highest ListedEnd::mNumber handled so far.
-  std::optional<UnixMs> mBornMs;      ///< As in the latest answered poll; see PollAnswered.
+  bool mReleasing = false;       ///< Takes no new tasks; the session ends once nothing runs.
+  bool mUsable = false;          ///< As last reported.
+  std::uint64_t mLastEnd = 0;    ///< The highest ListedEnd::mNumber handled so far.
+  Time mLastEndSince{};          ///< When mLastEnd was handled.
+  std::optional<UnixMs> mBornMs; ///< As in the latest answered poll; see PollAnswered.
   std::map<Run, OwnRun> mRuns;
   std::vector<Run> mForeignRuns; ///< Runs of earlier holders, being stopped.
   /// Runs that lapsed since the upstream became silent. Whether it has crashed under them is known
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -374,6 +374,14 @@
   SendStopOf(aUpstream, aSession, aRun, aNow, aActions);
 }
 
+/// The number up to which the next poll acknowledges ended runs. They are acknowledged until one
+/// such poll has been answered: a later process numbers its ends anew, and would delete them.
+std::uint64_t EndToAcknowledge(const Session& aSession)
+{
+  const bool isAcknowledged = aSession.mAnsweredPollSentAt > aSession.mLastEndSince;
+  return isAcknowledged || aSession.mProcessDoubtedSince ? 0 : aSession.mLastEnd;
+}
+
 void SendNextPoll(State& aState,
                   std::string_view aUpstream,
                   Session& aSession,
@@ -384,7 +392,7 @@
   SendPoll poll{ std::string(aUpstream),
                  aSession.mNumber,
                  aSession.mToken,
-                 aSession.mProcessDoubtedSince ? 0 : aSession.mAcknowledgedEnd,
+                 EndToAcknowledge(aSession),
                  {},
                  {},
                  aNow.mTime };
@@ -425,7 +433,8 @@
                const Now& aNow,
                Actions& aActions)
 {
-  aSession.mAcknowledgedEnd = aEnd.mNumber;
+  aSession.mLastEnd = aEnd.mNumber;
+  aSession.mLastEndSince = aNow.mTime;
   const auto it = aSession.mRuns.find(aEnd.mRun);
   if (it == aSession.mRuns.end()) {
     return;
@@ -941,7 +950,7 @@
       ReportCrash(aState, aEvent.mUpstream, *session, CrashState::Confirmed, aActions);
       AddNote(aActions, "upstream_restarted", aEvent.mUpstream, "");
       const bool isLost = session->mPhase == SessionPhase::Lost;
-      session->mAcknowledgedEnd = 0;
+      session->mLastEnd = 0;
       session->mSentLeaseEndMs = 0;
       session->mLeaseEndMs = 0;
       session->mProcessSince = aNow.mTime;
@@ -967,7 +976,7 @@
   session->mCrashNumber = 0;
   session->mLapsedRuns.clear();
   for (const auto& end : aEvent.mEnds) {
-    if (end.mNumber > session->mAcknowledgedEnd) {
+    if (end.mNumber > session->mLastEnd) {
       HandleEnd(aEvent.mUpstream, *session, end, aNow, aActions);
     }
   }
--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -972,6 +972,35 @@
   return Expect(ends.contains(run), "the run ends with its lease") && ok;
 }
 
+/// Guards against a task that is run again although it is done: an upstream restarts under its id,
+/// the new process ends a run under a number that was acknowledged to the former one, and the poll
+/// that would return the end makes the process delete it.
+bool EndsAreAcknowledgedOnce()
+{
+  auto fixture = MakeFixture();
+  const Run run{ { "j", 0 }, 1 };
+  Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  AnswerStart(fixture, run, OrderStatus::Done);
+  AdvanceBy(fixture, milliseconds(1));
+  auto answer = AnswerTo(fixture, OrderStatus::Done, fixture.mNow.mTime);
+  answer.mEnds.push_back({ 1, run, RunEnd::Done });
+  Pass(fixture, milliseconds(1));
+  Handle(fixture.mState, answer, fixture.mNow, fixture.mActions);
+  const auto acknowledged = [&fixture] {
+    AdvanceBy(fixture, fixture.mState.mOptions.mIdlePollInterval);
+    const auto polls = All<SendPoll>(fixture);
+    return polls.size() == 1 ? std::optional(polls[0].mAcknowledgedEnd) : std::nullopt;
+  };
+  bool ok = Expect(acknowledged() == 1, "the end is acknowledged");
+  Handle(fixture.mState,
+         AnswerTo(fixture, OrderStatus::Unknown, fixture.mNow.mTime),
+         fixture.mNow,
+         fixture.mActions);
+  ok &= Expect(acknowledged() == 1, "it is acknowledged again after an unanswered poll");
+  AnswerPoll(fixture);
+  return Expect(acknowledged() == 0, "it is not acknowledged after an answered poll") && ok;
+}
+
 } // namespace
 
 int main()
@@ -1010,6 +1039,7 @@
   ok = AnswerWithAnotherClockStopsStarts() && ok;
   ok = ListedProcessStopsStarts() && ok;
   ok = LostHoldOfARestartedUpstreamEnds() && ok;
+  ok = EndsAreAcknowledgedOnce() && ok;
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
 }
