holding: blame no task for the end of a process that had not run it

Two or three such reports make a sound task count as deadly, and its job is refused.

A run counts as at work in the report of a crash only if it is known to be at the process whose clock is known; the others are reported as unanswered, which is never proof against a task.

RunOfTheNextProcessIsNoCauseOfACrash (holding_test) failed before, with and without a cut before the new process answers a poll, and passes; deadly_task_test passes as before.

--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -276,9 +276,10 @@
   std::string mUpstream;
   std::uint64_t mNumber = 0; ///< Of the crash; unique in this State.
   CrashState mState = CrashState::Confirmed;
-  std::vector<Run> mRuns;           ///< This entry's runs that were at work there.
-  std::vector<Run> mUnansweredRuns; ///< Those of which it is unknown whether they had begun.
-  std::optional<UnixMs> mBornMs;    ///< Start of the process that had the runs.
+  std::vector<Run> mRuns; ///< This entry's runs that were at work there.
+  /// Those of which it is unknown whether they had begun, or at which process.
+  std::vector<Run> mUnansweredRuns;
+  std::optional<UnixMs> mBornMs; ///< Start of the process that had the runs.
 };
 
 /// A process of the upstream has answered: the first one of a session, one with another start, or
@@ -341,7 +342,7 @@
 struct LapsedRun
 {
   Run mRun;
-  bool mBegan = false; ///< It is known to have been at work on the upstream.
+  bool mBegan = false; ///< It is known to have been at work at the process whose clock was known.
 };
 
 enum class SessionPhase
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -224,6 +224,12 @@
   aActions.emplace_back(HoldLost{ std::string(aUpstream), wasHeld });
 }
 
+/// Whether a run is known to be at work at the process whose clock is known.
+bool IsAtKnownProcess(const OwnRun& aOwn)
+{
+  return aOwn.mPhase == RunPhase::Running && aOwn.mLeaseKnown;
+}
+
 /// Reports that the upstream has crashed or may have, and the runs that it may have had.
 void ReportCrash(State& aState,
                  std::string_view aUpstream,
@@ -244,7 +250,7 @@
     (began ? crashed.mRuns : crashed.mUnansweredRuns).push_back(run);
   }
   for (const auto& [run, own] : aSession.mRuns) {
-    (own.mPhase == RunPhase::Running ? crashed.mRuns : crashed.mUnansweredRuns).push_back(run);
+    (IsAtKnownProcess(own) ? crashed.mRuns : crashed.mUnansweredRuns).push_back(run);
   }
   aActions.emplace_back(std::move(crashed));
 }
@@ -544,7 +550,7 @@
   }
   for (const auto& run : lapsed) {
     const auto it = aSession.mRuns.find(run);
-    aSession.mLapsedRuns.push_back({ run, it->second.mPhase == RunPhase::Running });
+    aSession.mLapsedRuns.push_back({ run, IsAtKnownProcess(it->second) });
     const auto code = isLost ? ErrorCode::OwnerUnsettled : ErrorCode::UpstreamLost;
     ReportEnd(
       aUpstream, run, it->second, EndEvidence::Lapsed, { Verdict::MayHaveRun, code }, aActions);
--- a/src/libholding/holding_test.cpp
+++ b/src/libholding/holding_test.cpp
@@ -1001,6 +1001,35 @@
   return Expect(acknowledged() == 0, "it is not acknowledged after an answered poll") && ok;
 }
 
+/// Guards against a sound task that counts as the cause of a crash: its upstream's process had
+/// ended before the next one took it.
+bool RunOfTheNextProcessIsNoCauseOfACrash(bool aCutOff)
+{
+  auto fixture = MakeRestartedFixture();
+  const Run run{ { "j", 0 }, 1 };
+  Start(fixture.mState, kUpstream, run, nullptr, fixture.mNow, fixture.mActions);
+  AnswerStart(fixture, run, OrderStatus::Done);
+  std::vector<Crashed> crashes;
+  const auto collect = [&] {
+    const auto reported = All<Crashed>(fixture);
+    crashes.insert(crashes.end(), reported.begin(), reported.end());
+  };
+  if (aCutOff) {
+    CutOff(fixture);
+    for (int n = 0; n < 150; ++n) { // The run lapses meanwhile.
+      AdvanceBy(fixture, milliseconds(10));
+      collect();
+    }
+  }
+  AnswerPoll(fixture, aCutOff ? std::vector<ListedRun>{} : std::vector<ListedRun>{ { run, 0.1 } });
+  collect();
+  return Expect(!crashes.empty(), "the end of the process is reported") &&
+         Expect(std::all_of(crashes.begin(),
+                            crashes.end(),
+                            [](const Crashed& aCrashed) { return aCrashed.mRuns.empty(); }),
+                "the run is not reported as at work when the process ended");
+}
+
 } // namespace
 
 int main()
@@ -1040,6 +1069,9 @@
   ok = ListedProcessStopsStarts() && ok;
   ok = LostHoldOfARestartedUpstreamEnds() && ok;
   ok = EndsAreAcknowledgedOnce() && ok;
+  for (const bool isCutOff : { false, true }) {
+    ok = RunOfTheNextProcessIsNoCauseOfACrash(isCutOff) && ok;
+  }
   std::cout << (ok ? "passed" : "failed") << "\n";
   return ok ? 0 : 1;
 }
