holding: find known leases in the pass over the listed runs

Each answered poll built the set of listed runs twice. It is built once again; holding_test, two_runs_test, twice_search_test, entry_test and deadly_task_test pass.

--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -595,23 +595,20 @@
   }
 }
 
-/// Handles a poll that was answered by the process whose clock is known, under a token with which
-/// it refuses orders for a former one.
-void MarkKnownLeases(const Options& aOptions, Session& aSession, const PollAnswered& aEvent)
+/// Whether a poll shows that only the process that answered it can run the task; that process
+/// refuses orders for a former one.
+bool IsLeaseShown(const Options& aOptions,
+                  const OwnRun& aOwn,
+                  const PollAnswered& aEvent,
+                  bool aListed)
 {
-  std::set<Run> listed;
-  for (const auto& running : aEvent.mRunning) {
-    listed.insert(running.mRun);
-  }
-  for (auto& [run, own] : aSession.mRuns) {
-    const bool haveCopiesExpired = aEvent.mSentAt >= own.mLastCopyAt + aOptions.mAnswerTimeout;
-    own.mLeaseKnown =
-      own.mLeaseKnown || haveCopiesExpired || (listed.contains(run) && IsEachCopyAnswered(own));
-  }
+  const bool haveCopiesExpired = aEvent.mSentAt >= aOwn.mLastCopyAt + aOptions.mAnswerTimeout;
+  return haveCopiesExpired || (aListed && IsEachCopyAnswered(aOwn));
 }
 
 /// Compares the upstream's list of running tasks with the runs of the session.
-void HandleRunning(std::string_view aUpstream,
+void HandleRunning(const Options& aOptions,
+                   std::string_view aUpstream,
                    Session& aSession,
                    const PollAnswered& aEvent,
                    const Now& aNow,
@@ -638,7 +635,11 @@
   aSession.mForeignRuns = std::move(foreign);
   std::vector<Run> gone;
   for (auto& [run, own] : aSession.mRuns) {
-    if (listed.contains(run)) {
+    const bool isListed = listed.contains(run);
+    if (aSession.mTokenAccepted && IsLeaseShown(aOptions, own, aEvent, isListed)) {
+      own.mLeaseKnown = true;
+    }
+    if (isListed) {
       continue;
     }
     // A copy of the order that is still on its way would be executed by an upstream that has
@@ -986,15 +987,12 @@
       HandleEnd(aEvent.mUpstream, *session, end, aNow, aActions);
     }
   }
-  HandleRunning(aEvent.mUpstream, *session, aEvent, aNow, aActions);
   const bool isTokenAccepted = aEvent.mSentAt >= session->mTokenSince;
   if (!session->mTokenAccepted && isTokenAccepted) {
     AssumeLongestLease(aState, *session); // Late orders were carried out until now.
   }
   session->mTokenAccepted = isTokenAccepted;
-  if (isTokenAccepted) {
-    MarkKnownLeases(aState.mOptions, *session, aEvent);
-  }
+  HandleRunning(aState.mOptions, aEvent.mUpstream, *session, aEvent, aNow, aActions);
   const auto phase = session->mForeignRuns.empty() && session->mTokenAccepted
                        ? SessionPhase::Ready
                        : SessionPhase::Clearing;
