holding: the reckoning of leases in a file of its own

What reckons clocks and lease ends, of known and of unknown processes, moves to leases.h and leases.cpp; the session's latest end of an unknown lease has a name that says so. No change of behaviour: holding_test, two_runs_test, twice_search_test, entry_test and deadly_task_test pass.

--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -397,8 +397,9 @@
   std::int64_t mSentLeaseEndMs = 0; ///< Latest in any order sent; on the upstream's clock.
   /// Latest that the upstream may have: also of orders sent to a former process.
   std::int64_t mLeaseEndMs = 0;
-  /// Latest end, on this entry's clock, of a lease given by a process whose clock is not known.
-  Time mLongestLeaseEnd{};
+  /// Latest end, on this entry's clock, of a lease that was given by a process whose clock is not
+  /// known. It concerns the runs without OwnRun::mLeaseKnown.
+  Time mUnknownLeaseEnd{};
   /// When the present process was found. The lease ends of orders sent before are on the clock of
   /// a former one.
   Time mProcessSince{};
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -1,14 +1,14 @@
 #include <pollenwall/holding.h>
 
 #include <algorithm>
-#include <cmath>
 #include <set>
 #include <utility>
 
+#include "leases.h"
+
 namespace pollenwall::holding {
 namespace {
 
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 /// Longest wait of a poll while runs of an earlier holder are being stopped.
@@ -16,11 +16,6 @@
 /// Delay before the next poll of an upstream that refused or did not answer the last one.
 constexpr milliseconds kPollRetryDelay{ 100 };
 
-std::int64_t Milliseconds(Duration aDuration)
-{
-  return duration_cast<milliseconds>(aDuration).count();
-}
-
 Session* Find(State& aState, std::string_view aUpstream, std::uint64_t aNumber)
 {
   const auto it = aState.mSessions.find(aUpstream);
@@ -76,32 +71,6 @@
   aSession.mRuns.clear();
 }
 
-/// Whether a reading of the clock can be of the process that answered the latest poll. The answers
-/// to starts and stops do not name their process.
-bool IsOfSameProcess(const State& aState,
-                     const Session& aSession,
-                     std::int64_t aClockMs,
-                     Time aSentAt,
-                     Time aNow)
-{
-  constexpr double kRoundingMs = 1;
-  const double known = static_cast<double>(aSession.mClockMs.value_or(0));
-  const double passed = static_cast<double>(Milliseconds(aSentAt - aSession.mClockReadBefore));
-  const double earliest = known + passed * (passed > 0 ? 1 - aState.mOptions.mMaxClockDrift : 1);
-  const double latest = known + static_cast<double>(Milliseconds(aNow - aSession.mClockReadAfter));
-  const double reading = static_cast<double>(aClockMs);
-  return reading >= earliest - kRoundingMs && reading <= latest + kRoundingMs;
-}
-
-void UpdateClock(Session& aSession, std::optional<std::int64_t> aClockMs, Time aSentAt, Time aNow)
-{
-  if (aClockMs) {
-    aSession.mClockMs = aClockMs;
-    aSession.mClockReadAfter = aSentAt;
-    aSession.mClockReadBefore = aNow;
-  }
-}
-
 /// Records an answer and returns whether it shows that the upstream runs another incarnation. It
 /// does not if the upstream has answered a later order or has changed its address since: the order
 /// went to an address that the upstream no longer has.
@@ -120,95 +89,6 @@
   }
 }
 
-/// Whether a run that was given up may still be at work.
-bool HasUnconfirmedStop(const Session& aSession)
-{
-  return std::any_of(aSession.mRuns.begin(), aSession.mRuns.end(), [](const auto& aRun) {
-    return aRun.second.mStopRequested && !aRun.second.mStopConfirmed;
-  });
-}
-
-/// What the upstream's clock shows now at least, in ms, if it runs as slow as mMaxClockDrift
-/// allows.
-double EarliestClock(const State& aState, const Session& aSession, const Now& aNow)
-{
-  const double passed = static_cast<double>(Milliseconds(aNow.mTime - aSession.mClockReadBefore));
-  return static_cast<double>(aSession.mClockMs.value_or(0)) +
-         passed * (1 - aState.mOptions.mMaxClockDrift);
-}
-
-/// The lease end for an order that is sent now: at most mLease after what the upstream's clock
-/// shows at least, as it runs slow but not fast. Others rely on the runs of a dead or silent entry
-/// being over in time, so the clock counts from the arrival of its reading; from the sending of the
-/// poll, its wait at the upstream would lengthen the lease. The lease covers all runs of the
-/// upstream, so it is not renewed while one of them should have ended: its job may soon be
-/// submitted elsewhere.
-std::int64_t NextLeaseEnd(const State& aState, Session& aSession, const Now& aNow)
-{
-  if (HasUnconfirmedStop(aSession)) {
-    return aSession.mSentLeaseEndMs;
-  }
-  const auto end = static_cast<std::int64_t>(EarliestClock(aState, aSession, aNow)) +
-                   aState.mOptions.mLease.count();
-  aSession.mSentLeaseEndMs = std::max(aSession.mSentLeaseEndMs, end);
-  aSession.mLeaseEndMs = std::max(aSession.mLeaseEndMs, aSession.mSentLeaseEndMs);
-  return aSession.mSentLeaseEndMs;
-}
-
-/// Takes the longest lease for granted: late orders with a lease end on the clock of a former
-/// process give it to the present one.
-void AssumeLongestLease(const State& aState, Session& aSession)
-{
-  aSession.mLeaseEndMs = std::max(
-    aSession.mLeaseEndMs, aSession.mClockMs.value_or(0) + aState.mOptions.mMaxLease.count());
-}
-
-/// The latest end, on this entry's clock, of a lease from an order that a process with an unknown
-/// clock executes by aTime.
-Time LongestLeaseEnd(const Options& aOptions, Time aTime)
-{
-  const auto longest =
-    static_cast<double>(aOptions.mMaxLease.count()) / (1 - aOptions.mMaxClockDrift);
-  return aTime + milliseconds(std::llround(std::ceil(longest)));
-}
-
-/// Takes for granted that a process with an unknown clock has executed an order by aTime.
-void AssumeLongestLeaseFrom(const State& aState, Session& aSession, Time aTime)
-{
-  aSession.mLongestLeaseEnd =
-    std::max(aSession.mLongestLeaseEnd, LongestLeaseEnd(aState.mOptions, aTime));
-}
-
-/// Whether a run may be under a lease that ends later than Session::mLeaseEndMs.
-bool HasRunOfUnknownLease(const Session& aSession)
-{
-  return std::any_of(aSession.mRuns.begin(), aSession.mRuns.end(), [](const auto& aRun) {
-    return !aRun.second.mLeaseKnown;
-  });
-}
-
-/// Whether every lease of this session on the known clock has ended even if that clock runs as slow
-/// as mMaxClockDrift allows.
-bool HasLeaseLapsed(const State& aState, const Session& aSession, const Now& aNow)
-{
-  return EarliestClock(aState, aSession, aNow) >
-         static_cast<double>(aSession.mLeaseEndMs + aState.mOptions.mLapseMargin.count());
-}
-
-/// Whether a run is over, given that HasLeaseLapsed holds.
-bool HasRunLapsed(const State& aState, const Session& aSession, const OwnRun& aOwn, const Now& aNow)
-{
-  if (aOwn.mLeaseKnown) {
-    return true;
-  }
-  const auto& options = aState.mOptions;
-  auto end = aSession.mLongestLeaseEnd;
-  if (aOwn.mCopiesPending > 0) {
-    end = std::max(end, LongestLeaseEnd(options, aOwn.mLastCopyAt + options.mAnswerTimeout));
-  }
-  return aNow.mTime > end + options.mLapseMargin;
-}
-
 /// Ends the hold after an order sent at aSentAt was fenced, unless its token was an earlier one.
 void MarkLost(std::string_view aUpstream, Session& aSession, Time aSentAt, Actions& aActions)
 {
@@ -341,7 +221,7 @@
   }
   const bool isSame =
     aEvent.mClockMs &&
-    IsOfSameProcess(aState, aSession, *aEvent.mClockMs, aEvent.mSentAt, aNow.mTime);
+    IsOfSameProcess(aState.mOptions, aSession, *aEvent.mClockMs, aEvent.mSentAt, aNow.mTime);
   if (isSame) {
     UpdateClock(aSession, aEvent.mClockMs, aEvent.mSentAt, aNow.mTime);
     if (aEvent.mSentAt >= aSession.mProcessSince) {
@@ -349,8 +229,8 @@
     }
   }
   // An order that is executed after its time-out is not allowed for: nothing bounds its delay.
-  AssumeLongestLeaseFrom(
-    aState,
+  AssumeLongestUnknownLease(
+    aState.mOptions,
     aSession,
     std::min(aNow.mTime, aEvent.mSentAt + Duration(aState.mOptions.mAnswerTimeout)));
   if (aEvent.mClockMs && !isSame) {
@@ -407,8 +287,8 @@
   } else if (aSession.mPhase == SessionPhase::Ready && !aSession.mRuns.empty()) {
     // After an unanswered poll another renewal only delays the lapse of a run of unknown lease.
     if (aSession.mPollsSent == 0 || !HasRunOfUnknownLease(aSession)) {
-      poll.mLeaseEndMs = NextLeaseEnd(aState, aSession, aNow);
-      AssumeLongestLeaseFrom(aState, aSession, aNow.mTime + options.mAnswerTimeout);
+      poll.mLeaseEndMs = NextLeaseEnd(aState.mOptions, aSession, aNow.mTime);
+      AssumeLongestUnknownLease(options, aSession, aNow.mTime + options.mAnswerTimeout);
     }
     poll.mWait = options.mPollWait;
   } else if (aSession.mPhase == SessionPhase::Clearing && !aSession.mForeignRuns.empty()) {
@@ -473,13 +353,6 @@
   aSession.mRuns.erase(it);
 }
 
-/// Whether no copy of the order to start a run can still be executed without its answer being
-/// known.
-bool IsEachCopyAnswered(const OwnRun& aOwn)
-{
-  return aOwn.mCopiesPending == 0 && !aOwn.mCopyUnknown;
-}
-
 /// Handles that no answer tells whether a run has begun, once no copy of its order is pending.
 void MarkUnknown(std::string_view aUpstream,
                  const Session& aSession,
@@ -527,7 +400,7 @@
 }
 
 /// Ends the runs of an upstream that does not answer, or is no longer held, whose leases have
-/// lapsed; HasLeaseLapsed holds.
+/// lapsed; HaveKnownLeasesLapsed holds.
 void EndLapsedRuns(State& aState,
                    std::string_view aUpstream,
                    Session& aSession,
@@ -536,7 +409,7 @@
 {
   std::vector<Run> lapsed;
   for (const auto& [run, own] : aSession.mRuns) {
-    if (HasRunLapsed(aState, aSession, own, aNow)) {
+    if (HasRunLapsed(aState.mOptions, aSession, own, aNow.mTime)) {
       lapsed.push_back(run);
     }
   }
@@ -589,23 +462,12 @@
                                      aSession.mNumber,
                                      run,
                                      aSession.mToken,
-                                     NextLeaseEnd(aState, aSession, aNow),
+                                     NextLeaseEnd(aState.mOptions, aSession, aNow.mTime),
                                      own.mPayload,
                                      aNow.mTime });
   }
 }
 
-/// Whether a poll shows that only the process that answered it can run the task; that process
-/// refuses orders for a former one.
-bool IsLeaseShown(const Options& aOptions,
-                  const OwnRun& aOwn,
-                  const PollAnswered& aEvent,
-                  bool aListed)
-{
-  const bool haveCopiesExpired = aEvent.mSentAt >= aOwn.mLastCopyAt + aOptions.mAnswerTimeout;
-  return haveCopiesExpired || (aListed && IsEachCopyAnswered(aOwn));
-}
-
 /// Compares the upstream's list of running tasks with the runs of the session.
 void HandleRunning(const Options& aOptions,
                    std::string_view aUpstream,
@@ -766,7 +628,7 @@
                     session.mNumber,
                     aRun,
                     session.mToken,
-                    NextLeaseEnd(aState, session, aNow),
+                    NextLeaseEnd(aState.mOptions, session, aNow.mTime),
                     std::move(aPayload),
                     aNow.mTime };
 }
@@ -874,7 +736,7 @@
   }
   const bool isOfSameProcess =
     aEvent.mClockMs &&
-    IsOfSameProcess(aState, *session, *aEvent.mClockMs, aEvent.mSentAt, aNow.mTime);
+    IsOfSameProcess(aState.mOptions, *session, *aEvent.mClockMs, aEvent.mSentAt, aNow.mTime);
   if (aEvent.mClockMs && !isOfSameProcess) {
     DoubtAnsweringProcess(aEvent.mUpstream, *session, aEvent.mSentAt, aNow, aActions);
   }
@@ -904,7 +766,7 @@
   // Only the answer to a poll that is carried out names its process.
   if (aEvent.mStatus == OrderStatus::Done ||
       (aEvent.mClockMs &&
-       IsOfSameProcess(aState, *session, *aEvent.mClockMs, aEvent.mSentAt, aNow.mTime))) {
+       IsOfSameProcess(aState.mOptions, *session, *aEvent.mClockMs, aEvent.mSentAt, aNow.mTime))) {
     UpdateClock(*session, aEvent.mClockMs, aEvent.mSentAt, aNow.mTime);
   }
   switch (aEvent.mStatus) {
@@ -971,7 +833,7 @@
           SendOwnStop(aEvent.mUpstream, *session, run, own, aNow, aActions);
         }
       }
-      AssumeLongestLease(aState, *session);
+      AssumeLongestLease(aState.mOptions, *session);
     }
     session->mBornMs = aEvent.mBornMs;
     session->mProcessAskedAt = session->mProcessAskedAt.value_or(aEvent.mSentAt);
@@ -989,7 +851,7 @@
   }
   const bool isTokenAccepted = aEvent.mSentAt >= session->mTokenSince;
   if (!session->mTokenAccepted && isTokenAccepted) {
-    AssumeLongestLease(aState, *session); // Late orders were carried out until now.
+    AssumeLongestLease(aState.mOptions, *session); // Late orders were carried out until now.
   }
   session->mTokenAccepted = isTokenAccepted;
   HandleRunning(aState.mOptions, aEvent.mUpstream, *session, aEvent, aNow, aActions);
@@ -1019,7 +881,7 @@
     auto& session = it->second;
     const bool unreachable =
       session.mPhase == SessionPhase::Lost || session.mPhase == SessionPhase::Silent;
-    if (unreachable && HasLeaseLapsed(aState, session, aNow)) {
+    if (unreachable && HaveKnownLeasesLapsed(aState.mOptions, session, aNow.mTime)) {
       EndLapsedRuns(aState, upstream, session, aNow, aActions);
     }
     if (session.mRuns.empty() && (session.mPhase == SessionPhase::Lost ||
