twice_search_test: returning workers, late reads and slow clocks by default

The default run left out four kinds of fault because of known faults: late reads, workers that return under their id or move, and slow clocks. What is left of these faults needs a late order or poll at a worker that has returned.

--- a/src/libentry/twice_search_test.cpp
+++ b/src/libentry/twice_search_test.cpp
@@ -89,12 +89,6 @@
 
 using Kinds = std::set<Kind>;
 
-/// Kinds that show faults that are known and not corrected yet; --all switches them on.
-const Kinds kKnownFaults{ Kind::LateReads,
-                          Kind::ReturningWorkers,
-                          Kind::MovedWorkers,
-                          Kind::Drift };
-
 constexpr milliseconds kRetryDelay{ 1300 };
 constexpr seconds kFaultTime{ 4 };
 /// Seeds whose runs come this near to each other are worth trying with other times.
@@ -141,6 +135,22 @@
   return kinds;
 }
 
+/// Leaves out one half of a fault that is known and not corrected yet: a late order that reaches a
+/// worker's next process before the first poll is carried out. --all keeps both halves.
+void LeaveOutKnownFault(std::uint64_t aSeed, Kinds& aKinds)
+{
+  const Kinds returns{ Kind::ReturningWorkers, Kind::MovedWorkers };
+  const Kinds late{ Kind::LateOrders, Kind::LatePolls };
+  const auto has = [&aKinds](const Kinds& aHalf) {
+    return std::any_of(
+      aHalf.begin(), aHalf.end(), [&aKinds](Kind aKind) { return aKinds.contains(aKind); });
+  };
+  if (has(returns) && has(late)) {
+    const auto& left = aSeed % 2 == 0 ? late : returns;
+    std::erase_if(aKinds, [&left](Kind aKind) { return left.contains(aKind); });
+  }
+}
+
 struct Play
 {
   std::unique_ptr<World> mWorld;
@@ -548,7 +558,8 @@
   std::uint64_t mVariant = 0;
   bool mReduce = false;
   bool mClimb = false;
-  Kinds mOff = kKnownFaults;
+  bool mAll = false;
+  Kinds mOff;
   Kinds mOnly;
 };
 
@@ -566,7 +577,7 @@
     } else if (text == "--variant" && n + 1 < aTexts.size()) {
       arguments.mVariant = std::stoull(aTexts[++n]);
     } else if (text == "--all") {
-      arguments.mOff.clear();
+      arguments.mAll = true;
     } else if ((text == "--without" || text == "--only") && n + 1 < aTexts.size()) {
       const auto kind = FindKind(aTexts[++n]);
       if (!kind) {
@@ -666,6 +677,9 @@
       kinds = arguments->mOnly;
     } else {
       std::erase_if(kinds, [&](Kind aKind) { return arguments->mOff.contains(aKind); });
+      if (!arguments->mAll) {
+        LeaveOutKnownFault(seed, kinds);
+      }
     }
     Reduced reduced{ kinds, arguments->mVariant };
     auto outcome = PlaySeed(seed, kinds, reduced.mVariant);
