soak: cut workers off just after they have restarted

Workers restart under their id after 20 to 400 ms, get a job whose tasks outlast the longest lease, and are cut off for 2 s by resets, by silence or with open connections.

--- a/scripts/harness/forwarder.py
+++ b/scripts/harness/forwarder.py
@@ -12,6 +12,7 @@
 
     def __init__(self):
         self.delay = 0.0  # Seconds by which each chunk is delayed.
+        self.refuses = False  # New connections are reset.
         self.open = {"up": asyncio.Event(), "down": asyncio.Event()}
         for event in self.open.values():
             event.set()
@@ -33,6 +34,7 @@
 
     def heal(self):
         self.delay = 0.0
+        self.refuses = False
         for event in self.open.values():
             event.set()
 
@@ -41,6 +43,11 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def refuse(self):
+        """Resets all open connections and new ones."""
+        self.refuses = True
+        self.reset()
+
     def silence(self):
         """Discards further data of the open connections, which stay open; new ones work."""
         self.silenced |= self.writers
@@ -51,6 +58,9 @@
         self.reset()
 
     async def _serve(self, reader, writer, address, on_bytes):
+        if self.refuses:
+            writer.transport.abort()
+            return
         try:
             for event in self.open.values():
                 await event.wait()
--- a/scripts/harness/soak.py
+++ b/scripts/harness/soak.py
@@ -19,6 +19,7 @@
 DATA_CENTRES = ("north", "south")
 MILLICORES = 8000  # Capacity of a worker.
 DEADLY_JOBS = 0.004  # Fraction of the jobs whose task crashes each worker that starts it.
+LONG_WORK_MS = 1100  # Outlasts the longest lease, `holdMaxMs`.
 CANCELLED_JOBS = 0.05  # Fraction of the jobs that are cancelled; a copy of them is sent later.
 # The names in backquotes are those of the platform's figures.
 DEADLINE_S = 1.5  # Time that a caller waits for an answer.
@@ -67,6 +68,7 @@
         self.evacuations = []  # Data centre, times of the acknowledgement and of the revocation.
         self.blind = []  # Times in which entries may reach neither the store nor each other.
         self.cancel_random = random.Random(options.seed + 3)
+        self.restart_random = random.Random(options.seed + 4)
         self.directory = tempfile.mkdtemp(prefix=f"pollenwall-soak-{options.seed}-")
         self.base = options.base
         # Runs copies of the programs, so that a build meanwhile does not replace them.
@@ -290,6 +292,15 @@
         if tasks:
             await asyncio.wait(tasks, timeout=3 * DEADLINE_S + 5)
 
+    def submit_long_job(self):
+        current = [it for it, (_, removed) in self.routes.items() if removed is None]
+        if not current:
+            return
+        job = Job(f"{self.restart_random.getrandbits(64):016x}", "", len(self.workers))
+        job.spec = json.dumps({"work_ms": LONG_WORK_MS, "millicores": 2000})
+        self.judge.jobs[job.name] = job
+        asyncio.ensure_future(self.run_caller(current[-1], job, None))
+
     async def balancer(self):
         async def poll_readiness(entry):
             misses = 0
@@ -405,8 +416,11 @@
 
     async def kill_worker(self, seconds):
         worker = self.random.choice(self.workers)
-        if worker.faulted or not worker.process.running():
-            return
+        if not worker.faulted and worker.process.running():
+            await self.kill_and_start(worker, seconds)
+
+    async def kill_and_start(self, worker, seconds):
+        """Starts the worker again under its id after the given time."""
         worker.faulted = True
         worker.process.signal(signal.SIGKILL)
         worker.process.child.wait()
@@ -416,6 +430,22 @@
         await asyncio.sleep(seconds)
         self.start_worker(worker)
 
+    async def cut_restarted_workers(self, until):
+        """Kills workers, and cuts all links to them soon after they have started again."""
+        while time.monotonic() + 3 < until:
+            await asyncio.sleep(self.restart_random.uniform(0.5, 3))
+            worker = self.restart_random.choice(self.workers)
+            if worker.faulted or not worker.process.running():
+                continue
+            await self.kill_and_start(worker, self.restart_random.uniform(0.02, 0.4))
+            worker.faulted = True
+            await asyncio.sleep(self.restart_random.uniform(0.0, 0.3))
+            self.submit_long_job()
+            await asyncio.sleep(self.restart_random.uniform(0.02, 0.3))
+            change = self.restart_random.choice((Link.refuse, Link.refuse, Link.silence, Link.cut))
+            await self.change_links(lambda _, port: port == worker.port, change, 2.0)
+            worker.faulted = False
+
     async def restart_worker(self, worker):
         await asyncio.sleep(self.deadly_random.uniform(0.5, 3.0))
         self.read_worker_logs()
@@ -593,9 +623,10 @@
             await asyncio.sleep(0.1)
         end = time.monotonic() + self.options.minutes * 60
         traffic = asyncio.ensure_future(self.submit_jobs(end + QUIET_S))
-        evacuations = asyncio.ensure_future(self.evacuate_at_random(end))
+        others = [asyncio.ensure_future(self.evacuate_at_random(end)),
+                  asyncio.ensure_future(self.cut_restarted_workers(end))]
         await self.inject_faults(end)
-        await evacuations
+        await asyncio.gather(*others)
         self.faults_ended_at = time.monotonic()
         note(f"{len(self.fault_log)} faults have ended; {QUIET_S} s without faults follow")
         await traffic
