holding: name the suspicion of a restart as the log event does

mProcessDoubtedSince and its functions had names of their own for what the log calls upstream_restart_suspected. The conditions of a renewal stand in IsRenewalAllowed. No change of behaviour; holding_test, two_runs_test, twice_search_test, entry_test and deadly_task_test pass.

--- a/src/include/pollenwall/holding.h
+++ b/src/include/pollenwall/holding.h
@@ -403,9 +403,9 @@
   /// When the present process was found. The lease ends of orders sent before are on the clock of
   /// a former one.
   Time mProcessSince{};
-  /// If set: another process may have taken the upstream's place. It takes no new tasks until a
-  /// poll that was sent no earlier is answered.
-  std::optional<Time> mProcessDoubtedSince;
+  /// If set: the upstream may have restarted. It takes no new tasks until a poll that was sent no
+  /// earlier is answered.
+  std::optional<Time> mRestartSuspectedSince;
 };
 
 struct State
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -30,7 +30,7 @@
 void ReportUsable(std::string_view aUpstream, Session& aSession, Actions& aActions)
 {
   const bool usable = aSession.mPhase == SessionPhase::Ready && !aSession.mReleasing &&
-                      aSession.mLostPolls == 0 && !aSession.mProcessDoubtedSince;
+                      aSession.mLostPolls == 0 && !aSession.mRestartSuspectedSince;
   if (usable != aSession.mUsable) {
     aSession.mUsable = usable;
     aActions.emplace_back(UsableChanged{ std::string(aUpstream), usable });
@@ -177,18 +177,18 @@
 
 /// Asks at once which process has the upstream's place. Until it has answered, no task is started,
 /// no lease is renewed, and no ends are acknowledged, which the new process would delete.
-void DoubtProcess(std::string_view aUpstream,
-                  Session& aSession,
-                  std::string_view aEvidence,
-                  const Now& aNow,
-                  Actions& aActions)
+void SuspectRestart(std::string_view aUpstream,
+                    Session& aSession,
+                    std::string_view aEvidence,
+                    const Now& aNow,
+                    Actions& aActions)
 {
-  if (aSession.mProcessDoubtedSince || aSession.mPhase == SessionPhase::Claiming ||
+  if (aSession.mRestartSuspectedSince || aSession.mPhase == SessionPhase::Claiming ||
       aSession.mPhase == SessionPhase::Lost) {
     return;
   }
   AddNote(aActions, "upstream_restart_suspected", aUpstream, std::string(aEvidence));
-  aSession.mProcessDoubtedSince = aNow.mTime;
+  aSession.mRestartSuspectedSince = aNow.mTime;
   aSession.mPollPending = false;
   aSession.mPollsSent = 0;
   aSession.mNextPollAt = aNow.mTime;
@@ -197,14 +197,14 @@
 
 /// Handles an answer that is not of the process whose clock is known. It may be of a former one if
 /// the order was sent before that clock was read.
-void DoubtAnsweringProcess(std::string_view aUpstream,
-                           Session& aSession,
-                           Time aSentAt,
-                           const Now& aNow,
-                           Actions& aActions)
+void HandleOtherClock(std::string_view aUpstream,
+                      Session& aSession,
+                      Time aSentAt,
+                      const Now& aNow,
+                      Actions& aActions)
 {
   if (aSentAt >= aSession.mClockReadBefore) {
-    DoubtProcess(aUpstream, aSession, "clock of an answer", aNow, aActions);
+    SuspectRestart(aUpstream, aSession, "clock of an answer", aNow, aActions);
   }
 }
 
@@ -234,7 +234,7 @@
     aSession,
     std::min(aNow.mTime, aEvent.mSentAt + Duration(aState.mOptions.mAnswerTimeout)));
   if (aEvent.mClockMs && !isSame) {
-    DoubtAnsweringProcess(aEvent.mUpstream, aSession, aEvent.mSentAt, aNow, aActions);
+    HandleOtherClock(aEvent.mUpstream, aSession, aEvent.mSentAt, aNow, aActions);
   }
   return false;
 }
@@ -265,7 +265,15 @@
 std::uint64_t EndToAcknowledge(const Session& aSession)
 {
   const bool isAcknowledged = aSession.mAnsweredPollSentAt > aSession.mLastEndSince;
-  return isAcknowledged || aSession.mProcessDoubtedSince ? 0 : aSession.mLastEnd;
+  return isAcknowledged || aSession.mRestartSuspectedSince ? 0 : aSession.mLastEnd;
+}
+
+/// Whether the next poll may renew the lease. While the lease of a run is unknown, only the first
+/// poll since an answer does: each renewal delays the lapse of that run.
+bool IsRenewalAllowed(const Session& aSession)
+{
+  return !aSession.mRestartSuspectedSince &&
+         (aSession.mPollsSent == 0 || !HasRunOfUnknownLease(aSession));
 }
 
 void SendNextPoll(State& aState,
@@ -282,20 +290,17 @@
                  {},
                  {},
                  aNow.mTime };
-  if (aSession.mProcessDoubtedSince) {
-    // The process is asked for without a wait.
-  } else if (aSession.mPhase == SessionPhase::Ready && !aSession.mRuns.empty()) {
-    // After an unanswered poll another renewal only delays the lapse of a run of unknown lease.
-    if (aSession.mPollsSent == 0 || !HasRunOfUnknownLease(aSession)) {
-      poll.mLeaseEndMs = NextLeaseEnd(aState.mOptions, aSession, aNow.mTime);
+  if (aSession.mPhase == SessionPhase::Ready && !aSession.mRuns.empty()) {
+    if (IsRenewalAllowed(aSession)) {
+      poll.mLeaseEndMs = NextLeaseEnd(options, aSession, aNow.mTime);
       AssumeLongestUnknownLease(options, aSession, aNow.mTime + options.mAnswerTimeout);
     }
     poll.mWait = options.mPollWait;
   } else if (aSession.mPhase == SessionPhase::Clearing && !aSession.mForeignRuns.empty()) {
     poll.mWait = kClearingPollWait;
   }
-  if (aSession.mPollsSent > 0) {
-    poll.mWait = milliseconds{ 0 }; // The latest poll was not answered; this one asks at once.
+  if (aSession.mPollsSent > 0 || aSession.mRestartSuspectedSince) {
+    poll.mWait = milliseconds{ 0 }; // The latest poll was not answered, or by another process.
   }
   ++aSession.mPollsSent;
   aSession.mPollPending = true;
@@ -498,7 +503,7 @@
   std::vector<Run> gone;
   for (auto& [run, own] : aSession.mRuns) {
     const bool isListed = listed.contains(run);
-    if (aSession.mTokenAccepted && IsLeaseShown(aOptions, own, aEvent, isListed)) {
+    if (aSession.mTokenAccepted && MakesLeaseKnown(aOptions, own, aEvent, isListed)) {
       own.mLeaseKnown = true;
     }
     if (isListed) {
@@ -649,7 +654,7 @@
 {
   const auto it = aState.mSessions.find(aUpstream);
   if (it != aState.mSessions.end() && it->second.mBornMs && it->second.mBornMs != aBornMs) {
-    DoubtProcess(aUpstream, it->second, "record of another process", aNow, aActions);
+    SuspectRestart(aUpstream, it->second, "record of another process", aNow, aActions);
   }
 }
 
@@ -738,7 +743,7 @@
     aEvent.mClockMs &&
     IsOfSameProcess(aState.mOptions, *session, *aEvent.mClockMs, aEvent.mSentAt, aNow.mTime);
   if (aEvent.mClockMs && !isOfSameProcess) {
-    DoubtAnsweringProcess(aEvent.mUpstream, *session, aEvent.mSentAt, aNow, aActions);
+    HandleOtherClock(aEvent.mUpstream, *session, aEvent.mSentAt, aNow, aActions);
   }
   // A stop that a former process has confirmed shows nothing about the present one. An unconfirmed
   // stop is sent again.
@@ -864,8 +869,8 @@
     }
     SetPhase(aEvent.mUpstream, *session, phase, aActions);
   }
-  if (session->mProcessDoubtedSince && aEvent.mSentAt >= *session->mProcessDoubtedSince) {
-    session->mProcessDoubtedSince.reset();
+  if (session->mRestartSuspectedSince && aEvent.mSentAt >= *session->mRestartSuspectedSince) {
+    session->mRestartSuspectedSince.reset();
     ReportUsable(aEvent.mUpstream, *session, aActions);
   }
   const bool busy =
--- a/src/libholding/leases.cpp
+++ b/src/libholding/leases.cpp
@@ -91,10 +91,10 @@
   return aOwn.mCopiesPending == 0 && !aOwn.mCopyUnknown;
 }
 
-bool IsLeaseShown(const Options& aOptions,
-                  const OwnRun& aOwn,
-                  const PollAnswered& aEvent,
-                  bool aListed)
+bool MakesLeaseKnown(const Options& aOptions,
+                     const OwnRun& aOwn,
+                     const PollAnswered& aEvent,
+                     bool aListed)
 {
   const bool haveCopiesExpired = aEvent.mSentAt >= aOwn.mLastCopyAt + aOptions.mAnswerTimeout;
   return haveCopiesExpired || (aListed && IsEachCopyAnswered(aOwn));
--- a/src/libholding/leases.h
+++ b/src/libholding/leases.h
@@ -40,10 +40,10 @@
 
 /// Whether a poll shows that only the process that answered it can have the run; that process
 /// refuses orders for a former one. aListed: the answer lists the run as running.
-bool IsLeaseShown(const Options& aOptions,
-                  const OwnRun& aOwn,
-                  const PollAnswered& aEvent,
-                  bool aListed);
+bool MakesLeaseKnown(const Options& aOptions,
+                     const OwnRun& aOwn,
+                     const PollAnswered& aEvent,
+                     bool aListed);
 
 /// Whether a run may be under a lease that ends later than Session::mLeaseEndMs.
 bool HasRunOfUnknownLease(const Session& aSession);
