soak: keep the log of each start of a worker

Two starts of a worker between two faults had one log name, and the second start overwrote what the first life had logged.

--- a/scripts/harness/soak.py
+++ b/scripts/harness/soak.py
@@ -81,6 +81,7 @@
         self.store_active_faults = 0
         self.entries = []
         self.workers = []
+        self.worker_starts = 0  # Each has a log of its own.
         self.routes = {}  # Path prefix: [time published or None, time removed or None].
         self.version = 0
         self.fault_log = []
@@ -103,7 +104,8 @@
                              self.directory)
 
     def start_worker(self, worker):
-        name = f"{worker.name}-{len(self.fault_log)}"
+        self.worker_starts += 1
+        name = f"{worker.name}-{self.worker_starts}"
         worker.process = Process(name, [
             self.programs["platform-worker"], f"--name={worker.name}",
             f"--ports={worker.port}-{worker.port}", f"--control_port={worker.control}",
