--- a/src/libentry/twice_search_test.cpp
+++ b/src/libentry/twice_search_test.cpp
@@ -135,7 +135,7 @@
   return kinds;
 }
 
-/// The kinds of faults of each play of a seed. One fault is known and not corrected yet: a late
+/// The kinds of faults of the plays of a seed. One fault is known and not corrected yet: a late
 /// order that reaches a worker's next process before the first poll is carried out. A seed with
 /// both halves of it is played without the one and without the other.
 std::vector<Kinds> PlaysOf(std::uint64_t aSeed)
@@ -599,6 +599,23 @@
   return arguments;
 }
 
+/// Seeds and kinds of faults to play.
+std::vector<std::pair<std::uint64_t, Kinds>> PlaysOf(const Arguments& aArguments)
+{
+  std::vector<std::pair<std::uint64_t, Kinds>> plays;
+  for (auto seed = aArguments.mFirst; seed <= aArguments.mLast; ++seed) {
+    if (!aArguments.mOnly.empty()) {
+      plays.emplace_back(seed, aArguments.mOnly);
+      continue;
+    }
+    for (auto kinds : aArguments.mAll ? std::vector<Kinds>{ KindsOf(seed) } : PlaysOf(seed)) {
+      std::erase_if(kinds, [&](Kind aKind) { return aArguments.mOff.contains(aKind); });
+      plays.emplace_back(seed, std::move(kinds));
+    }
+  }
+  return plays;
+}
+
 /// A play that showed a fault which has been corrected.
 struct KnownPlay
 {
@@ -673,33 +690,25 @@
                 : 0;
   std::uint64_t failed = 0;
   std::map<std::string, std::uint64_t> causes;
-  for (auto seed = arguments->mFirst; seed <= arguments->mLast; ++seed) {
-    const auto plays = !arguments->mOnly.empty() ? std::vector<Kinds>{ arguments->mOnly }
-                       : arguments->mAll         ? std::vector<Kinds>{ KindsOf(seed) }
-                                                 : PlaysOf(seed);
-    for (auto kinds : plays) {
-      if (arguments->mOnly.empty()) {
-        std::erase_if(kinds, [&](Kind aKind) { return arguments->mOff.contains(aKind); });
-      }
-      Reduced reduced{ kinds, arguments->mVariant };
-      auto outcome = PlaySeed(seed, kinds, reduced.mVariant);
-      if (arguments->mClimb && outcome.mViolations.empty() &&
-          outcome.mLeastGap.value_or(kNearGap) < Duration(kNearGap)) {
-        reduced.mVariant = FailingVariant(seed, kinds).value_or(0);
-        outcome = PlaySeed(seed, kinds, reduced.mVariant);
-      }
-      if (outcome.mViolations.empty()) {
-        continue;
-      }
-      ++failed;
-      if (arguments->mReduce) {
-        reduced = Reduce(seed, std::move(reduced));
-      }
-      const auto needed = Join(reduced.mKinds);
-      ++causes[needed];
-      std::cerr << "seed " << seed << " variant " << reduced.mVariant << ": "
-                << outcome.mViolations.front() << "; faults: " << needed << "\n";
+  for (const auto& [seed, kinds] : PlaysOf(*arguments)) {
+    Reduced reduced{ kinds, arguments->mVariant };
+    auto outcome = PlaySeed(seed, kinds, reduced.mVariant);
+    if (arguments->mClimb && outcome.mViolations.empty() &&
+        outcome.mLeastGap.value_or(kNearGap) < Duration(kNearGap)) {
+      reduced.mVariant = FailingVariant(seed, kinds).value_or(0);
+      outcome = PlaySeed(seed, kinds, reduced.mVariant);
+    }
+    if (outcome.mViolations.empty()) {
+      continue;
+    }
+    ++failed;
+    if (arguments->mReduce) {
+      reduced = Reduce(seed, std::move(reduced));
     }
+    const auto needed = Join(reduced.mKinds);
+    ++causes[needed];
+    std::cerr << "seed " << seed << " variant " << reduced.mVariant << ": "
+              << outcome.mViolations.front() << "; faults: " << needed << "\n";
   }
   if (arguments->mReduce) {
     for (const auto& [names, count] : causes) {
--- a/src/libholding/holding.cpp
+++ b/src/libholding/holding.cpp
@@ -299,8 +299,9 @@
   } else if (aSession.mPhase == SessionPhase::Clearing && !aSession.mForeignRuns.empty()) {
     poll.mWait = kClearingPollWait;
   }
+  // After an unanswered poll, or if the upstream may have restarted, the next poll asks at once.
   if (aSession.mPollsSent > 0 || aSession.mRestartSuspectedSince) {
-    poll.mWait = milliseconds{ 0 }; // The latest poll was not answered, or by another process.
+    poll.mWait = milliseconds{ 0 };
   }
   ++aSession.mPollsSent;
   aSession.mPollPending = true;
